--- /dev/null
+++ b/src/config.cpp
@@ -0,0 +1,90 @@
+#include "config.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "settings.hpp"
+
+namespace beechpoint {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const Json& need(const Json& object, const char* key) {
+    const auto found = object.find(key);
+    if (found == object.end()) throw BadConfig(fmt::format("key {} is missing", key));
+    return *found;
+}
+
+std::string text(const Json& object, const char* key) {
+    const Json& value = need(object, key);
+    if (!value.is_string()) throw BadConfig(fmt::format("key {} must be text", key));
+    return value.get<std::string>();
+}
+
+asio::ip::tcp::endpoint address(const Json& object, const char* key) {
+    const auto endpoint = back::readEndpoint(text(object, key));
+    if (!endpoint) throw BadConfig(fmt::format("key {} must be ADDRESS:PORT", key));
+    return *endpoint;
+}
+
+std::uint64_t readSeed(const std::string& hex) {
+    std::uint64_t seed = 0;
+    const auto [end, error] = std::from_chars(hex.data(), hex.data() + hex.size(), seed, 16);
+    if (error != std::errc{} || end != hex.data() + hex.size())
+        throw BadConfig("key seed must be at most 16 hex digits");
+    return seed;
+}
+
+void readSettings(const Json& json, Config& config) {
+    const std::string settings = need(json, "settings").dump();
+    config.settings = firkeel::wire::readSettings(settings);
+    for (const firkeel::ClassSettings& c : config.settings.classes)
+        if (c.secondStep > 0)
+            throw BadConfig(fmt::format("class {} has a second step, which no front speaks", c.name));
+    const auto limits = firkeel::wire::readConnectionSettings(settings);
+    if (config.settings.dialTimeout > 0)
+        config.connections.dialTimeout = fromNanos(config.settings.dialTimeout);
+    config.connections.idle = limits.idle > 0 ? fromNanos(limits.idle) : 1e12;
+    config.connections.calls = static_cast<std::size_t>(limits.callsAtOnce);
+    config.connections.bundle = static_cast<std::size_t>(limits.partsInCall);
+}
+
+}  // namespace
+
+Config readConfig(const std::string& source, const Clock& clock) {
+    const Json json = Json::parse(source, nullptr, false);
+    if (!json.is_object()) throw BadConfig("expected a JSON object");
+    Config config;
+    try {
+        config.name = text(json, "name");
+        config.listen = address(json, "listen");
+        config.discovery = address(json, "discovery");
+        config.seed = readSeed(text(json, "seed"));
+        if (json.contains("limits") && json["limits"].contains("sockets"))
+            config.sockets = json["limits"]["sockets"].get<std::size_t>();
+        config.known = discovery::readListing(need(json, "known"), clock);
+        config.known.list.kind = firkeel::ListKind::remembered;
+        readSettings(json, config);
+        // The module checks the rest itself, and names the key.
+        firkeel::Coordinator(config.settings, config.seed, 0);
+    } catch (const BadConfig&) {
+        throw;
+    } catch (const std::exception& e) {
+        throw BadConfig(e.what());
+    }
+    return config;
+}
+
+Config readConfigFile(const std::string& path, const Clock& clock) {
+    std::ifstream file(path);
+    if (!file) throw BadConfig(fmt::format("can't open {}", path));
+    return readConfig(std::string(std::istreambuf_iterator<char>(file), {}), clock);
+}
+
+}  // namespace beechpoint
--- /dev/null
+++ b/src/core/exchange.cpp
@@ -0,0 +1,334 @@
+#include "core/exchange.hpp"
+
+#include <algorithm>
+
+namespace beechpoint {
+
+namespace {
+
+constexpr double kShareSlack = 1e-4;  // sums of shares may fall so short, as the rules allow
+
+Counter counterOf(Outcome outcome) {
+    switch (outcome) {
+        case Outcome::served:
+            return Counter::attemptsServed;
+        case Outcome::error:
+            return Counter::attemptsError;
+        case Outcome::turnedAway:
+            return Counter::attemptsTurnedAway;
+        case Outcome::timedOut:
+            return Counter::attemptsTimedOut;
+        case Outcome::noConnection:
+            return Counter::attemptsNoConnection;
+        case Outcome::connectionLost:
+            return Counter::attemptsConnectionLost;
+        case Outcome::cancelled:
+            return Counter::attemptsCancelled;
+        case Outcome::notSent:
+            break;
+    }
+    return Counter::attemptsNotSent;
+}
+
+}  // namespace
+
+Exchange::Exchange(const firkeel::Settings& settings, std::uint64_t seed, const Clock& clock,
+                   Counters& counters, Logger& log, std::function<void(Millis)> wake)
+    : settings_(settings),
+      clock_(clock),
+      counters_(counters),
+      log_(log),
+      wake_(std::move(wake)),
+      coordinator_(settings, seed, toNanos(clock.now())) {}
+
+RequestId Exchange::nextId() {
+    // Ids come back after 2^32 of them; one still held is passed over, and 0 means none.
+    do ++lastId_;
+    while (lastId_ == 0 || queries_.contains(lastId_) || queryOf_.contains(lastId_));
+    return lastId_;
+}
+
+const firkeel::ClassSettings* Exchange::classOf(const std::string& name) const {
+    const auto found = std::find_if(settings_.classes.begin(), settings_.classes.end(),
+                                    [&](const auto& c) { return c.name == name; });
+    return found == settings_.classes.end() ? nullptr : &*found;
+}
+
+// ---- client side
+
+Ticket Exchange::take(Request request, Done done) {
+    counters_.add(Counter::queriesTaken);
+    const std::size_t more = 1 + request.parts.size();
+    const auto refuse = [&](Final::Why why, Counter counter) {
+        counters_.add(counter);
+        Final final;
+        final.kind = why == Final::Why::duplicateId ? Final::Kind::failed : Final::Kind::refused;
+        final.why = why;
+        final.retryAfter =
+            why == Final::Why::openCap && settings_.retryAfter ? fromNanos(settings_.maxRetryAfter) : 0;
+        done(final);
+        return Ticket{0};
+    };
+    if (ids_.contains(request.id)) return refuse(Final::Why::duplicateId, Counter::badRequests);
+    if (settings_.openCap > 0 && open_ + more > static_cast<std::size_t>(settings_.openCap))
+        return refuse(Final::Why::openCap, Counter::refusedAtCap);
+
+    const RequestId id = nextId();
+    Live& live = queries_[id];
+    live.request = std::make_shared<const Request>(std::move(request));
+    live.done = std::move(done);
+    const Request& r = *live.request;
+    ids_.insert(r.id);
+    overdue_.insert({r.expires, id});
+    open_ += more;
+
+    firkeel::QueryArrived arrived;
+    arrived.id = id;
+    arrived.number = id;
+    arrived.klass = r.klass;
+    arrived.repeat = r.repeat;
+    arrived.expires = toNanos(r.expires);
+    arrived.parts = static_cast<int>(r.parts.size());
+    arrived.key = r.key;
+    events_.emplace_back(std::move(arrived));
+    for (const RequestPart& part : r.parts) {
+        counters_.add(Counter::partsTaken);
+        const RequestId partId = nextId();
+        queryOf_[partId] = id;
+        live.parts.push_back({partId, part.slice, part.share, false, 0, {}});
+        events_.emplace_back(firkeel::PartArrived{partId, id, part.slice, part.share});
+    }
+    pump();
+    return id;
+}
+
+void Exchange::gone(Ticket ticket) {
+    const auto found = queries_.find(ticket);
+    if (found == queries_.end()) return;
+    counters_.add(Counter::clientsGone);
+    found->second.done = nullptr;  // nothing is owed any more
+    finish(ticket, {});
+    give(firkeel::QueryGone{ticket});
+}
+
+// Ends a query, with its one final answer where a client still waits.
+void Exchange::finish(RequestId query, Final final) {
+    const auto found = queries_.find(query);
+    if (found == queries_.end()) return;  // it had its answer already
+    Live live = std::move(found->second);
+    queries_.erase(found);
+    ids_.erase(live.request->id);
+    overdue_.erase({live.request->expires, query});
+    open_ -= 1 + live.parts.size();
+    for (const LivePart& part : live.parts) queryOf_.erase(part.id);
+    if (!live.done) return;
+    if (final.kind == Final::Kind::answered)
+        for (const LivePart& part : live.parts)
+            if (part.in) final.parts.push_back({part.slice, part.value});
+    counters_.add(final.kind == Final::Kind::refused  ? Counter::refused
+                  : final.kind == Final::Kind::failed ? Counter::failed
+                  : final.whole                       ? Counter::answeredWhole
+                                                      : Counter::answeredShort);
+    live.done(final);
+}
+
+// ---- server side
+
+Exchange::LivePart* Exchange::partOf(RequestId part) {
+    const auto query = queryOf_.find(part);
+    if (query == queryOf_.end()) return nullptr;
+    std::vector<LivePart>& parts = queries_.at(query->second).parts;
+    return &*std::find_if(parts.begin(), parts.end(), [&](const auto& p) { return p.id == part; });
+}
+
+bool Exchange::claim(AttemptId attempt) {
+    const auto found = out_.find(attempt);
+    if (found == out_.end()) return false;  // cancelled, or timed out
+    const LivePart* part = partOf(attempt.part);
+    // Its host was drained, its time ran out or its query ended while it waited for a connection: it never
+    // ran, and must not any more.
+    if (!part || !up_.contains(found->second.server) || clock_.now() >= found->second.until) {
+        conclude(found, Outcome::notSent, {});
+        return false;
+    }
+    counters_.add(Counter::attemptsSent);
+    return true;
+}
+
+void Exchange::ended(AttemptId attempt, Outcome outcome, std::string_view value, Load load) {
+    const auto found = out_.find(attempt);
+    if (found == out_.end()) return;  // it had its one outcome: this came late
+    if (outcome == Outcome::served)
+        if (LivePart* part = partOf(attempt.part); part && !part->in) {
+            part->in = true;
+            part->value = value;
+        }
+    conclude(found, outcome, std::move(load));
+}
+
+void Exchange::conclude(OutMap::iterator found, Outcome outcome, Load load) {
+    const AttemptId id = found->first;
+    const Out out = std::move(found->second);
+    out_.erase(found);
+    timeouts_.erase({out.until, id});
+    counters_.add(counterOf(outcome));
+    const LivePart* part = partOf(id.part);
+    firkeel::AttemptEnded event;
+    event.id = id.part;
+    event.attempt = id.number;
+    event.server = out.server;
+    event.outcome = outcome;
+    event.took = toNanos(clock_.now() - out.sentAt);
+    event.partOver = !part || part->in;
+    event.load = std::move(load);
+    give(std::move(event));
+}
+
+void Exchange::probed(const std::string& server, Outcome outcome, Millis took, Load load) {
+    give(firkeel::ProbeEnded{server, outcome, toNanos(took), std::move(load)});
+}
+
+void Exchange::list(const HostList& list) {
+    counters_.add(Counter::listUpdates);
+    if (list.kind != firkeel::ListKind::changes) up_.clear();
+    firkeel::ServerList event;
+    event.kind = list.kind;
+    for (const HostEntry& host : list.entries) {
+        if (host.entry.state == firkeel::ServerState::up)
+            up_.insert(host.entry.id);
+        else
+            up_.erase(host.entry.id);
+        event.entries.push_back(host.entry);
+    }
+    hosts_->update(list);
+    give(std::move(event));
+}
+
+// ---- the module
+
+void Exchange::give(firkeel::Event event) {
+    events_.push_back(std::move(event));
+    pump();
+}
+
+void Exchange::pump() {
+    if (pumping_) return;  // carried out by the call further up, in order
+    pumping_ = true;
+    std::vector<firkeel::Action> actions;
+    while (!events_.empty()) {
+        const firkeel::Event event = std::move(events_.front());
+        events_.pop_front();
+        actions.clear();
+        coordinator_.handle(toNanos(clock_.now()), event, actions);
+        for (const firkeel::Action& action : actions) std::visit([this](const auto& a) { carry(a); }, action);
+    }
+    pumping_ = false;
+    hosts_->flush();
+    rearm();
+}
+
+void Exchange::carry(const firkeel::Send& a) {
+    LivePart* part = partOf(a.id);
+    if (!part) {
+        log_.seldom("send", "the module sent part {} of a query that is over", a.id);
+        return;
+    }
+    const Live& live = queries_.at(queryOf_.at(a.id));
+    const AttemptId id{a.id, part->attempts++};
+    const Millis now = clock_.now();
+    // No attempt outlives its query.
+    const Millis until =
+        std::min(a.within > 0 ? now + fromNanos(a.within) : live.request->expires, live.request->expires);
+    const auto out = out_.emplace(id, Out{a.server, now, until}).first;
+    if (id.number >= settings_.maxAttempts) {
+        conclude(out, Outcome::notSent, {});
+        return;
+    }
+    timeouts_.insert({until, id});
+    hosts_->send({id, a.server, live.request, part->slice, until});
+}
+
+void Exchange::carry(const firkeel::Cancel& a) {
+    const AttemptId id{a.id, a.attempt};
+    const auto found = out_.find(id);
+    if (found == out_.end()) return;
+    hosts_->abandon(id);
+    conclude(found, Outcome::cancelled, {});
+}
+
+void Exchange::carry(const firkeel::Answer& a) {
+    const auto found = queries_.find(a.id);
+    if (found == queries_.end()) return;
+    const Live& live = found->second;
+    double in = 0, all = 0;
+    for (const LivePart& part : live.parts) {
+        all += part.share;
+        if (part.in) in += part.share;
+    }
+    const bool every = std::all_of(live.parts.begin(), live.parts.end(), [](const auto& p) { return p.in; });
+    const firkeel::ClassSettings* klass = classOf(live.request->klass);
+    Final final;
+    final.kind = Final::Kind::answered;
+    final.whole = a.whole && (every || in >= klass->completeFrom * all - kShareSlack);
+    // Guards the rule on honest answers, whatever the module says: too little is no answer at all.
+    if (!every && in < klass->leastShare * all - kShareSlack) {
+        log_.seldom("short answer", "query {} had too few parts in to be answered", live.request->id);
+        final.kind = Final::Kind::failed;
+    }
+    finish(a.id, std::move(final));
+}
+
+void Exchange::carry(const firkeel::Refuse& a) {
+    Final final;
+    final.kind = Final::Kind::refused;
+    final.retryAfter = fromNanos(a.retryAfter);
+    finish(a.id, std::move(final));
+}
+
+void Exchange::carry(const firkeel::Fail& a) { finish(a.id, {}); }
+
+void Exchange::carry(const firkeel::SetTimer& a) { timers_.emplace(fromNanos(a.at), a.mark); }
+
+void Exchange::carry(const firkeel::Probe& a) {
+    counters_.add(Counter::probesSent);
+    hosts_->probe(a.server);
+}
+
+void Exchange::carry(const firkeel::Log& a) { log_.info("{}", a.text); }
+
+// ---- time
+
+void Exchange::tick() {
+    const Millis now = clock_.now();
+    while (!timeouts_.empty() && timeouts_.begin()->first <= now) {
+        const AttemptId id = timeouts_.begin()->second;
+        hosts_->abandon(id);
+        conclude(out_.find(id), Outcome::timedOut, {});
+    }
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+        const std::int64_t mark = timers_.begin()->second;
+        timers_.erase(timers_.begin());
+        give(firkeel::TimerDue{mark});
+    }
+    // The module ends each query well before its time is up. Should it ever not, the client still gets one
+    // answer, and the module is told that the query is gone.
+    while (!overdue_.empty() && overdue_.begin()->first <= now) {
+        const RequestId id = overdue_.begin()->second;
+        log_.seldom("overdue", "query {} was ended by the exchange", queries_.at(id).request->id);
+        Final final;
+        final.why = Final::Why::overdue;
+        finish(id, std::move(final));
+        give(firkeel::QueryGone{id});
+    }
+    rearm();
+}
+
+void Exchange::rearm() {
+    Millis next = 1e300;
+    if (!timeouts_.empty()) next = std::min(next, timeouts_.begin()->first);
+    if (!timers_.empty()) next = std::min(next, timers_.begin()->first);
+    if (!overdue_.empty()) next = std::min(next, overdue_.begin()->first);
+    if (next < 1e300) wake_(next);
+}
+
+}  // namespace beechpoint
--- /dev/null
+++ b/src/core/exchange.hpp
@@ -0,0 +1,190 @@
+// The exchange: the only place where the client side and the server side meet. It owns the live queries and
+// their parts, tells the decision module what happens and carries out what the module decides. It decides
+// nothing itself; it only holds to the figures that no decision may pass: the open cap, the attempts of a
+// part, one final answer for each query, one outcome for each attempt.
+#pragma once
+
+#include <compare>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "core/counters.hpp"
+#include "core/logger.hpp"
+#include "firkeel/coordinator.hpp"
+
+namespace beechpoint {
+
+using firkeel::Outcome;
+using firkeel::RequestId;
+
+// ---- towards clients
+
+struct RequestPart {
+    int slice = 0;
+    double share = 0;
+};
+
+struct Request {
+    std::string id;  // the client's, unique among the live ones
+    std::string klass;
+    std::string key;
+    bool repeat = false;
+    Millis expires = 0;
+    std::vector<RequestPart> parts;
+    std::string text;  // what each part carries to its track host, unchanged
+};
+
+struct PartAnswer {
+    int slice = 0;
+    std::string_view value;  // as a track host gave it
+};
+
+struct Final {
+    enum class Kind { answered, refused, failed };
+    enum class Why { decided, openCap, duplicateId, overdue };
+    Kind kind = Kind::failed;
+    Why why = Why::decided;
+    bool whole = false;
+    std::vector<PartAnswer> parts;  // valid during the call only
+    Millis retryAfter = 0;          // refused: 0 is no advice
+};
+
+using Ticket = RequestId;  // 0: none
+using Done = std::function<void(const Final&)>;
+
+// ---- towards track hosts
+
+struct AttemptId {
+    RequestId part = 0;
+    int number = 0;
+    auto operator<=>(const AttemptId&) const = default;
+};
+
+struct Attempt {
+    AttemptId id;
+    std::string server;
+    std::shared_ptr<const Request> request;
+    int slice = 0;
+    Millis until = 0;
+};
+
+struct HostEntry {
+    firkeel::ServerEntry entry;
+    std::string address;
+};
+
+struct HostList {
+    firkeel::ListKind kind = firkeel::ListKind::complete;
+    std::vector<HostEntry> entries;
+};
+
+using Load = std::vector<firkeel::LoadValue>;
+
+// The server side. It reports each attempt's outcome to the exchange unless the exchange abandons it first.
+class TrackHosts {
+public:
+    virtual ~TrackHosts() = default;
+    virtual void update(const HostList& list) = 0;
+    virtual void send(Attempt attempt) = 0;
+    virtual void flush() = 0;  // what was sent since the last flush may share calls
+    virtual void abandon(AttemptId attempt) = 0;
+    virtual void probe(const std::string& server) = 0;
+};
+
+class Exchange {
+public:
+    // `wake` is asked to bring tick() at or after a time; the last one asked for counts.
+    Exchange(const firkeel::Settings& settings, std::uint64_t seed, const Clock& clock, Counters& counters,
+             Logger& log, std::function<void(Millis)> wake);
+
+    void attach(TrackHosts& hosts) { hosts_ = &hosts; }
+
+    // Client side. `done` is called exactly once, perhaps before this returns, unless gone() comes first.
+    Ticket take(Request request, Done done);
+    void gone(Ticket ticket);
+
+    // Server side. claim() is asked right before an attempt is written: whether it still may be. Where not,
+    // it is over for the server side.
+    bool claim(AttemptId attempt);
+    void ended(AttemptId attempt, Outcome outcome, std::string_view value = {}, Load load = {});
+    void probed(const std::string& server, Outcome outcome, Millis took, Load load = {});
+
+    // Discovery.
+    void list(const HostList& list);
+
+    void tick();  // sees to all that is due
+    std::size_t live() const { return queries_.size(); }
+    std::size_t open() const { return open_; }
+    const firkeel::Settings& settings() const { return settings_; }
+
+private:
+    struct LivePart {
+        RequestId id = 0;
+        int slice = 0;
+        double share = 0;
+        bool in = false;
+        int attempts = 0;
+        std::string value;
+    };
+    struct Live {
+        std::shared_ptr<const Request> request;
+        std::vector<LivePart> parts;
+        Done done;
+    };
+    struct Out {
+        std::string server;
+        Millis sentAt = 0;
+        Millis until = 0;
+    };
+    using OutMap = std::map<AttemptId, Out>;
+
+    void give(firkeel::Event event);
+    void pump();
+    void carry(const firkeel::Send& a);
+    void carry(const firkeel::Cancel& a);
+    void carry(const firkeel::Answer& a);
+    void carry(const firkeel::Refuse& a);
+    void carry(const firkeel::Fail& a);
+    void carry(const firkeel::SetTimer& a);
+    void carry(const firkeel::Probe& a);
+    void carry(const firkeel::Subscribe&) {}  // discovery is always watched
+    void carry(const firkeel::Log& a);
+    void finish(RequestId query, Final final);
+    LivePart* partOf(RequestId part);
+    void conclude(OutMap::iterator out, Outcome outcome, Load load);
+    const firkeel::ClassSettings* classOf(const std::string& name) const;
+    RequestId nextId();
+    void rearm();
+
+    firkeel::Settings settings_;
+    const Clock& clock_;
+    Counters& counters_;
+    Logger& log_;
+    std::function<void(Millis)> wake_;
+    firkeel::Coordinator coordinator_;
+    TrackHosts* hosts_ = nullptr;
+
+    std::unordered_map<RequestId, Live> queries_;
+    std::unordered_map<RequestId, RequestId> queryOf_;  // by part
+    std::unordered_set<std::string> ids_;               // the clients' ids of the live queries
+    OutMap out_;
+    std::set<std::pair<Millis, AttemptId>> timeouts_;
+    std::set<std::pair<Millis, RequestId>> overdue_;
+    std::multimap<Millis, std::int64_t> timers_;
+    std::unordered_set<std::string> up_;
+    std::deque<firkeel::Event> events_;
+    bool pumping_ = false;
+    std::size_t open_ = 0;  // queries and parts held
+    RequestId lastId_ = 0;
+};
+
+}  // namespace beechpoint
--- /dev/null
+++ b/src/discovery/hostlist.cpp
@@ -0,0 +1,74 @@
+#include "discovery/hostlist.hpp"
+
+#include <fmt/format.h>
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace beechpoint::discovery {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const Json& need(const Json& object, const char* key, bool (Json::*is)() const noexcept, const char* what) {
+    const auto found = object.find(key);
+    if (found == object.end() || !((*found).*is)()) throw BadList(fmt::format("{} must be {}", key, what));
+    return *found;
+}
+
+firkeel::ServerState readState(const std::string& word) {
+    if (word == "Ready") return firkeel::ServerState::up;
+    if (word == "Terminating") return firkeel::ServerState::draining;
+    if (word == "Gone") return firkeel::ServerState::removed;
+    throw BadList("lifecycle must be Ready, Terminating or Gone");
+}
+
+HostEntry readEntry(const Json& item, const Clock& clock) {
+    if (!item.is_object()) throw BadList("each instance must be an object");
+    HostEntry host;
+    firkeel::ServerEntry& e = host.entry;
+    e.id = need(item, "instanceId", &Json::is_string, "text").get<std::string>();
+    if (e.id.empty()) throw BadList("instanceId must not be empty");
+    e.state = readState(need(item, "lifecycle", &Json::is_string, "text").get<std::string>());
+    const bool gone = e.state == firkeel::ServerState::removed;  // its other figures say nothing any more
+    if (!gone || item.contains("hostPort"))
+        host.address = need(item, "hostPort", &Json::is_string, "text").get<std::string>();
+    if (!gone || item.contains("cell")) {
+        const auto cell = need(item, "cell", &Json::is_number_integer, "a whole number").get<std::int64_t>();
+        if (cell < 0 || cell > 1'000'000) throw BadList("cell is out of range");
+        e.cell = static_cast<int>(cell);
+    }
+    if (item.contains("zone")) e.zone = need(item, "zone", &Json::is_string, "text").get<std::string>();
+    if (item.contains("machineType"))
+        e.kind = need(item, "machineType", &Json::is_string, "text").get<std::string>();
+    if (item.contains("weight")) e.rating = need(item, "weight", &Json::is_number, "a number").get<double>();
+    if (item.contains("startedAtMs")) {
+        const double at = need(item, "startedAtMs", &Json::is_number, "a number").get<double>();
+        if (!std::isfinite(at) || std::abs(at) > 1e15) throw BadList("startedAtMs is out of range");
+        // Unix time; 0 means long ago, which the module's 0 means too.
+        if (at > 0) e.startedAt = toNanos(clock.fromUnix(at));
+    }
+    return host;
+}
+
+}  // namespace
+
+Listing readListing(const Json& json, const Clock& clock) {
+    if (!json.is_object()) throw BadList("the list must be a JSON object");
+    Listing l;
+    l.generation = need(json, "generation", &Json::is_number_integer, "a whole number").get<std::int64_t>();
+    const bool full = need(json, "reset", &Json::is_boolean, "true or false").get<bool>();
+    l.list.kind = full ? firkeel::ListKind::complete : firkeel::ListKind::changes;
+    for (const Json& item : need(json, "instances", &Json::is_array, "a list"))
+        l.list.entries.push_back(readEntry(item, clock));
+    return l;
+}
+
+Listing readListing(std::string_view text, const Clock& clock) {
+    const Json json = Json::parse(text.begin(), text.end(), nullptr, false);
+    if (json.is_discarded()) throw BadList("the list is not JSON");
+    return readListing(json, clock);
+}
+
+}  // namespace beechpoint::discovery
--- /dev/null
+++ b/src/front/platform.cpp
@@ -0,0 +1,138 @@
+#include "front/platform.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace beechpoint::front {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kText = "text/plain";
+constexpr std::string_view kJson = "application/json";
+constexpr std::int64_t kLongestWaitMs = 24 * 3600 * 1000;
+constexpr double kShareSlack = 1e-3;
+
+bool knownClass(const firkeel::Settings& settings, std::string_view name) {
+    return std::any_of(settings.classes.begin(), settings.classes.end(),
+                       [&](const auto& c) { return c.name == name; });
+}
+
+std::string_view need(const net::HttpMessage& m, const char* name) {
+    const std::string_view value = m.header(name);
+    if (value.empty()) throw BadRequest(fmt::format("header {} is missing", name));
+    return value;
+}
+
+// Ids go onto the wire towards track hosts, where a blank or a dot would change a line's meaning.
+bool plainWord(std::string_view text) {
+    return !text.empty() && text.size() <= 128 && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' ||
+               c == '_';
+    });
+}
+
+RequestPart readPart(const Json& target, int slices) {
+    if (!target.is_object()) throw BadRequest("each target must be an object");
+    const auto slice = target.find("partition"), share = target.find("share");
+    if (slice == target.end() || !slice->is_number_integer())
+        throw BadRequest("partition must be a whole number");
+    const auto number = slice->get<std::int64_t>();
+    if (number < 0 || number >= slices) throw BadRequest("partition is out of range");
+    if (share == target.end() || !share->is_number()) throw BadRequest("share must be a number");
+    const double weight = share->get<double>();
+    if (!std::isfinite(weight) || weight < 0 || weight > 1 + kShareSlack)
+        throw BadRequest("share must lie between 0 and 1");
+    return {static_cast<int>(number), weight};
+}
+
+}  // namespace
+
+Request readPlatformRequest(const net::HttpMessage& m, const firkeel::Settings& settings, Millis received) {
+    Request r;
+    const std::string_view path = m.path().substr(1);
+    const auto slash = path.find('/');
+    r.klass = path.substr(0, slash);
+    if (slash != std::string_view::npos) r.key = path.substr(slash + 1);
+    if (need(m, "X-Qos") != r.klass) throw BadRequest("X-Qos and the path name different classes");
+    r.id = need(m, "X-Trace-Id");
+    if (!plainWord(r.id)) throw BadRequest("X-Trace-Id must be letters and digits");
+    const std::string_view wait = need(m, "X-Expires-In-Ms");
+    std::int64_t ms = 0;
+    const auto [end, error] = std::from_chars(wait.data(), wait.data() + wait.size(), ms);
+    if (error != std::errc{} || end != wait.data() + wait.size() || ms < 0 || ms > kLongestWaitMs)
+        throw BadRequest("X-Expires-In-Ms must be whole milliseconds");
+    r.expires = received + static_cast<Millis>(ms);
+    r.repeat = m.header("X-Second-Try") == "1";
+
+    const Json body = Json::parse(m.body.begin(), m.body.end(), nullptr, false);
+    if (!body.is_object()) throw BadRequest("the body must be a JSON object");
+    const auto targets = body.find("targets"), text = body.find("query");
+    if (targets == body.end() || !targets->is_array() || targets->empty())
+        throw BadRequest("targets must be a list with at least one entry");
+    if (text == body.end() || !text->is_string()) throw BadRequest("query must be text");
+    r.text = text->get<std::string>();
+    std::set<int> seen;
+    for (const Json& target : *targets) {
+        r.parts.push_back(readPart(target, settings.shards));
+        if (!seen.insert(r.parts.back().slice).second) throw BadRequest("a partition is named twice");
+    }
+    return r;
+}
+
+std::string platformBody(const Final& final) {
+    Json results = Json::array();
+    for (const PartAnswer& part : final.parts)
+        results.push_back({{"partition", part.slice}, {"value", part.value}});
+    // A value that is not UTF-8 can't be told in JSON unchanged; dump() would throw on it.
+    return Json{{"whole", final.whole}, {"results", std::move(results)}}.dump();
+}
+
+void Platform::handle(const net::HttpMessage& m, const std::shared_ptr<net::HttpConnection>& connection) {
+    const std::string_view path = m.path();
+    if (path == "/up" || path == "/counters") {
+        if (m.method != "GET") return connection->respond(405, kText, "use GET\n", "Allow: GET\r\n");
+        if (path == "/counters") return connection->respond(200, kText, counters_.line() + "\n");
+        return ready_ ? connection->respond(200, kText, "up\n")
+                      : connection->respond(503, kText, "not taking queries\n");
+    }
+    const std::string_view klass = path.size() > 1 ? path.substr(1, path.find('/', 1) - 1) : path;
+    if (m.method != "POST") {
+        const bool known = knownClass(exchange_.settings(), klass);
+        return connection->respond(known ? 405 : 404, kText, known ? "use POST\n" : "no such path\n",
+                                   known ? "Allow: POST\r\n" : "");
+    }
+    Request request;
+    try {
+        if (path.size() < 2 || path.front() != '/') return connection->respond(404, kText, "no such path\n");
+        if (!knownClass(exchange_.settings(), klass)) throw BadRequest("unknown class");
+        request = readPlatformRequest(m, exchange_.settings(), clock_.now());
+    } catch (const BadRequest& e) {
+        counters_.add(Counter::badRequests);
+        return connection->respond(400, kText, std::string(e.what()) + "\n");
+    }
+    const Ticket ticket = exchange_.take(std::move(request), [connection](const Final& final) {
+        if (final.kind == Final::Kind::answered) {
+            try {
+                return connection->respond(200, kJson, platformBody(final));
+            } catch (const Json::exception&) {
+                return connection->respond(500, kText, "a value was not text\n");
+            }
+        }
+        if (final.kind == Final::Kind::refused)
+            return connection->respond(
+                429, kText, "refused\n",
+                final.retryAfter > 0 ? net::retryAfterHeader(final.retryAfter) : std::string());
+        final.why == Final::Why::duplicateId ? connection->respond(400, kText, "X-Trace-Id is in use\n")
+                                             : connection->respond(500, kText, "failed\n");
+    });
+    if (ticket != 0) connection->whenGone([this, ticket] { exchange_.gone(ticket); });
+}
+
+}  // namespace beechpoint::front
--- /dev/null
+++ b/src/front/platform.hpp
@@ -0,0 +1,38 @@
+// The platform's protocol for clients: turns its requests into the core's, and the core's finals into its
+// answers.
+#pragma once
+
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include "core/exchange.hpp"
+#include "net/server.hpp"
+
+namespace beechpoint::front {
+
+// What is wrong with a request, for its 400.
+struct BadRequest : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// Reads POST /CLASS[/KEY]. `received` is when its last byte came. Throws BadRequest.
+Request readPlatformRequest(const net::HttpMessage& message, const firkeel::Settings& settings,
+                            Millis received);
+std::string platformBody(const Final& final);
+
+class Platform {
+public:
+    Platform(Exchange& exchange, const Clock& clock, Counters& counters)
+        : exchange_(exchange), clock_(clock), counters_(counters) {}
+    void handle(const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection);
+    void ready(bool ready) { ready_ = ready; }
+
+private:
+    Exchange& exchange_;
+    const Clock& clock_;
+    Counters& counters_;
+    bool ready_ = false;
+};
+
+}  // namespace beechpoint::front
--- /dev/null
+++ b/src/gatherer.cpp
@@ -0,0 +1,94 @@
+#include "gatherer.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace beechpoint {
+
+namespace {
+
+constexpr Millis kKeepAccepting = 500;  // the front hears of the stop within this
+constexpr Millis kStopWithin = 3200;    // killed some 3.7 s after the signal
+constexpr Millis kDrainLook = 20;
+constexpr std::size_t kOwnSockets = 24;  // files, signals, discovery, timers
+constexpr std::size_t kMostHostSockets = 400;
+
+std::chrono::microseconds micros(Millis ms) {
+    return std::chrono::microseconds(static_cast<long long>(std::max(ms, 0.0) * 1000) + 1);
+}
+
+// Descriptors left for clients once the track hosts have theirs.
+std::size_t clientSockets(std::size_t sockets) {
+    return std::max<std::size_t>(16, sockets - std::min(sockets / 2, kMostHostSockets) - kOwnSockets);
+}
+
+}  // namespace
+
+Gatherer::Gatherer(asio::io_context& io, const Config& config, const Clock& clock, Counters& counters,
+                   Logger& log)
+    : config_(config),
+      clock_(clock),
+      log_(log),
+      timer_(io),
+      stopTimer_(io),
+      exchange_(config.settings, config.seed, clock, counters, log, [this](Millis at) { wake(at); }),
+      hosts_(io, clock, counters, log, exchange_, config.connections),
+      platform_(exchange_, clock, counters),
+      server_(
+          io, clock, log, clientSockets(config.sockets),
+          [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
+              platform_.handle(message, connection);
+          }),
+      watch_(io, clock, counters, log, config.discovery, config.known.generation,
+             [this](const HostList& list) { exchange_.list(list); }) {
+    exchange_.attach(hosts_);
+}
+
+void Gatherer::start() {
+    exchange_.list(config_.known.list);
+    watch_.start();
+    // Discovery may be silent for long: the list as last known is enough to serve.
+    platform_.ready(true);
+    server_.listen(config_.listen);
+    log_.info("{} serves on {}:{} with {} hosts known", config_.name, config_.listen.address().to_string(),
+              endpoint().port(), config_.known.list.entries.size());
+}
+
+void Gatherer::wake(Millis at) {
+    timer_.expires_after(micros(at - clock_.now()));
+    timer_.async_wait([this](asio::error_code error) {
+        if (!error) exchange_.tick();
+    });
+}
+
+void Gatherer::stop(std::function<void()> done) {
+    if (stopped_) return;
+    log_.info("stopping: {} queries held", exchange_.live());
+    stopped_ = std::move(done);
+    stopBy_ = clock_.now() + kStopWithin;
+    platform_.ready(false);
+    server_.beginClosing();
+    stopTimer_.expires_after(micros(kKeepAccepting));
+    stopTimer_.async_wait([this](asio::error_code error) {
+        if (error) return;
+        server_.stopAccepting();
+        drain();
+    });
+}
+
+void Gatherer::drain() {
+    server_.closeIdle();
+    if (server_.connections() == 0 || clock_.now() >= stopBy_) {
+        log_.info("stopped: {} queries left", exchange_.live());
+        watch_.stop();
+        hosts_.close();
+        server_.closeAll();
+        return stopped_();
+    }
+    stopTimer_.expires_after(micros(kDrainLook));
+    stopTimer_.async_wait([this](asio::error_code error) {
+        if (!error) drain();
+    });
+}
+
+}  // namespace beechpoint
--- /dev/null
+++ b/src/gatherer.hpp
@@ -0,0 +1,43 @@
+// One gatherer: the core between its fronts and its back, on one loop.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+
+#include "back/frames.hpp"
+#include "config.hpp"
+#include "core/exchange.hpp"
+#include "discovery/watch.hpp"
+#include "front/platform.hpp"
+#include "net/server.hpp"
+
+namespace beechpoint {
+
+class Gatherer {
+public:
+    Gatherer(asio::io_context& io, const Config& config, const Clock& clock, Counters& counters, Logger& log);
+    void start();  // throws where an address can't be listened on
+    // Answers all that it has and takes for a little longer, then calls `done`.
+    void stop(std::function<void()> done);
+    asio::ip::tcp::endpoint endpoint() const { return server_.endpoint(); }
+    Exchange& exchange() { return exchange_; }
+
+private:
+    void wake(Millis at);
+    void drain();
+
+    const Config& config_;
+    const Clock& clock_;
+    Logger& log_;
+    asio::steady_timer timer_, stopTimer_;
+    Exchange exchange_;
+    back::FrameHosts hosts_;
+    front::Platform platform_;
+    net::HttpServer server_;
+    discovery::Watch watch_;
+    std::function<void()> stopped_;
+    Millis stopBy_ = 0;
+};
+
+}  // namespace beechpoint
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,91 @@
+#include <sys/resource.h>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "config.hpp"
+#include "gatherer.hpp"
+
+namespace {
+
+using namespace beechpoint;
+
+constexpr int kUsage = 2;
+
+int serve(const Config& config, Clock& clock, Logger& log) {
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context io(1);
+    Counters counters;
+    Gatherer gatherer(io, config, clock, counters, log);
+    asio::signal_set stop(io, SIGTERM, SIGINT), print(io, SIGUSR1);
+    std::function<void()> awaitPrint = [&] {
+        print.async_wait([&](asio::error_code error, int) {
+            if (error) return;
+            log.info("counters: {}", counters.line());
+            awaitPrint();
+        });
+    };
+    stop.async_wait([&](asio::error_code error, int) {
+        if (!error) gatherer.stop([&] { io.stop(); });
+    });
+    awaitPrint();
+    gatherer.start();
+    io.run();
+    log.info("counters at exit: {}", counters.line());
+    return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    Clock clock;
+    Logger log(clock);
+    try {
+        cxxopts::Options options("beechpoint",
+                                 "Gathers answers of track hosts: beechpoint serve|check-config|version\n");
+        options.add_options()("command", "serve, check-config or version", cxxopts::value<std::string>())(
+            "c,config", "the configuration's file; $NODE_CONFIG where absent", cxxopts::value<std::string>())(
+            "h,help", "print this");
+        options.parse_positional({"command"});
+        options.positional_help("COMMAND");
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") || !given.count("command")) {
+            std::cout << options.help();
+            return given.count("help") ? 0 : kUsage;
+        }
+        const auto command = given["command"].as<std::string>();
+        if (command == "version") {
+            std::cout << "beechpoint " << BEECHPOINT_VERSION << '\n';
+            return 0;
+        }
+        if (command != "serve" && command != "check-config") {
+            std::cerr << "beechpoint: no such command: " << command << '\n';
+            return kUsage;
+        }
+        const char* const named = std::getenv("NODE_CONFIG");
+        const std::string path = given.count("config") ? given["config"].as<std::string>()
+                                 : named               ? named
+                                                       : "";
+        if (path.empty()) {
+            std::cerr << "beechpoint: name a configuration by --config or NODE_CONFIG\n";
+            return kUsage;
+        }
+        const Config config = readConfigFile(path, clock);
+        if (command == "serve") return serve(config, clock, log);
+        std::cout << "the configuration is sound: " << config.settings.classes.size() << " classes, "
+                  << config.known.list.entries.size() << " hosts known\n";
+        return 0;
+    } catch (const cxxopts::exceptions::exception& e) {
+        std::cerr << "beechpoint: " << e.what() << '\n';
+        return kUsage;
+    } catch (const BadConfig& e) {
+        log.warn("bad configuration: {}", e.what());
+    } catch (const std::exception& e) {
+        log.warn("can't go on: {}", e.what());
+    }
+    return 1;
+}
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,166 @@
+#include "net/http.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace beechpoint::net {
+
+namespace {
+
+bool sameWord(std::string_view a, std::string_view b) {
+    const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; };
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [&](char x, char y) { return lower(x) == lower(y); });
+}
+
+}  // namespace
+
+std::string_view HttpMessage::header(std::string_view name) const {
+    for (const auto& [key, value] : headers)
+        if (sameWord(key, name)) return value;
+    return {};
+}
+
+HttpReader::HttpReader(Kind kind, Buffer& buffer, OnBody onBody)
+    : buffer_(buffer), handOn_(std::move(onBody)), kind_(kind) {
+    http_parser_settings_init(&settings_);
+    settings_.on_url = [](http_parser* p, const char* at, std::size_t n) {
+        return of(p).extend(of(p).target_, at, n);
+    };
+    settings_.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+        return of(p).onHeader(false, at, n);
+    };
+    settings_.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+        return of(p).onHeader(true, at, n);
+    };
+    settings_.on_headers_complete = [](http_parser* p) {
+        HttpReader& r = of(p);
+        r.headDone_ = true;
+        r.keepAlive_ = http_should_keep_alive(p) != 0;
+        const bool declared = p->content_length != UINT64_MAX && p->content_length > kMaxBody;
+        r.tooLarge_ = declared && !r.handOn_;
+        return r.tooLarge_ ? -1 : 0;
+    };
+    settings_.on_body = [](http_parser* p, const char* at, std::size_t n) { return of(p).onBody(at, n); };
+    settings_.on_message_complete = [](http_parser* p) {
+        of(p).complete_ = true;
+        http_parser_pause(p, 1);  // what follows belongs to the next message
+        return 0;
+    };
+    next();
+}
+
+int HttpReader::extend(Slice& slice, const char* at, std::size_t size) {
+    if (slice.size == 0) slice.at = static_cast<std::size_t>(at - buffer_.data());
+    slice.size += size;
+    return 0;
+}
+
+int HttpReader::onHeader(bool value, const char* at, std::size_t size) {
+    if (!value && (headers_.empty() || lastWasValue_)) headers_.emplace_back();
+    lastWasValue_ = value;
+    if (headers_.empty()) return -1;
+    return extend(value ? headers_.back().second : headers_.back().first, at, size);
+}
+
+int HttpReader::onBody(const char* at, std::size_t size) {
+    if (handOn_) {
+        handOn_({at, size});
+        return 0;
+    }
+    if (body_.size + size > kMaxBody) {
+        tooLarge_ = true;
+        return -1;
+    }
+    if (body_.size == 0) body_.at = static_cast<std::size_t>(at - buffer_.data());
+    // A further chunk: its size line lies between, so the bytes move up. They never pass what is unread.
+    std::memmove(buffer_.data() + body_.at + body_.size, at, size);
+    body_.size += size;
+    return 0;
+}
+
+HttpReader::State HttpReader::result(std::size_t used) {
+    parsed_ += used;
+    if (complete_) return State::complete;
+    if (tooLarge_) return State::tooLarge;
+    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) return State::bad;
+    if (!headDone_ && parsed_ > kMaxHead) return State::tooLarge;
+    if (handOn_ && headDone_) {  // nothing of it is needed any more
+        buffer_.consume(parsed_);
+        parsed_ = 0;
+    }
+    return State::more;
+}
+
+HttpReader::State HttpReader::parse() {
+    if (complete_) return State::complete;
+    if (buffer_.size() == parsed_) return State::more;
+    return result(
+        http_parser_execute(&parser_, &settings_, buffer_.data() + parsed_, buffer_.size() - parsed_));
+}
+
+HttpReader::State HttpReader::finish() {
+    return result(http_parser_execute(&parser_, &settings_, nullptr, 0));
+}
+
+HttpMessage HttpReader::message() {
+    HttpMessage m;
+    if (kind_ == Kind::request)
+        m.method = http_method_str(static_cast<http_method>(parser_.method));
+    else
+        m.status = static_cast<int>(parser_.status_code);
+    m.target = view(target_);
+    for (const auto& [name, value] : headers_) m.headers.emplace_back(view(name), view(value));
+    m.body = view(body_);
+    m.keepAlive = keepAlive_;
+    return m;
+}
+
+void HttpReader::next() {
+    buffer_.consume(parsed_);
+    parsed_ = 0;
+    headDone_ = complete_ = tooLarge_ = lastWasValue_ = keepAlive_ = false;
+    target_ = body_ = {};
+    headers_.clear();
+    http_parser_init(&parser_, kind_ == Kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+}
+
+std::string_view reasonOf(int status) {
+    switch (status) {
+        case 200:
+            return "OK";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 413:
+            return "Payload Too Large";
+        case 429:
+            return "Too Many Requests";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 500:
+            return "Internal Server Error";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return "Status";
+    }
+}
+
+std::string response(int status, std::string_view type, std::string_view body, bool keepAlive,
+                     std::string_view extra) {
+    return fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n{}{}\r\n{}", status,
+                       reasonOf(status), type, body.size(), keepAlive ? "" : "Connection: close\r\n", extra,
+                       body);
+}
+
+std::string retryAfterHeader(double ms) { return fmt::format("Retry-After: {:.3f}\r\n", ms / 1000); }
+
+}  // namespace beechpoint::net
--- /dev/null
+++ b/src/net/server.hpp
@@ -0,0 +1,95 @@
+// The listener and its client connections. Each connection has one request at a time in hand; it knows
+// nothing of what a request means.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/logger.hpp"
+#include "net/buffer.hpp"
+#include "net/http.hpp"
+
+namespace beechpoint::net {
+
+class HttpServer;
+
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+public:
+    HttpConnection(HttpServer& server, asio::ip::tcp::socket socket);
+    void start() { read(); }
+    // The answer to the request in hand.
+    void respond(int status, std::string_view type, std::string_view body, std::string_view extra = {});
+    // Called once if the client leaves before the answer is given.
+    void whenGone(std::function<void()> gone) {
+        if (waiting()) gone_ = std::move(gone);
+    }
+    bool idle() const { return state_ == State::reading && buffer_.size() == 0; }
+    bool waiting() const { return state_ == State::handling; }
+    void close();
+
+private:
+    friend class HttpServer;
+    enum class State { reading, handling, writing, lingering, closed };
+    void read();
+    void onRead(std::size_t got);
+    void onEnd();
+    void parse();
+    void write();
+    void linger();
+
+    HttpServer& server_;
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    Buffer buffer_;
+    HttpReader reader_;
+    State state_ = State::reading;
+    bool readOut_ = false;  // a read is under way
+    bool keepAlive_ = true;
+    std::string out_;
+    std::function<void()> gone_;
+    Millis since_ = 0;  // of its last whole message
+    std::list<std::shared_ptr<HttpConnection>>::iterator place_;
+};
+
+class HttpServer {
+public:
+    // Handles a request: answers now or later by respond(). The message's slices hold during the call only.
+    using Handler = std::function<void(const HttpMessage&, const std::shared_ptr<HttpConnection>&)>;
+
+    HttpServer(asio::io_context& io, const Clock& clock, Logger& log, std::size_t maxConnections,
+               Handler handler);
+    ~HttpServer();
+    void listen(const asio::ip::tcp::endpoint& at);  // throws where it can't
+    asio::ip::tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+    // From now on every answer ends its connection.
+    void beginClosing() { closing_ = true; }
+    // Takes what has connected so far and accepts nothing more.
+    void stopAccepting();
+    void closeIdle();
+    void closeAll();
+    std::size_t connections() const { return connections_.size(); }
+
+private:
+    friend class HttpConnection;
+    void accept();
+    void adopt(asio::ip::tcp::socket socket);
+    void sweep();
+
+    asio::io_context& io_;
+    const Clock& clock_;
+    Logger& log_;
+    std::size_t max_;
+    Handler handler_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer timer_;
+    bool closing_ = false, accepting_ = false;
+    std::list<std::shared_ptr<HttpConnection>> connections_;  // longest idle first
+};
+
+}  // namespace beechpoint::net
--- a/src/simhost/settings.cpp
+++ b/src/simhost/settings.cpp
@@ -65,6 +65,12 @@
     std::string path_;
 };
 
+Json parse(const std::string& text) {
+    Json json = Json::parse(text, nullptr, false);
+    if (json.is_discarded()) throw Malformed("message PROVISION, field settings: expected a JSON object");
+    return json;
+}
+
 Effect readEffect(const Node& node) {
     const std::string word = node.get<std::string>("effect", "unsafe");
     if (word == "safe") return Effect::safe;
@@ -75,9 +81,22 @@
 
 }  // namespace
 
+ConnectionSettings readConnectionSettings(const std::string& text) {
+    const Json json = parse(text);
+    const Node root(json, "");
+    const Node allowed = root.at("permissions");
+    ConnectionSettings c;
+    c.idle = allowed.get<Nanos>("connIdle", 0);
+    c.callsAtOnce = allowed.get<int>("streamsPerConn", 1);
+    c.partsInCall = root.at("familyInfo").get<int>("bundleMax", 1);
+    if (c.idle < 0) bad("permissions.connIdle", "0 or more");
+    if (c.callsAtOnce < 1) bad("permissions.streamsPerConn", "1 or more");
+    if (c.partsInCall < 1) bad("familyInfo.bundleMax", "1 or more");
+    return c;
+}
+
 Settings readSettings(const std::string& text) {
-    const Json json = Json::parse(text, nullptr, false);
-    if (json.is_discarded()) throw Malformed("message PROVISION, field settings: expected a JSON object");
+    const Json json = parse(text);
     const Node root(json, "");
     Settings s;
     const Node family = root.at("familyInfo");
