Add the OpenSearch-style front and back, the SNMP agent, and the network tests

One whole path for the query API: _search and _msearch to core requests, slices by preference or routing, a merge that hands hits on byte for byte, refusals, deadlines and errors in the API's own shapes, and the same API towards track hosts. The connection pool is now one class for both backs; what is spoken on a connection is a class of its own. The SNMP agent is off on the platform, read only, with its MIB held against the code.

--- /dev/null
+++ b/src/back/pool.cpp
@@ -0,0 +1,257 @@
+#include "back/pool.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace beechpoint::back {
+
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kSweepEvery = std::chrono::milliseconds(500);
+constexpr double kIdleShare = 0.8;  // of the host's idle limit: closed here before the host does
+constexpr double kProbeDials = 2;   // a probe's time, in dial time-outs: it may need a dial first
+
+}  // namespace
+
+std::optional<tcp::endpoint> readEndpoint(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) return std::nullopt;
+    unsigned port = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, bad] = std::from_chars(text.data() + colon + 1, end, port);
+    asio::error_code error;
+    const auto address = asio::ip::make_address(text.substr(0, colon), error);
+    if (error || bad != std::errc{} || stop != end || port > 65535) return std::nullopt;
+    return tcp::endpoint(address, static_cast<unsigned short>(port));
+}
+
+// ---- hosts
+
+Pool::Pool(asio::io_context& io, const Clock& clock, Counters& counters, Logger& log, Exchange& exchange,
+           ConnectionLimits limits, Make make)
+    : io_(io),
+      clock_(clock),
+      counters_(counters),
+      log_(log),
+      exchange_(exchange),
+      limits_(limits),
+      make_(std::move(make)),
+      timer_(io) {
+    sweep();
+}
+
+Pool::~Pool() { close(); }
+
+void Pool::close() {
+    timer_.cancel();
+    const std::map<std::string, Host> hosts = std::exchange(hosts_, {});
+    at_.clear();
+    for (const auto& [id, host] : hosts)
+        for (const Connection& c : host.connections) c->close(true);
+}
+
+void Pool::update(const HostList& list) {
+    std::vector<std::string> left;  // hosts that get nothing new
+    if (list.kind != firkeel::ListKind::changes)
+        for (auto& [id, host] : hosts_) {
+            host.listed = false;
+            left.push_back(id);
+        }
+    for (const HostEntry& entry : list.entries) {
+        std::erase(left, entry.entry.id);
+        Host& host = hosts_[entry.entry.id];
+        const auto endpoint = readEndpoint(entry.address);
+        const bool up = entry.entry.state == firkeel::ServerState::up;
+        if (!endpoint && up)
+            log_.warn("discovery gave host {} a bad address: {}", entry.entry.id, entry.address);
+        const bool moved = endpoint != host.endpoint;
+        host.endpoint = endpoint;
+        host.listed = entry.entry.state != firkeel::ServerState::removed;
+        if (moved || !up) left.push_back(entry.entry.id);
+    }
+    for (const std::string& id : left)
+        for (const Connection& c : std::vector<Connection>(hosts_.at(id).connections)) c->retire();
+}
+
+void Pool::send(Attempt attempt) { sent_[attempt.server].push_back(std::move(attempt)); }
+
+// Parts sent to one host in one go share calls, up to the number in the settings.
+void Pool::flush() {
+    while (!sent_.empty()) {  // an outcome in here may bring further sends
+        const auto batch = sent_.extract(sent_.begin());
+        const std::vector<Attempt>& all = batch.mapped();
+        for (std::size_t from = 0; from < all.size(); from += limits_.bundle) {
+            const auto begin = all.begin() + static_cast<std::ptrdiff_t>(from);
+            const auto count = static_cast<std::ptrdiff_t>(std::min(limits_.bundle, all.size() - from));
+            std::vector<Attempt> call(begin, begin + count);
+            const auto host = hosts_.find(batch.key());
+            const Connection c =
+                host != hosts_.end() && host->second.endpoint ? pick(batch.key(), host->second) : nullptr;
+            if (!c) {
+                for (const Attempt& a : call) exchange_.ended(a.id, Outcome::noConnection);
+                continue;
+            }
+            for (const Attempt& a : call) at_[a.id] = c;
+            c->call(std::move(call));
+        }
+    }
+}
+
+// The open connection with most room; else one that is being dialled; else a new one, up to the limit.
+Pool::Connection Pool::pick(const std::string& server, Host& host) {
+    Connection best;
+    for (const Connection& c : host.connections) {
+        if (!c->usable() || c->load() >= limits_.calls) continue;
+        if (!best || std::make_pair(!c->open(), c->load()) < std::make_pair(!best->open(), best->load()))
+            best = c;
+    }
+    if (best || host.connections.size() >= limits_.perHost) return best;
+    best = make_(*this, server);
+    host.connections.push_back(best);
+    best->dial(*host.endpoint);
+    return best;
+}
+
+void Pool::abandon(AttemptId attempt) {
+    const auto found = at_.find(attempt);
+    if (found == at_.end()) return;
+    const Connection c = found->second.lock();
+    at_.erase(found);
+    if (c) c->abandon(attempt);
+}
+
+void Pool::probe(const std::string& server) {
+    const auto host = hosts_.find(server);
+    const Connection c = host != hosts_.end() && host->second.endpoint ? pick(server, host->second) : nullptr;
+    c ? c->probe() : exchange_.probed(server, Outcome::noConnection, 0);
+}
+
+void Pool::sweep() {
+    timer_.expires_after(kSweepEvery);
+    timer_.async_wait([this](asio::error_code error) {
+        if (error) return;
+        const Millis before = clock_.now() - kIdleShare * limits_.idle;
+        for (auto& [id, host] : hosts_)
+            for (const Connection& c : std::vector<Connection>(host.connections))
+                if (c->open() && c->idle() && c->idleSince() <= before) c->close(true);
+        std::erase_if(hosts_, [](const auto& h) { return !h.second.listed && h.second.connections.empty(); });
+        sweep();
+    });
+}
+
+// ---- connections
+
+HostConnection::HostConnection(Pool& pool, std::string server)
+    : pool_(pool),
+      server_(std::move(server)),
+      socket_(pool.io()),
+      timer_(pool.io()),
+      lastUse_(pool.clock().now()) {}
+
+void HostConnection::dial(const tcp::endpoint& to) {
+    pool_.counters().add(Counter::dials);
+    const auto self = shared_from_this();
+    timer_.expires_after(micros(pool_.limits().dialTimeout));
+    timer_.async_wait([self](asio::error_code error) {
+        if (error || self->state_ != State::dialing) return;
+        self->pool_.counters().add(Counter::dialsFailed);
+        self->pool_.log().seldom("dial " + self->server_, "host {} did not take a connection in time",
+                                 self->server_);
+        self->close(false);
+    });
+    socket_.async_connect(to, [self](asio::error_code error) {
+        if (self->state_ != State::dialing) return;
+        self->timer_.cancel();
+        if (error) {
+            self->pool_.counters().add(Counter::dialsFailed);
+            self->pool_.log().seldom("dial " + self->server_, "could not connect to host {}: {}",
+                                     self->server_, error.message());
+            return self->close(false);
+        }
+        asio::error_code ignored;
+        self->socket_.set_option(tcp::no_delay(true), ignored);
+        self->state_ = State::open;
+        self->used();
+        self->read();
+        self->fill();
+    });
+}
+
+void HostConnection::used() { lastUse_ = pool_.clock().now(); }
+
+void HostConnection::call(std::vector<Attempt> parts) {
+    waiting_.push_back(std::move(parts));
+    fill();
+}
+
+bool HostConnection::claim(const Attempt& attempt) {
+    if (pool_.exchange().claim(attempt.id)) return true;
+    pool_.at_.erase(attempt.id);
+    return false;
+}
+
+void HostConnection::ended(AttemptId attempt, Outcome outcome, std::string_view value, Load load) {
+    pool_.at_.erase(attempt);
+    pool_.exchange().ended(attempt, outcome, value, std::move(load));
+}
+
+void HostConnection::probe() {
+    const auto probe = std::make_shared<ProbeOut>();
+    probe->sentAt = pool_.clock().now();
+    probe->timer =
+        std::make_shared<asio::steady_timer>(pool_.io(), micros(kProbeDials * pool_.limits().dialTimeout));
+    probe->timer->async_wait([self = shared_from_this(), probe](asio::error_code error) {
+        if (error || std::exchange(probe->over, true)) return;
+        self->pool_.exchange().probed(self->server_, Outcome::timedOut,
+                                      self->pool_.clock().now() - probe->sentAt);
+    });
+    probes_.push_back(probe);
+    askProbe();
+    fill();
+}
+
+void HostConnection::probeEnded(Outcome outcome, Load load) {
+    if (probes_.empty()) return;
+    const auto probe = probes_.front();
+    probes_.pop_front();
+    probe->timer->cancel();
+    if (std::exchange(probe->over, true)) return;  // it had timed out
+    pool_.exchange().probed(server_, outcome, pool_.clock().now() - probe->sentAt, std::move(load));
+}
+
+void HostConnection::retire() {
+    retired_ = true;
+    closeIfDone();
+}
+
+void HostConnection::closeIfDone() {
+    if (retired_ && state_ != State::closed && idle()) close(true);
+}
+
+void HostConnection::close(bool quiet) {
+    if (state_ == State::closed) return;
+    state_ = State::closed;
+    const auto self = shared_from_this();
+    asio::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    if (const auto host = pool_.hosts_.find(server_); host != pool_.hosts_.end())
+        std::erase(host->second.connections, self);
+    const std::vector<Lost> out = lost();
+    const auto waiting = std::exchange(waiting_, {});
+    const auto probes = std::exchange(probes_, {});
+    for (const auto& probe : probes) {
+        probe->timer->cancel();
+        if (!std::exchange(probe->over, true) && !quiet)
+            pool_.exchange().probed(server_, Outcome::noConnection, pool_.clock().now() - probe->sentAt);
+    }
+    if (quiet) return;
+    for (const Lost& part : out)
+        ended(part.id, part.written ? Outcome::connectionLost : Outcome::noConnection, {}, {});
+    for (const auto& call : waiting)
+        for (const Attempt& a : call) ended(a.id, Outcome::noConnection, {}, {});
+}
+
+}  // namespace beechpoint::back
--- /dev/null
+++ b/src/back/pool.hpp
@@ -0,0 +1,140 @@
+// What every server side has: the track hosts by name, the connections to them, and where each attempt is.
+// What is spoken on a connection is its own class's business.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/exchange.hpp"
+#include "net/buffer.hpp"
+
+namespace beechpoint::back {
+
+struct ConnectionLimits {
+    Millis dialTimeout = 250;
+    Millis idle = 30'000;      // the track host closes an idle connection by then
+    std::size_t calls = 1;     // at once on a connection
+    std::size_t bundle = 1;    // parts in a call
+    std::size_t perHost = 16;  // connections to one host
+};
+
+// "address:port"; nothing where it is malformed.
+std::optional<asio::ip::tcp::endpoint> readEndpoint(const std::string& text);
+
+inline std::chrono::microseconds micros(Millis ms) {
+    return std::chrono::microseconds(static_cast<long long>(ms * 1000));
+}
+
+class Pool;
+
+// One connection. Calls wait in it unread until it is up and has room.
+class HostConnection : public std::enable_shared_from_this<HostConnection> {
+public:
+    HostConnection(Pool& pool, std::string server);
+    virtual ~HostConnection() = default;
+    void dial(const asio::ip::tcp::endpoint& to);
+    void call(std::vector<Attempt> parts);
+    void probe();
+    virtual void abandon(AttemptId attempt) = 0;
+    void retire();  // nothing new comes; closes once nothing is out
+    // Reports all that was out, unless `quiet`. Broken before a frame's last byte was written: never ran.
+    void close(bool quiet);
+
+    bool open() const { return state_ == State::open && !retired_; }
+    bool usable() const { return state_ != State::closed && !retired_; }
+    std::size_t load() const { return callsOut() + waiting_.size(); }
+    bool idle() const { return callsOut() == 0 && waiting_.empty() && probes_.empty() && !writing_; }
+    Millis idleSince() const { return lastUse_; }
+
+protected:
+    enum class State { dialing, open, closed };
+    struct Lost {
+        AttemptId id;
+        bool written;  // its last byte, for all that is known
+    };
+    virtual std::size_t callsOut() const = 0;
+    virtual void read() = 0;
+    virtual void fill() = 0;               // writes what may be written now
+    virtual void askProbe() = 0;           // queues a probe's bytes
+    virtual std::vector<Lost> lost() = 0;  // all that is out, which it gives up
+    void probeEnded(Outcome outcome, Load load);
+    // Whether a part that waited may still be written: its host may drain by now, its query be over, its time
+    // be up.
+    bool claim(const Attempt& attempt);
+    void ended(AttemptId attempt, Outcome outcome, std::string_view value, Load load);
+    void used();
+    void closeIfDone();
+
+    Pool& pool_;
+    std::string server_;
+    asio::ip::tcp::socket socket_;
+    net::Buffer in_;
+    State state_ = State::dialing;
+    bool retired_ = false, writing_ = false;
+    std::deque<std::vector<Attempt>> waiting_;  // calls not yet written
+
+private:
+    struct ProbeOut {
+        Millis sentAt;
+        std::shared_ptr<asio::steady_timer> timer;
+        bool over = false;
+    };
+    asio::steady_timer timer_;
+    std::deque<std::shared_ptr<ProbeOut>> probes_;
+    Millis lastUse_ = 0;
+};
+
+class Pool : public TrackHosts {
+public:
+    using Connection = std::shared_ptr<HostConnection>;
+    using Make = std::function<Connection(Pool&, const std::string& server)>;
+    Pool(asio::io_context& io, const Clock& clock, Counters& counters, Logger& log, Exchange& exchange,
+         ConnectionLimits limits, Make make);
+    ~Pool() override;
+    void update(const HostList& list) override;
+    void send(Attempt attempt) override;
+    void flush() override;
+    void abandon(AttemptId attempt) override;
+    void probe(const std::string& server) override;
+    void close();
+
+    asio::io_context& io() { return io_; }
+    const Clock& clock() const { return clock_; }
+    Counters& counters() { return counters_; }
+    Logger& log() { return log_; }
+    Exchange& exchange() { return exchange_; }
+    const ConnectionLimits& limits() const { return limits_; }
+
+private:
+    friend class HostConnection;
+    struct Host {
+        std::optional<asio::ip::tcp::endpoint> endpoint;
+        bool listed = true;
+        std::vector<Connection> connections;
+    };
+    Connection pick(const std::string& server, Host& host);
+    void sweep();
+
+    asio::io_context& io_;
+    const Clock& clock_;
+    Counters& counters_;
+    Logger& log_;
+    Exchange& exchange_;
+    ConnectionLimits limits_;
+    Make make_;
+    asio::steady_timer timer_;
+    std::map<std::string, Host> hosts_;
+    std::map<std::string, std::vector<Attempt>> sent_;  // since the last flush, by host
+    std::map<AttemptId, std::weak_ptr<HostConnection>> at_;
+};
+
+}  // namespace beechpoint::back
--- /dev/null
+++ b/src/back/search.cpp
@@ -0,0 +1,144 @@
+#include "back/search.hpp"
+
+#include <fmt/format.h>
+
+#include <asio/write.hpp>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "back/frame.hpp"
+
+namespace beechpoint::back {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::size_t kMostAnswer = 512 * 1024;  // of one slice: more would not fit the memory, times the cap
+
+}  // namespace
+
+std::string searchRequest(const Attempt& a, const std::string& index, Millis wait) {
+    const auto ms = static_cast<long long>(std::max(1.0, std::floor(wait)));
+    return fmt::format(
+        "POST /{}/_search?preference=_shards:{}&allow_partial_search_results=false&timeout={}ms HTTP/1.1\r\n"
+        "Host: track-host\r\nContent-Type: application/json\r\nX-Opaque-Id: {}\r\nContent-Length: "
+        "{}\r\n\r\n{}",
+        index, a.slice, ms, partId(*a.request, a.slice), a.request->text.size(), a.request->text);
+}
+
+Outcome searchOutcome(int status, std::string_view body) {
+    if (status == 429) return Outcome::turnedAway;  // rejected before it ran
+    if (status != 200) return Outcome::error;
+    const Json json = Json::parse(body.begin(), body.end(), nullptr, false);
+    if (!json.is_object()) return Outcome::error;
+    // 200 alone proves nothing: a search that ran out of time or lost its slice says so inside.
+    const auto timedOut = json.find("timed_out"), shards = json.find("_shards"), hits = json.find("hits");
+    if (timedOut == json.end() || *timedOut != false) return Outcome::error;
+    if (json.value("terminated_early", Json(false)) != false) return Outcome::error;
+    if (shards == json.end() || !shards->is_object() || shards->value("failed", Json(1)) != 0)
+        return Outcome::error;
+    const bool listed =
+        hits != json.end() && hits->is_object() && hits->contains("hits") && (*hits)["hits"].is_array();
+    return listed ? Outcome::served : Outcome::error;
+}
+
+SearchConnection::SearchConnection(Pool& pool, std::string server, const IndexOfClass& indexes)
+    : HostConnection(pool, std::move(server)),
+      indexes_(indexes),
+      reader_(net::HttpReader::Kind::response, in_, {}, kMostAnswer) {}
+
+Pool::Make SearchConnection::maker(IndexOfClass indexes) {
+    return [held = std::make_shared<const IndexOfClass>(std::move(indexes))](Pool& pool,
+                                                                             const std::string& server) {
+        // The connection keeps `held` by its pool's maker, which outlives it.
+        return std::make_shared<SearchConnection>(pool, server, *held);
+    };
+}
+
+void SearchConnection::fill() {
+    if (state_ != State::open || filling_ || callsOut() > 0 || writing_) return;
+    filling_ = true;  // claim() may come back here
+    while (!out_ && !waiting_.empty()) {
+        const std::vector<Attempt> parts = std::move(waiting_.front());
+        waiting_.pop_front();
+        const Attempt& a = parts.front();  // one part a call: see the pool's limits
+        if (!claim(a)) continue;
+        out_ = a.id;
+        const auto index = indexes_.find(a.request->klass);
+        write(searchRequest(a, index == indexes_.end() ? a.request->klass : index->second,
+                            a.until - pool_.clock().now()));
+    }
+    filling_ = false;
+    if (out_) return;
+    if (probesWaiting_ == 0) return closeIfDone();
+    --probesWaiting_;
+    probing_ = true;
+    write("GET / HTTP/1.1\r\nHost: track-host\r\n\r\n");
+}
+
+void SearchConnection::write(std::string text) {
+    outgoing_ = std::move(text);
+    writing_ = true;
+    written_ = false;
+    used();
+    asio::async_write(socket_, asio::buffer(outgoing_),
+                      [this, self = shared_from_this()](asio::error_code error, std::size_t) {
+                          writing_ = false;
+                          if (state_ == State::closed) return;
+                          if (error) return close(false);
+                          written_ = true;
+                          fill();
+                      });
+}
+
+void SearchConnection::read() {
+    socket_.async_read_some(
+        in_.prepare(kReadSize), [this, self = shared_from_this()](asio::error_code error, std::size_t got) {
+            if (state_ == State::closed) return;
+            if (!error) in_.commit(got);
+            used();
+            const auto state = error ? reader_.finish() : reader_.parse();
+            if (state == net::HttpReader::State::complete && callsOut() > 0) return onAnswer();
+            if (error) return close(false);
+            if (state == net::HttpReader::State::more && (callsOut() > 0 || in_.size() == 0)) return read();
+            // An answer that is malformed, too large, or to nothing that was asked.
+            pool_.counters().add(Counter::badFrames);
+            pool_.log().seldom("answer", "host {} sent a bad answer: connection closed", server_);
+            close(false);
+        });
+}
+
+void SearchConnection::onAnswer() {
+    const net::HttpMessage message = reader_.message();
+    const bool keep = message.keepAlive;
+    if (std::exchange(probing_, false)) {
+        probeEnded(message.status == 200 ? Outcome::served : Outcome::error, {});
+    } else {
+        const AttemptId id = *std::exchange(out_, std::nullopt);
+        ended(id, searchOutcome(message.status, message.body), message.body, {});
+    }
+    if (state_ == State::closed) return;
+    if (!keep) return close(false);
+    reader_.next();
+    read();
+    fill();
+}
+
+// HTTP has no word for giving up: the connection ends instead.
+void SearchConnection::abandon(AttemptId attempt) {
+    if (out_ != attempt) return;  // still waiting: claim() will stop it
+    out_.reset();
+    close(false);
+}
+
+std::vector<HostConnection::Lost> SearchConnection::lost() {
+    std::vector<Lost> lost;
+    if (out_) lost.push_back({*out_, written_ || writing_});
+    out_.reset();
+    probing_ = false;
+    return lost;
+}
+
+}  // namespace beechpoint::back
--- /dev/null
+++ b/src/back/search.hpp
@@ -0,0 +1,42 @@
+// The OpenSearch-style API on a connection to a track host: one search of one slice at a time.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "back/pool.hpp"
+#include "net/http.hpp"
+
+namespace beechpoint::back {
+
+using IndexOfClass = std::map<std::string, std::string, std::less<>>;
+
+std::string searchRequest(const Attempt& attempt, const std::string& index, Millis wait);
+// What an answer of this API says of the attempt.
+Outcome searchOutcome(int status, std::string_view body);
+
+class SearchConnection : public HostConnection {
+public:
+    SearchConnection(Pool& pool, std::string server, const IndexOfClass& indexes);
+    static Pool::Make maker(IndexOfClass indexes);
+    void abandon(AttemptId attempt) override;
+
+private:
+    std::size_t callsOut() const override { return out_ || probing_ ? 1 : 0; }
+    void read() override;
+    void fill() override;
+    void askProbe() override { ++probesWaiting_; }
+    std::vector<Lost> lost() override;
+    void write(std::string text);
+    void onAnswer();
+
+    const IndexOfClass& indexes_;
+    net::HttpReader reader_;
+    std::optional<AttemptId> out_;
+    bool written_ = false, probing_ = false, filling_ = false;
+    int probesWaiting_ = 0;
+    std::string outgoing_;
+};
+
+}  // namespace beechpoint::back
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <iterator>
@@ -81,10 +82,55 @@
     return config;
 }
 
-Config readConfigFile(const std::string& path, const Clock& clock) {
+void readOperator(const std::string& source, Config& config) {
+    const Json json = Json::parse(source, nullptr, false);
+    if (!json.is_object()) throw BadConfig("operator's file: expected a JSON object");
+    try {
+        for (const auto& [name, section] : json.items()) {
+            if (name == "opensearch") {
+                Config::Search search;
+                search.listen = address(section, "listen");
+                for (const auto& [index, klass] : need(section, "indexes").items()) {
+                    const auto& classes = config.settings.classes;
+                    if (std::none_of(classes.begin(), classes.end(),
+                                     [&](const auto& c) { return klass == c.name; }))
+                        throw BadConfig(fmt::format("index {} names no class of the settings", index));
+                    search.classOfIndex[index] = klass.get<std::string>();
+                }
+                const std::string back = section.value("trackHosts", "frames");
+                if (back != "frames" && back != "opensearch")
+                    throw BadConfig("key trackHosts must be frames or opensearch");
+                config.searchTrackHosts = back == "opensearch";
+                config.search = std::move(search);
+            } else if (name == "snmp") {
+                const auto at = address(section, "listen");
+                config.snmp.emplace(at.address(), at.port());
+                config.snmpCommunity = section.value("community", config.snmpCommunity);
+            } else {
+                throw BadConfig(fmt::format("operator's file: unknown section {}", name));
+            }
+        }
+    } catch (const BadConfig&) {
+        throw;
+    } catch (const std::exception& e) {
+        throw BadConfig(e.what());
+    }
+}
+
+namespace {
+
+std::string readAll(const std::string& path) {
     std::ifstream file(path);
     if (!file) throw BadConfig(fmt::format("can't open {}", path));
-    return readConfig(std::string(std::istreambuf_iterator<char>(file), {}), clock);
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+}  // namespace
+
+void readOperatorFile(const std::string& path, Config& config) { readOperator(readAll(path), config); }
+
+Config readConfigFile(const std::string& path, const Clock& clock) {
+    return readConfig(readAll(path), clock);
 }
 
 }  // namespace beechpoint
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -2,11 +2,14 @@
 #pragma once
 
 #include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
-#include "back/frames.hpp"
+#include "back/pool.hpp"
 #include "discovery/hostlist.hpp"
 #include "firkeel/coordinator.hpp"
 
@@ -25,10 +28,23 @@
     discovery::Listing known;  // may be out of date
     firkeel::Settings settings;
     back::ConnectionLimits connections;
+
+    // From an operator's file; off where it is absent.
+    struct Search {
+        asio::ip::tcp::endpoint listen;
+        std::map<std::string, std::string, std::less<>> classOfIndex;
+    };
+    std::optional<Search> search;
+    bool searchTrackHosts = false;  // they speak the query API too, not the platform's frames
+    std::optional<asio::ip::udp::endpoint> snmp;
+    std::string snmpCommunity = "public";
 };
 
 // Throw BadConfig with one plain line.
 Config readConfig(const std::string& text, const Clock& clock);
 Config readConfigFile(const std::string& path, const Clock& clock);
+// Adds an operator's file to a configuration.
+void readOperatorFile(const std::string& path, Config& config);
+void readOperator(const std::string& text, Config& config);
 
 }  // namespace beechpoint
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr Millis kEndMargin = 30;     // the module ends what is not in by so long before its time
 constexpr double kShareSlack = 1e-4;  // sums of shares may fall so short, as the rules allow
 
 Counter counterOf(Outcome outcome) {
@@ -78,6 +79,9 @@
     live.request = std::make_shared<const Request>(std::move(request));
     live.done = std::move(done);
     const Request& r = *live.request;
+    live.aimAt = r.expires;
+    if (const auto* klass = classOf(r.klass))
+        live.aimAt = std::min(live.aimAt, clock_.now() + fromNanos(klass->aim));
     ids_.insert(r.id);
     overdue_.insert({r.expires, id});
     open_ += more;
@@ -281,11 +285,32 @@
 void Exchange::carry(const firkeel::Refuse& a) {
     Final final;
     final.kind = Final::Kind::refused;
+    final.why = whyEnded(a.id);
     final.retryAfter = fromNanos(a.retryAfter);
     finish(a.id, std::move(final));
 }
 
-void Exchange::carry(const firkeel::Fail& a) { finish(a.id, {}); }
+void Exchange::carry(const firkeel::Fail& a) {
+    Final final;
+    final.why = whyEnded(a.id);
+    finish(a.id, std::move(final));
+}
+
+// The module names no reason. A query that it ended with parts still out, or at the very end of its time, had
+// run out of time; any other was turned away or had failed.
+Final::Why Exchange::whyEnded(RequestId query) const {
+    const auto found = queries_.find(query);
+    if (found == queries_.end()) return Final::Why::decided;
+    const bool waiting =
+        std::any_of(found->second.parts.begin(), found->second.parts.end(), [&](const LivePart& p) {
+            const auto out = out_.lower_bound({p.id, 0});
+            return out != out_.end() && out->first.part == p.id;
+        });
+    const bool tried = std::any_of(found->second.parts.begin(), found->second.parts.end(),
+                                   [](const LivePart& p) { return p.attempts > 0; });
+    const bool atEnd = clock_.now() + kEndMargin >= found->second.aimAt;
+    return waiting || (tried && atEnd) ? Final::Why::deadline : Final::Why::decided;
+}
 
 void Exchange::carry(const firkeel::SetTimer& a) { timers_.emplace(fromNanos(a.at), a.mark); }
 
@@ -316,7 +341,7 @@
         const RequestId id = overdue_.begin()->second;
         log_.seldom("overdue", "query {} was ended by the exchange", queries_.at(id).request->id);
         Final final;
-        final.why = Final::Why::overdue;
+        final.why = Final::Why::deadline;
         finish(id, std::move(final));
         give(firkeel::QueryGone{id});
     }
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -50,7 +50,7 @@
 
 struct Final {
     enum class Kind { answered, refused, failed };
-    enum class Why { decided, openCap, duplicateId, overdue };
+    enum class Why { decided, deadline, openCap, duplicateId };
     Kind kind = Kind::failed;
     Why why = Why::decided;
     bool whole = false;
@@ -139,6 +139,7 @@
         std::shared_ptr<const Request> request;
         std::vector<LivePart> parts;
         Done done;
+        Millis aimAt = 0;  // its class's aim, or its end where that comes first
     };
     struct Out {
         std::string server;
@@ -159,6 +160,7 @@
     void carry(const firkeel::Subscribe&) {}  // discovery is always watched
     void carry(const firkeel::Log& a);
     void finish(RequestId query, Final final);
+    Final::Why whyEnded(RequestId query) const;
     LivePart* partOf(RequestId part);
     void conclude(OutMap::iterator out, Outcome outcome, Load load);
     const firkeel::ClassSettings* classOf(const std::string& name) const;
--- a/src/discovery/hostlist.cpp
+++ b/src/discovery/hostlist.cpp
@@ -65,7 +65,7 @@
     return l;
 }
 
-Listing readListing(std::string_view text, const Clock& clock) {
+Listing parseListing(std::string_view text, const Clock& clock) {
     const Json json = Json::parse(text.begin(), text.end(), nullptr, false);
     if (json.is_discarded()) throw BadList("the list is not JSON");
     return readListing(json, clock);
--- a/src/discovery/hostlist.hpp
+++ b/src/discovery/hostlist.hpp
@@ -20,7 +20,7 @@
 };
 
 // Both throw BadList, naming what is wrong; a bad list is taken in no part.
-Listing readListing(std::string_view text, const Clock& clock);
+Listing parseListing(std::string_view text, const Clock& clock);
 Listing readListing(const nlohmann::json& json, const Clock& clock);
 
 }  // namespace beechpoint::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -115,7 +115,7 @@
     if (line.find_first_not_of(" \r\t") == std::string_view::npos) return;  // nothing changed
     Listing listing;
     try {
-        listing = readListing(line, clock_);
+        listing = parseListing(line, clock_);
     } catch (const BadList& e) {
         // The old list holds. The generation stays too, so that the next watch asks for what was missed.
         counters_.add(Counter::badListUpdates);
--- /dev/null
+++ b/src/front/opensearch.hpp
@@ -0,0 +1,34 @@
+// The OpenSearch-style query API for clients.
+#pragma once
+
+#include <memory>
+#include <random>
+
+#include "core/exchange.hpp"
+#include "front/search.hpp"
+#include "net/server.hpp"
+
+namespace beechpoint::front {
+
+class OpenSearch {
+public:
+    OpenSearch(Exchange& exchange, const Clock& clock, Counters& counters, SearchSettings settings,
+               std::uint64_t seed);
+    void handle(const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection);
+
+private:
+    using Connection = std::shared_ptr<net::HttpConnection>;
+    struct Multi;
+    Ticket begin(const Search& search, Done done);
+    void one(Search search, const Connection& connection);
+    void many(std::vector<Search> searches, const Connection& connection);
+    void refuse(const Connection& connection, const SearchError& error, Millis retryAfter);
+
+    Exchange& exchange_;
+    const Clock& clock_;
+    Counters& counters_;
+    SearchSettings settings_;
+    std::mt19937_64 random_;
+};
+
+}  // namespace beechpoint::front
--- a/src/gatherer.hpp
+++ b/src/gatherer.hpp
@@ -5,12 +5,14 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 
-#include "back/frames.hpp"
+#include "back/pool.hpp"
 #include "config.hpp"
 #include "core/exchange.hpp"
 #include "discovery/watch.hpp"
+#include "front/opensearch.hpp"
 #include "front/platform.hpp"
 #include "net/server.hpp"
+#include "snmp/agent.hpp"
 
 namespace beechpoint {
 
@@ -21,20 +23,26 @@
     // Answers all that it has and takes for a little longer, then calls `done`.
     void stop(std::function<void()> done);
     asio::ip::tcp::endpoint endpoint() const { return server_.endpoint(); }
+    asio::ip::tcp::endpoint searchEndpoint() const { return searchServer_->endpoint(); }
+    asio::ip::udp::endpoint snmpEndpoint() const { return snmp_->endpoint(); }
     Exchange& exchange() { return exchange_; }
 
 private:
     void wake(Millis at);
     void drain();
+    std::size_t connections() const;
 
     const Config& config_;
     const Clock& clock_;
     Logger& log_;
     asio::steady_timer timer_, stopTimer_;
     Exchange exchange_;
-    back::FrameHosts hosts_;
+    back::Pool hosts_;
     front::Platform platform_;
     net::HttpServer server_;
+    std::unique_ptr<front::OpenSearch> search_;  // off on the platform
+    std::unique_ptr<net::HttpServer> searchServer_;
+    std::unique_ptr<snmp::Agent> snmp_;  // off on the platform
     discovery::Watch watch_;
     std::function<void()> stopped_;
     Millis stopBy_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -49,6 +49,7 @@
                                  "Gathers answers of track hosts: beechpoint serve|check-config|version\n");
         options.add_options()("command", "serve, check-config or version", cxxopts::value<std::string>())(
             "c,config", "the configuration's file; $NODE_CONFIG where absent", cxxopts::value<std::string>())(
+            "o,operator", "an operator's file: the query API, SNMP", cxxopts::value<std::string>())(
             "h,help", "print this");
         options.parse_positional({"command"});
         options.positional_help("COMMAND");
@@ -74,7 +75,8 @@
             std::cerr << "beechpoint: name a configuration by --config or NODE_CONFIG\n";
             return kUsage;
         }
-        const Config config = readConfigFile(path, clock);
+        Config config = readConfigFile(path, clock);
+        if (given.count("operator")) readOperatorFile(given["operator"].as<std::string>(), config);
         if (command == "serve") return serve(config, clock, log);
         std::cout << "the configuration is sound: " << config.settings.classes.size() << " classes, "
                   << config.known.list.entries.size() << " hosts known\n";
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -22,8 +22,8 @@
     return {};
 }
 
-HttpReader::HttpReader(Kind kind, Buffer& buffer, OnBody onBody)
-    : buffer_(buffer), handOn_(std::move(onBody)), kind_(kind) {
+HttpReader::HttpReader(Kind kind, Buffer& buffer, OnBody onBody, std::size_t maxBody)
+    : buffer_(buffer), handOn_(std::move(onBody)), kind_(kind), maxBody_(maxBody) {
     http_parser_settings_init(&settings_);
     settings_.on_url = [](http_parser* p, const char* at, std::size_t n) {
         return of(p).extend(of(p).target_, at, n);
@@ -38,7 +38,7 @@
         HttpReader& r = of(p);
         r.headDone_ = true;
         r.keepAlive_ = http_should_keep_alive(p) != 0;
-        const bool declared = p->content_length != UINT64_MAX && p->content_length > kMaxBody;
+        const bool declared = p->content_length != UINT64_MAX && p->content_length > r.maxBody_;
         r.tooLarge_ = declared && !r.handOn_;
         return r.tooLarge_ ? -1 : 0;
     };
@@ -69,7 +69,7 @@
         handOn_({at, size});
         return 0;
     }
-    if (body_.size + size > kMaxBody) {
+    if (body_.size + size > maxBody_) {
         tooLarge_ = true;
         return -1;
     }
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -44,7 +44,7 @@
     using OnBody = std::function<void(std::string_view)>;
 
     // With `onBody`, body bytes are handed on as they come and not kept: for answers without an end.
-    HttpReader(Kind kind, Buffer& buffer, OnBody onBody = {});
+    HttpReader(Kind kind, Buffer& buffer, OnBody onBody = {}, std::size_t maxBody = kMaxBody);
     HttpReader(const HttpReader&) = delete;
     HttpReader& operator=(const HttpReader&) = delete;
 
@@ -68,6 +68,7 @@
     Buffer& buffer_;
     OnBody handOn_;
     Kind kind_;
+    std::size_t maxBody_;
     http_parser parser_{};
     http_parser_settings settings_{};
     std::size_t parsed_ = 0;
--- /dev/null
+++ b/tests/net/sockets_test.cpp
@@ -0,0 +1,258 @@
+// One test with real sockets for each rule.
+#include "check.hpp"
+
+using namespace beechpoint;
+using namespace beechpoint::test;
+
+namespace {
+
+std::string change(const std::string& address, const std::string& state, int generation) {
+    return "{\"generation\":" + std::to_string(generation) +
+           R"(,"reset":false,"instances":[{"instanceId":"h0","hostPort":")" + address +
+           R"(","zone":"a","machineType":"m","cell":0,"lifecycle":")" + state +
+           R"(","weight":1.0,"startedAtMs":0}]})";
+}
+std::string chunk(const std::string& text) { return fmt::format("{:x}\r\n{}\r\n", text.size(), text); }
+const std::string kWatchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+struct Pair {
+    FrameHost a{Rig::loop()}, b{Rig::loop()};
+    std::vector<std::string> addresses() { return {a.address(), b.address()}; }
+    void onPart(const std::function<void(const FrameHost::Part&)>& f) { a.onPart = b.onPart = f; }
+};
+
+// The first calm day: a request that follows another on a kept connection was lost. Sent ahead here, too.
+void keepsConnections() {
+    Pair hosts;
+    Rig rig(hosts.addresses());
+    Client client(rig.io, rig.gatherer->endpoint());
+    client.send(query("t1", {0, 1}) + query("t2", {2}).substr(0, 40));
+    until(rig.io, [&] { return client.answers.size() == 1; });
+    client.send(query("t2", {2}).substr(40) + query("t3", {3}));
+    until(rig.io, [&] { return client.answers.size() == 3; });
+    CHECK(client.answers[0].status == 200 && client.answers[0].has(R"("whole":true)"));
+    CHECK(client.answers[0].has(R"({"partition":1,"value":"v1"})"));
+    CHECK(client.answers[2].has(R"("value":"v3")"));
+    CHECK(client.ask("GET /up HTTP/1.1\r\n\r\n").status == 200);
+    CHECK(client.ask("GET /counters HTTP/1.1\r\n\r\n").has("answeredWhole=3"));
+    CHECK(!client.ask("GET /up HTTP/1.1\r\nConnection: close\r\n\r\n").keepAlive);
+    until(rig.io, [&] { return client.peer->ended; });
+}
+
+void answersBadInput() {
+    Pair hosts;
+    Rig rig(hosts.addresses());
+    const std::pair<std::string, int> cases[] = {
+        {post("/pallet-lookup/k", "", "{"), 400},
+        {post("/no-such-class/k", "X-Qos: no-such-class\r\n", "{}"), 400},
+        {query("t", {9}), 400},
+        {query("t", {1, 1}), 400},
+        {"GET /pallet-lookup/k HTTP/1.1\r\n\r\n", 405},
+        {post("/up", "", ""), 405},
+        {"GET /nowhere HTTP/1.1\r\n\r\n", 404},
+        {post("/pallet-lookup/k", "Padding: x\r\n", std::string(65537, 'x')), 413},
+        {"nonsense\r\n\r\n", 400}};
+    for (const auto& [bytes, status] : cases) {
+        Client client(rig.io, rig.gatherer->endpoint());
+        CHECK(client.ask(bytes).status == status);
+    }
+    CHECK(rig.count(Counter::queriesTaken) == 0 && hosts.a.got.empty() && hosts.b.got.empty());
+}
+
+void refusesOverTheCap() {
+    Pair hosts;
+    hosts.onPart([](const FrameHost::Part&) {});
+    Rig rig(hosts.addresses(), [](Config& c) { c.settings.openCap = 4; });
+    Client first(rig.io, rig.gatherer->endpoint()), second(rig.io, rig.gatherer->endpoint());
+    first.send(query("t1", {0, 1}));
+    until(rig.io, [&] { return rig.gatherer->exchange().live() == 1; });
+    const Answer refused = second.ask(query("t2", {0, 1}));
+    CHECK(refused.status == 429 && refused.has("Retry-After: 0.500"));
+}
+
+void endsBeforeTheTimeIsUp() {
+    Pair hosts;
+    hosts.onPart([](const FrameHost::Part&) {});
+    Rig rig(hosts.addresses());
+    Client client(rig.io, rig.gatherer->endpoint());
+    const Millis began = rig.clock.now();
+    const Answer answer = client.ask(query("t", {0, 1}, 300));
+    CHECK(answer.status == 429 && answer.has("Retry-After") && rig.clock.now() - began <= 350);
+    until(rig.io, [&] {  // what was out is given up
+        for (const FrameHost* h : {&hosts.a, &hosts.b})
+            for (const std::string& f : h->got)
+                if (f == "Ct.0") return true;
+        return false;
+    });
+}
+
+void triesAgainElsewhere() {
+    Pair hosts;
+    int failures = 0;
+    hosts.onPart([&](const FrameHost::Part& p) { p.answer(failures++ == 0 ? "failed" : "done", "v"); });
+    Rig rig(hosts.addresses());
+    Client client(rig.io, rig.gatherer->endpoint());
+    CHECK(client.ask(query("t", {0})).status == 200);
+    CHECK(rig.count(Counter::attemptsSent) == 2 && rig.count(Counter::attemptsError) == 1);
+}
+
+void brokenConnections() {
+    Pair hosts;
+    int dropped = 0;
+    hosts.onPart([&](const FrameHost::Part& p) { dropped++ == 0 ? p.peer.close() : p.answer("done", "v"); });
+    Rig rig(hosts.addresses());
+    Client client(rig.io, rig.gatherer->endpoint());
+    CHECK(client.ask(query("t", {0})).status == 200);
+    CHECK(rig.count(Counter::attemptsConnectionLost) == 1 && rig.count(Counter::attemptsNoConnection) == 0);
+
+    tcp::acceptor none(rig.io, kAnyPort);  // refuses once closed
+    const std::string nowhere = "127.0.0.1:" + std::to_string(none.local_endpoint().port());
+    none.close();
+    Rig deaf({nowhere, hosts.a.address()});
+    Client other(deaf.io, deaf.gatherer->endpoint());
+    for (int i = 0; i < 20 && deaf.count(Counter::attemptsNoConnection) == 0; ++i)
+        CHECK(other.ask(query("t" + std::to_string(i), {0, 1, 2, 3})).status == 200);
+    CHECK(deaf.count(Counter::attemptsNoConnection) > 0 && deaf.count(Counter::attemptsConnectionLost) == 0);
+}
+
+void badFramesCloseOnlyTheirConnection() {
+    Pair hosts;
+    int bad = 0;
+    hosts.onPart([&](const FrameHost::Part& p) {
+        bad++ == 0 ? p.peer.send("\xff\xff\xff\xff") : p.answer("done", "v");
+    });
+    Rig rig(hosts.addresses());
+    Client client(rig.io, rig.gatherer->endpoint());
+    CHECK(client.ask(query("t", {0})).status == 200 && rig.count(Counter::badFrames) == 1);
+    hosts.onPart([](const FrameHost::Part& p) {
+        p.answer("done", "v", "inflight=1");
+        p.answer("done", "again");  // late: the part had its outcome
+    });
+    CHECK(client.ask(query("t2", {0})).has(R"("value":"v")"));
+    CHECK(client.ask(query("t3", {0})).status == 200 && rig.count(Counter::lateFrames) > 0);
+}
+
+void keepsToTheCallsOfAConnection() {
+    FrameHost host(Rig::loop());
+    std::vector<FrameHost::Part> held;
+    host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+    Rig rig({host.address()}, [](Config& c) {
+        c.connections.calls = 2;
+        c.settings.cells = c.settings.span = 1;
+    });
+    Client client(rig.io, rig.gatherer->endpoint());
+    client.send(query("t", {0, 1, 2, 3}));
+    until(rig.io, [&] { return held.size() == 4; });
+    CHECK(host.peers.size() == 2);
+    std::map<Peer*, int> on;
+    for (const auto& p : held) ++on[&p.peer];
+    for (const auto& [peer, count] : on) CHECK(count == 2);
+    for (const auto& p : held) p.answer("done", "v");
+    until(rig.io, [&] { return client.answers.size() == 1; });
+}
+
+void closesIdleConnectionsFirst() {
+    FrameHost host(Rig::loop());
+    Rig rig({host.address()}, [](Config& c) {
+        c.connections.idle = 100;
+        c.settings.cells = c.settings.span = 1;
+    });
+    Client client(rig.io, rig.gatherer->endpoint());
+    CHECK(client.ask(query("t", {0})).status == 200);
+    until(rig.io, [&] { return host.peers[0]->ended; });
+    CHECK(client.ask(query("t2", {0})).status == 200 && host.peers.size() == 2);
+}
+
+void clientsThatLeave() {
+    Pair hosts;
+    hosts.onPart([](const FrameHost::Part&) {});
+    Rig rig(hosts.addresses());
+    {
+        Client client(rig.io, rig.gatherer->endpoint());
+        client.send(query("t", {0}));
+        until(rig.io, [&] { return hosts.a.got.size() + hosts.b.got.size() == 1; });
+    }
+    until(rig.io, [&] { return hosts.a.got.size() + hosts.b.got.size() == 2; });
+    CHECK((hosts.a.got.empty() ? hosts.b : hosts.a).got.back() == "Ct.0");
+    CHECK(rig.count(Counter::clientsGone) == 1 && rig.gatherer->exchange().live() == 0);
+}
+
+void sendsNothingToADrainingHost() {
+    Pair hosts;
+    PeerPtr watch;
+    HttpHost* agent = nullptr;
+    Rig rig(hosts.addresses());
+    agent = &rig.agent;
+    until(rig.io, [&] { return !agent->targets.empty(); });
+    CHECK(agent->targets[0] == "/discovery/hosts?watch=1&from=0");
+    watch = agent->peers.back();
+    const std::string line = change(hosts.a.address(), "Terminating", 7) + "\n";
+    watch->send(kWatchHead + chunk("\n"));
+    for (const char c : line) watch->send(chunk(std::string(1, c)));  // split anywhere
+    until(rig.io, [&] { return rig.count(Counter::listUpdates) == 2; });
+    Client client(rig.io, rig.gatherer->endpoint());
+    for (int i = 0; i < 20; ++i)
+        CHECK(client.ask(query("t" + std::to_string(i), {0, 1, 2, 3})).status == 200);
+    CHECK(hosts.a.got.empty());
+    // A bad update changes nothing, and is told; the next good one counts.
+    watch->send(chunk("{\"generation\":8}\n") + chunk(change(hosts.a.address(), "Ready", 9) + "\n"));
+    until(rig.io, [&] { return rig.count(Counter::listUpdates) == 3; });
+    CHECK(rig.count(Counter::badListUpdates) == 1);
+    watch->close();  // and the next watch goes on from there
+    until(rig.io, [&] { return agent->targets.size() == 2; });
+    CHECK(agent->targets[1] == "/discovery/hosts?watch=1&from=9");
+}
+
+void askAgainWhenTheWatchIsSilent() {
+    Clock clock;
+    Counters counters;
+    Logger log(clock);
+    HttpHost agent(Rig::loop());
+    discovery::Watch watch(Rig::loop(), clock, counters, log, agent.endpoint(), 3, [](const HostList&) {},
+                           {50, 1});
+    watch.start();
+    until(Rig::loop(), [&] { return agent.targets.size() == 3; });
+    CHECK(agent.targets[2] == "/discovery/hosts?watch=1&from=3" && counters.get(Counter::watchesBroken) >= 2);
+}
+
+void stopsInOrder() {
+    Pair hosts;
+    std::vector<FrameHost::Part> held;
+    hosts.onPart([&](const FrameHost::Part& p) { held.push_back(p); });
+    Rig rig(hosts.addresses());
+    Client busy(rig.io, rig.gatherer->endpoint()), idle(rig.io, rig.gatherer->endpoint());
+    busy.send(query("t", {0}));
+    until(rig.io, [&] { return held.size() == 1; });
+    bool stopped = false;
+    const Millis began = rig.clock.now();
+    rig.gatherer->stop([&] { stopped = true; });
+    {
+        Client late(rig.io, rig.gatherer->endpoint());  // still taken in
+        const Answer answer = late.ask("GET /up HTTP/1.1\r\n\r\n");
+        CHECK(answer.status == 503 && !answer.keepAlive);
+    }
+    until(rig.io, [&] { return idle.peer->ended; });
+    CHECK(!stopped && rig.clock.now() - began >= 400);
+    held[0].answer("done", "v");
+    until(rig.io, [&] { return stopped; });
+    CHECK(busy.answers.size() == 1 && busy.answers[0].status == 200 && !busy.answers[0].keepAlive);
+    CHECK(rig.clock.now() - began < 3400);
+}
+
+}  // namespace
+
+int main() {
+    keepsConnections();
+    answersBadInput();
+    refusesOverTheCap();
+    endsBeforeTheTimeIsUp();
+    triesAgainElsewhere();
+    brokenConnections();
+    badFramesCloseOnlyTheirConnection();
+    keepsToTheCallsOfAConnection();
+    closesIdleConnectionsFirst();
+    clientsThatLeave();
+    sendsNothingToADrainingHost();
+    askAgainWhenTheWatchIsSilent();
+    stopsInOrder();
+}
