Reread the configuration on SIGHUP and move the watch to the new discovery

Cause: main.cpp handled no SIGHUP, whose default action ends the process (129 = 128 + SIGHUP). Ruled out: a crash in the watch, by a test that runs the program. Now: the file is read again, a bad one changes nothing, Watch::move() goes on at the new address at once from the generation reached. A watch is dead after 3 s of silence (an empty line comes every 2 s) and a dial to the agent after 1 s, since what discovery has to tell counts as told 4 s after SIGHUP.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -36,15 +36,21 @@
     c->reader = std::make_unique<net::HttpReader>(
         net::HttpReader::Kind::response, c->buffer,
         [this, raw = c.get()](std::string_view bytes) { onBody(*raw, bytes); });
-    heard();
+    expectWithin(times_.connect);
     c->socket.async_connect(agent_, [this, c](asio::error_code error) {
         if (c->dead) return;
-        error ? broken(c, error.message()) : ask(c);
+        if (error) return broken(c, error.message());
+        heard();
+        ask(c);
     });
 }
 
 void Watch::stop() {
     stopped_ = true;
+    drop();
+}
+
+void Watch::drop() {
     silence_.cancel();
     again_.cancel();
     if (!connection_) return;
@@ -53,10 +59,19 @@
     connection_->socket.close(ignored);
 }
 
+// The old address may be about to close: nothing is waited for there, and what it had yet to tell comes from
+// the new one, which is asked from the same generation.
+void Watch::move(const asio::ip::tcp::endpoint& agent) {
+    if (stopped_ || agent == agent_) return;
+    agent_ = agent;
+    drop();
+    start();
+}
+
 // The agent may say nothing at all, while its connection stays up: without a line for too long the watch
 // counts as dead, whatever TCP thinks.
-void Watch::heard() {
-    silence_.expires_after(micros(times_.silence));
+void Watch::expectWithin(Millis wait) {
+    silence_.expires_after(micros(wait));
     silence_.async_wait([this, c = connection_](asio::error_code error) {
         if (!error && !c->dead) broken(c, "silent for too long");
     });
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -15,7 +15,8 @@
 namespace beechpoint::discovery {
 
 struct WatchTimes {
-    Millis silence = 4000;  // a watch without any line for longer is dead
+    Millis silence = 3000;  // a watch without any line for longer is dead: an empty one comes every 2 s
+    Millis connect = 1000;  // the agent is on the own machine
     Millis again = 250;     // between two tries
 };
 
@@ -27,6 +28,8 @@
     ~Watch() { stop(); }
     void start();
     void stop();
+    // Goes on at another agent's address, from the generation reached; the list as known holds meanwhile.
+    void move(const asio::ip::tcp::endpoint& agent);
     std::int64_t generation() const { return generation_; }
 
 private:
@@ -44,7 +47,9 @@
     void onBody(Connection& c, std::string_view bytes);
     void onLine(std::string_view line);
     void broken(const Held& c, const std::string& why);
-    void heard();
+    void heard() { expectWithin(times_.silence); }
+    void expectWithin(Millis wait);
+    void drop();
 
     asio::io_context& io_;
     const Clock& clock_;
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -87,6 +87,14 @@
               endpoint().port(), config_.known.list.entries.size());
 }
 
+void Gatherer::reload(const Config& fresh) {
+    log_.info("configuration read again: discovery at {}:{}", fresh.discovery.address().to_string(),
+              fresh.discovery.port());
+    if (fresh.listen != config_.listen || fresh.name != config_.name)
+        log_.warn("name and listen change only with a restart");
+    watch_.move(fresh.discovery);
+}
+
 void Gatherer::wake(Millis at) {
     timer_.expires_after(micros(at - clock_.now()));
     timer_.async_wait([this](asio::error_code error) {
--- a/src/gatherer.hpp
+++ b/src/gatherer.hpp
@@ -22,6 +22,8 @@
     void start();  // throws where an address can't be listened on
     // Answers all that it has and takes for a little longer, then calls `done`.
     void stop(std::function<void()> done);
+    // Takes from a configuration read anew what may change in service: discovery's address.
+    void reload(const Config& fresh);
     asio::ip::tcp::endpoint endpoint() const { return server_.endpoint(); }
     asio::ip::tcp::endpoint searchEndpoint() const { return searchServer_->endpoint(); }
     asio::ip::udp::endpoint snmpEndpoint() const { return snmp_->endpoint(); }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,12 +16,13 @@
 
 constexpr int kUsage = 2;
 
-int serve(const Config& config, Clock& clock, Logger& log) {
+int serve(const Config& config, const std::string& path, Clock& clock, Logger& log) {
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context io(1);
     Counters counters;
+    // First of all: a signal that nobody waits for would end the program.
+    asio::signal_set stop(io, SIGTERM, SIGINT), print(io, SIGUSR1), reload(io, SIGHUP);
     Gatherer gatherer(io, config, clock, counters, log);
-    asio::signal_set stop(io, SIGTERM, SIGINT), print(io, SIGUSR1);
     std::function<void()> awaitPrint = [&] {
         print.async_wait([&](asio::error_code error, int) {
             if (error) return;
@@ -29,10 +30,22 @@
             awaitPrint();
         });
     };
+    std::function<void()> awaitReload = [&] {
+        reload.async_wait([&](asio::error_code error, int) {
+            if (error) return;
+            try {
+                gatherer.reload(readConfigFile(path, clock));
+            } catch (const std::exception& e) {
+                log.warn("bad configuration, the old one holds: {}", e.what());
+            }
+            awaitReload();
+        });
+    };
     stop.async_wait([&](asio::error_code error, int) {
         if (!error) gatherer.stop([&] { io.stop(); });
     });
     awaitPrint();
+    awaitReload();
     gatherer.start();
     io.run();
     log.info("counters at exit: {}", counters.line());
@@ -77,7 +90,7 @@
         }
         Config config = readConfigFile(path, clock);
         if (given.count("operator")) readOperatorFile(given["operator"].as<std::string>(), config);
-        if (command == "serve") return serve(config, clock, log);
+        if (command == "serve") return serve(config, path, clock, log);
         std::cout << "the configuration is sound: " << config.settings.classes.size() << " classes, "
                   << config.known.list.entries.size() << " hosts known\n";
         return 0;
