Spoilt answers fail one attempt; stalled frames end in 60 ms; full connections queue

Checked in the code: a bad frame closed its connection as connectionLost for every part out on it, so the module cut the host off (E8) and failed queries by E9 though the host was sound; an R frame whose report can't be read failed a good answer; a frame that never completed held its parts until their time-outs, and new parts joined; noise or a copy behind an answer kept the connection in use; pick() with all connections full reported noConnection. Lines at fault: frames.cpp read()/onFrame()/onResult(), frame.cpp readResult(), pool.cpp pick()/flush()/close(). Now: the part whose answer is spoilt fails, what else was out is given up (called off), what waited goes to another connection; late (cancelled) ids, copies and unknown ids are told apart; values that are no UTF-8 are spoilt; the pool holds to its descriptors, idle connections make room; log kinds are forgotten.

--- a/src/back/frame.cpp
+++ b/src/back/frame.cpp
@@ -9,6 +9,43 @@
 
 namespace beechpoint::back {
 
+namespace {
+
+// A score or a figure of a report: plain decimal, and finite.
+std::optional<double> number(std::string_view text) {
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
+        return std::nullopt;
+    return value;
+}
+
+}  // namespace
+
+bool isText(std::string_view bytes) {
+    const auto byte = [&](std::size_t i) {
+        return i < bytes.size() ? static_cast<unsigned char>(bytes[i]) : 0U;
+    };
+    for (std::size_t i = 0; i < bytes.size();) {
+        const unsigned lead = byte(i);
+        const std::size_t more = lead < 0x80       ? 0
+                                 : lead >> 5 == 6  ? 1
+                                 : lead >> 4 == 14 ? 2
+                                 : lead >> 3 == 30 ? 3
+                                                   : 4;
+        if (more == 4) return false;
+        unsigned code = more == 0 ? lead : lead & (0x3fU >> more);
+        for (std::size_t k = 1; k <= more; ++k) {
+            if (byte(i + k) >> 6 != 2) return false;
+            code = code << 6 | (byte(i + k) & 0x3f);
+        }
+        constexpr unsigned kLeast[] = {0, 0x80, 0x800, 0x10000};  // shorter forms exist below these
+        if (code < kLeast[more] || code > 0x10ffff || (code >= 0xd800 && code < 0xe000)) return false;
+        i += more + 1;
+    }
+    return true;
+}
+
 FrameState readFrame(std::string_view bytes, Frame& frame) {
     if (bytes.size() < 4) return FrameState::more;
     std::size_t length = 0;
@@ -16,6 +53,8 @@
         length = length << 8 | static_cast<unsigned char>(bytes[static_cast<std::size_t>(i)]);
     // Judged by the length alone: a broken peer must not make this wait for, or hold, gigabytes.
     if (length < 1 || length > kMaxFrame) return FrameState::bad;
+    // A letter that no track host sends tells early that the stream is out of step.
+    if (bytes.size() > 4 && kLetters.find(bytes[4]) == std::string_view::npos) return FrameState::bad;
     if (bytes.size() < 4 + length) return FrameState::more;
     frame = {bytes[4], bytes.substr(5, length - 1), 4 + length};
     return FrameState::complete;
@@ -29,12 +68,9 @@
         const std::string_view pair = text.substr(0, comma);
         const auto equals = pair.find('=');
         if (equals == std::string_view::npos || equals == 0) return std::nullopt;
-        const std::string_view figure = pair.substr(equals + 1);
-        double value = 0;
-        const auto [end, error] = std::from_chars(figure.data(), figure.data() + figure.size(), value);
-        if (error != std::errc{} || end != figure.data() + figure.size() || !std::isfinite(value))
-            return std::nullopt;
-        load.push_back({std::string(pair.substr(0, equals)), value});
+        const std::optional<double> value = number(pair.substr(equals + 1));
+        if (!value) return std::nullopt;
+        load.push_back({std::string(pair.substr(0, equals)), *value});
         if (comma == std::string_view::npos) return load;
         text.remove_prefix(comma + 1);
     }
@@ -49,7 +85,7 @@
         const auto blank = line.find(' ');
         if ((blank == std::string_view::npos) != (i == 3)) return std::nullopt;
         words[i] = line.substr(0, blank);
-        if (words[i].empty()) return std::nullopt;
+        if (words[i].empty() && i < 3) return std::nullopt;
         line.remove_prefix(i == 3 ? line.size() : blank + 1);
     }
     Result r;
@@ -63,9 +99,9 @@
     else
         return std::nullopt;
     r.score = words[2];
-    std::optional<Load> load = readReport(words[3]);
-    if (!load) return std::nullopt;
-    r.load = std::move(*load);
+    if (!number(r.score)) return std::nullopt;
+    // The report is news beside the answer: where it can't be read, the answer is as good without.
+    r.load = readReport(words[3]).value_or(Load{});
     r.value = rest.substr(feed + 1);
     return r;
 }
--- a/src/back/frame.hpp
+++ b/src/back/frame.hpp
@@ -11,6 +11,8 @@
 
 inline constexpr std::size_t kMaxFrame = 128 * 1024;  // a value of 64 KiB and its line fit well
 
+inline constexpr std::string_view kLetters = "SCHMRF";
+
 struct Frame {
     char letter = 0;
     std::string_view rest;  // a slice of what was read
@@ -29,8 +31,10 @@
     std::string_view value;
 };
 
-std::optional<Result> readResult(std::string_view rest);  // of an R frame
-std::optional<Load> readReport(std::string_view text);    // name=value pairs set apart by commas, or "-"
+// Of an R frame. A report that can't be read counts as none.
+std::optional<Result> readResult(std::string_view rest);
+bool isText(std::string_view bytes);                    // valid UTF-8: all that can be handed to a client
+std::optional<Load> readReport(std::string_view text);  // name=value pairs set apart by commas, or "-"
 std::string partId(const Request& request, int slice);
 void writeFrame(std::string& out, char letter, std::string_view rest);
 // One part's entry in an S frame.
--- a/src/back/frames.cpp
+++ b/src/back/frames.cpp
@@ -8,11 +8,19 @@
 namespace {
 
 constexpr std::size_t kReadSize = 8192;
+// A track host writes a frame in one go: where the rest is not there by then, the length was wrong or the end
+// is lost, and all that is out on the connection waits for nothing.
+constexpr Millis kRestWithin = 60;
+constexpr std::size_t kCancelledKept = 128;
 
 }  // namespace
 
+FrameConnection::FrameConnection(Pool& pool, std::string server)
+    : HostConnection(pool, std::move(server)), stall_(pool.io()) {}
+
 void FrameConnection::fill() {
-    if (state_ != State::open || writing_ || filling_) return;
+    // Not before all that has come is read: the bytes behind an answer may spoil the connection.
+    if (state_ != State::open || writing_ || filling_ || parsing_) return;
     filling_ = true;  // claim() may come back here
     outgoing_ = std::exchange(more_, {});
     marks_.clear();
@@ -51,46 +59,93 @@
             part != out_.end() && part->second.call == m.call && m.end <= count)
             part->second.written = true;
     if (state_ == State::closed) return;
-    if (error) return close(false);
+    if (error) return close(End::broken);
     used();
     fill();
 }
 
 void FrameConnection::read() {
-    socket_.async_read_some(
-        in_.prepare(kReadSize), [this, self = shared_from_this()](asio::error_code error, std::size_t got) {
-            if (state_ == State::closed) return;
-            if (error) return close(false);
-            in_.commit(got);
-            used();
-            Frame frame;
-            FrameState state;
-            while ((state = readFrame(in_.view(), frame)) == FrameState::complete) {
-                const bool good = onFrame(frame);
-                if (state_ == State::closed) return;
-                if (!good) {
-                    state = FrameState::bad;
-                    break;
-                }
-                in_.consume(frame.size);
-            }
-            if (state == FrameState::bad) {  // where the next one begins is unknown
-                pool_.counters().add(Counter::badFrames);
-                pool_.log().seldom("frame", "host {} sent a bad frame: connection closed", server_);
-                return close(false);
-            }
-            read();
-            fill();  // places may have come free
-        });
+    socket_.async_read_some(in_.prepare(kReadSize),
+                            [this, self = shared_from_this()](asio::error_code error, std::size_t got) {
+                                if (state_ == State::closed) return;
+                                if (error) return close(End::broken);
+                                in_.commit(got);
+                                used();
+                                onBytes();
+                            });
+}
+
+void FrameConnection::onBytes() {
+    parsing_ = true;
+    Frame frame;
+    FrameState state;
+    bool progress = false;
+    while ((state = readFrame(in_.view(), frame)) == FrameState::complete) {
+        const bool good = onFrame(frame);
+        if (state_ == State::closed) return;
+        if (!good) {
+            state = FrameState::bad;
+            break;
+        }
+        in_.consume(frame.size);
+        progress = true;
+    }
+    parsing_ = false;
+    if (state == FrameState::bad) return onSpoilt();
+    watchRest(progress);
+    if (state_ == State::closed) return;
+    read();
+    fill();  // places may have come free
+}
+
+// Where the next frame begins is unknown, or what was to come is lost. The part whose answer is spoilt has
+// failed, as far as its line can be read; the others are only given up.
+void FrameConnection::onSpoilt() {
+    const std::string_view rest =
+        in_.size() > 5 && in_.view()[4] == 'R' ? in_.view().substr(5) : std::string_view{};
+    pool_.counters().add(Counter::badFrames);
+    pool_.log().seldom("frame", "host {} sent a bad frame: connection closed", server_);
+    auto part = out_.find(std::string(rest.substr(0, rest.find_first_of(" \n"))));
+    if (part == out_.end() && out_.size() == 1) part = out_.begin();
+    const auto self = shared_from_this();
+    std::optional<AttemptId> failed;
+    if (part != out_.end()) {
+        failed = part->second.id;
+        release(part);
+    }
+    close(End::spoilt);
+    if (failed) ended(*failed, Outcome::error, {}, {});
+}
+
+// What is left in the buffer is the beginning of a frame, or noise behind an answer.
+void FrameConnection::watchRest(bool progress) {
+    if (in_.size() == 0 || out_.empty()) {
+        stall_.cancel();
+        resting_ = suspect_ = false;
+        if (in_.size() == 0) return;
+        // Nothing is out, so nothing can begin here.
+        pool_.counters().add(Counter::extraBytes);
+        return close(End::spoilt);
+    }
+    if (std::exchange(resting_, true) && !progress) return;  // it counts from the frame's first byte
+    suspect_ = true;
+    onStall(true);
+}
+
+void FrameConnection::onStall(bool again) {
+    stall_.expires_after(micros(kRestWithin));
+    stall_.async_wait([this, self = shared_from_this(), again](asio::error_code error) {
+        if (error || state_ == State::closed || !resting_) return;
+        asio::error_code ignored;  // this side may be the late one: what has come is read first
+        if (again && socket_.available(ignored) > 0) return onStall(false);
+        onSpoilt();
+    });
 }
 
 bool FrameConnection::onFrame(const Frame& frame) {
     switch (frame.letter) {
-        case 'R': {
-            const std::optional<Result> result = readResult(frame.rest);
-            if (result) onResult(*result);
-            return result.has_value();
-        }
+        case 'R':
+            return onResult(frame);
         case 'H':
             if (frame.rest != "done" && frame.rest != "failed") return false;
             probeEnded(frame.rest == "done" ? Outcome::served : Outcome::error, {});
@@ -103,18 +158,39 @@
         }
         case 'F':
             pool_.log().seldom("refused frame", "host {} could not use a frame: {}", server_, frame.rest);
-            return true;  // the host closes the connection
+            retired_ = true;  // the host closes the connection
+            return true;
         default:
             return false;
     }
 }
 
-void FrameConnection::onResult(const Result& result) {
-    const auto found = out_.find(std::string(result.id));
-    if (found == out_.end()) return pool_.counters().add(Counter::lateFrames);
-    const AttemptId id = found->second.id;
-    release(found);
-    ended(id, result.outcome, result.value, result.load);
+// False: spoilt, and with it all that may follow.
+bool FrameConnection::onResult(const Frame& frame) {
+    const std::optional<Result> result = readResult(frame.rest);
+    // A value that is no text can't be handed to a client: another try may bring one that can.
+    if (!result || !isText(result->value)) return false;
+    std::string part(result->id);
+    const auto found = out_.find(part);
+    if (found != out_.end()) {
+        const AttemptId id = found->second.id;
+        release(found);
+        answered_ = std::move(part);
+        ended(id, result->outcome, result->value, result->load);
+        return true;
+    }
+    if (const auto late = std::find(cancelled_.begin(), cancelled_.end(), part); late != cancelled_.end()) {
+        cancelled_.erase(late);
+        pool_.counters().add(Counter::lateFrames);
+        return true;
+    }
+    // A second copy of an answer: what follows is not to be relied upon, but what came is good.
+    if (part != answered_) return false;
+    pool_.counters().add(Counter::extraBytes);
+    handBack();
+    retire();
+    pool_.flush();
+    return true;
 }
 
 void FrameConnection::release(OutParts::iterator part) {
@@ -128,6 +204,8 @@
         std::find_if(out_.begin(), out_.end(), [&](const auto& p) { return p.second.id == attempt; });
     if (found == out_.end()) return;  // still waiting: claim() will stop it
     writeFrame(more_, 'C', found->first);
+    cancelled_.push_back(found->first);
+    if (cancelled_.size() > kCancelledKept) cancelled_.pop_front();
     release(found);
     fill();
 }
@@ -139,6 +217,7 @@
 
 std::vector<HostConnection::Lost> FrameConnection::lost() {
     std::vector<Lost> lost;
+    stall_.cancel();
     // What was being written when the connection ended otherwise may have arrived whole.
     for (const auto& [id, part] : out_) lost.push_back({part.id, part.written || writing_});
     out_.clear();
--- a/src/back/frames.hpp
+++ b/src/back/frames.hpp
@@ -13,7 +13,7 @@
 
 class FrameConnection : public HostConnection {
 public:
-    using HostConnection::HostConnection;
+    FrameConnection(Pool& pool, std::string server);
     static Pool::Connection make(Pool& pool, const std::string& server) {
         return std::make_shared<FrameConnection>(pool, server);
     }
@@ -37,12 +37,20 @@
     void askProbe() override;
     std::vector<Lost> lost() override;
     void onWritten(asio::error_code error, std::size_t count);
+    void onBytes();
+    void onSpoilt();
+    void watchRest(bool progress);
+    void onStall(bool again);
     bool onFrame(const Frame& frame);
-    void onResult(const Result& result);
+    bool onResult(const Frame& frame);
     void release(OutParts::iterator part);
 
-    bool filling_ = false;
-    OutParts out_;                                // by the part's id on the wire
+    bool filling_ = false, parsing_ = false;
+    bool resting_ = false;  // the rest of a frame is waited for
+    asio::steady_timer stall_;
+    std::deque<std::string> cancelled_;  // given up here; an answer may still come. The oldest are forgotten
+    std::string answered_;               // the last one in: a second copy may follow it
+    OutParts out_;                       // by the part's id on the wire
     std::map<std::uint64_t, std::size_t> calls_;  // places taken: parts still out of each call
     std::uint64_t lastCall_ = 0;
     std::string more_, outgoing_;  // frames without a part, and what is being written
--- a/src/back/pool.cpp
+++ b/src/back/pool.cpp
@@ -49,7 +49,7 @@
     const std::map<std::string, Host> hosts = std::exchange(hosts_, {});
     at_.clear();
     for (const auto& [id, host] : hosts)
-        for (const Connection& c : host.connections) c->close(true);
+        for (const Connection& c : host.connections) c->close(HostConnection::End::quiet);
 }
 
 void Pool::update(const HostList& list) {
@@ -90,7 +90,11 @@
             const Connection c =
                 host != hosts_.end() && host->second.endpoint ? pick(batch.key(), host->second) : nullptr;
             if (!c) {
-                for (const Attempt& a : call) exchange_.ended(a.id, Outcome::noConnection);
+                // Without an address it can't be connected to; else it is this side that has no place left,
+                // which says nothing of the host.
+                const bool unknown = host == hosts_.end() || !host->second.endpoint;
+                for (const Attempt& a : call)
+                    exchange_.ended(a.id, unknown ? Outcome::noConnection : Outcome::notSent);
                 continue;
             }
             for (const Attempt& a : call) at_[a.id] = c;
@@ -99,21 +103,36 @@
     }
 }
 
-// The open connection with most room; else one that is being dialled; else a new one, up to the limit.
+// The open connection with most room; else one that is being dialled; else a new one, up to the limits. Where
+// all are full the call waits in the shortest line: that is no fault of the host.
 Pool::Connection Pool::pick(const std::string& server, Host& host) {
     Connection best;
-    for (const Connection& c : host.connections) {
-        if (!c->usable() || c->load() >= limits_.calls) continue;
-        if (!best || std::make_pair(!c->open(), c->load()) < std::make_pair(!best->open(), best->load()))
-            best = c;
-    }
-    if (best || host.connections.size() >= limits_.perHost) return best;
+    const auto rank = [this](const Connection& c) {
+        return std::make_tuple(c->load() >= limits_.calls, !c->open(), c->load());
+    };
+    for (const Connection& c : host.connections)
+        if (c->usable() && (!best || rank(c) < rank(best))) best = c;
+    if (best && best->load() < limits_.calls) return best;
+    if (host.connections.size() >= limits_.perHost || !makeRoom()) return best;
     best = make_(*this, server);
     host.connections.push_back(best);
+    ++connections_;
     best->dial(*host.endpoint);
     return best;
 }
 
+// At the limit of descriptors the connection that has been idle longest makes room.
+bool Pool::makeRoom() {
+    if (connections_ < limits_.total) return true;
+    Connection oldest;
+    for (const auto& [id, host] : hosts_)
+        for (const Connection& c : host.connections)
+            if (c->idle() && (!oldest || c->idleSince() < oldest->idleSince())) oldest = c;
+    if (!oldest) return false;
+    oldest->close(HostConnection::End::quiet);
+    return true;
+}
+
 void Pool::abandon(AttemptId attempt) {
     const auto found = at_.find(attempt);
     if (found == at_.end()) return;
@@ -135,7 +154,7 @@
         const Millis before = clock_.now() - kIdleShare * limits_.idle;
         for (auto& [id, host] : hosts_)
             for (const Connection& c : std::vector<Connection>(host.connections))
-                if (c->open() && c->idle() && c->idleSince() <= before) c->close(true);
+                if (c->open() && c->idle() && c->idleSince() <= before) c->close(HostConnection::End::quiet);
         std::erase_if(hosts_, [](const auto& h) { return !h.second.listed && h.second.connections.empty(); });
         sweep();
     });
@@ -159,7 +178,7 @@
         self->pool_.counters().add(Counter::dialsFailed);
         self->pool_.log().seldom("dial " + self->server_, "host {} did not take a connection in time",
                                  self->server_);
-        self->close(false);
+        self->close(End::broken);
     });
     socket_.async_connect(to, [self](asio::error_code error) {
         if (self->state_ != State::dialing) return;
@@ -168,7 +187,7 @@
             self->pool_.counters().add(Counter::dialsFailed);
             self->pool_.log().seldom("dial " + self->server_, "could not connect to host {}: {}",
                                      self->server_, error.message());
-            return self->close(false);
+            return self->close(End::broken);
         }
         asio::error_code ignored;
         self->socket_.set_option(tcp::no_delay(true), ignored);
@@ -227,31 +246,49 @@
 }
 
 void HostConnection::closeIfDone() {
-    if (retired_ && state_ != State::closed && idle()) close(true);
+    if (retired_ && state_ != State::closed && idle()) close(End::quiet);
+}
+
+// What was never written is as good as new. It gets a further connection, whose dial then tells of the host.
+void HostConnection::handBack() {
+    const auto waiting = std::exchange(waiting_, {});
+    for (const auto& call : waiting)
+        for (const Attempt& a : call) pool_.send(a);
 }
 
-void HostConnection::close(bool quiet) {
+void HostConnection::close(End end) {
     if (state_ == State::closed) return;
+    const bool dialing = state_ == State::dialing;
     state_ = State::closed;
     const auto self = shared_from_this();
     asio::error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
     if (const auto host = pool_.hosts_.find(server_); host != pool_.hosts_.end())
-        std::erase(host->second.connections, self);
+        pool_.connections_ -= std::erase(host->second.connections, self);
     const std::vector<Lost> out = lost();
+    if (!dialing && end != End::quiet) handBack();
     const auto waiting = std::exchange(waiting_, {});
     const auto probes = std::exchange(probes_, {});
+    bool askAgain = false;
     for (const auto& probe : probes) {
         probe->timer->cancel();
-        if (!std::exchange(probe->over, true) && !quiet)
+        if (std::exchange(probe->over, true) || end == End::quiet) continue;
+        if (end == End::broken)
             pool_.exchange().probed(server_, Outcome::noConnection, pool_.clock().now() - probe->sentAt);
+        askAgain = end == End::spoilt;
     }
-    if (quiet) return;
+    if (end == End::quiet) return;
+    if (askAgain) pool_.probe(server_);
     for (const Lost& part : out)
-        ended(part.id, part.written ? Outcome::connectionLost : Outcome::noConnection, {}, {});
+        ended(part.id,
+              end == End::spoilt ? Outcome::cancelled
+              : part.written     ? Outcome::connectionLost
+                                 : Outcome::noConnection,
+              {}, {});
     for (const auto& call : waiting)
         for (const Attempt& a : call) ended(a.id, Outcome::noConnection, {}, {});
+    pool_.flush();
 }
 
 }  // namespace beechpoint::back
--- a/src/back/pool.hpp
+++ b/src/back/pool.hpp
@@ -25,6 +25,7 @@
     std::size_t calls = 1;     // at once on a connection
     std::size_t bundle = 1;    // parts in a call
     std::size_t perHost = 16;  // connections to one host
+    std::size_t total = 400;   // to all of them: descriptors are few
 };
 
 // "address:port"; nothing where it is malformed.
@@ -46,11 +47,14 @@
     void probe();
     virtual void abandon(AttemptId attempt) = 0;
     void retire();  // nothing new comes; closes once nothing is out
-    // Reports all that was out, unless `quiet`. Broken before a frame's last byte was written: never ran.
-    void close(bool quiet);
+    // How a connection ends. quiet: nothing is reported. broken: what was out is reported as lost, or as
+    // never run where its frame's last byte had not been written. spoilt: closed here, since what comes can't
+    // be understood any more: what was out is given up, which says nothing against the host.
+    enum class End { quiet, broken, spoilt };
+    void close(End end);
 
     bool open() const { return state_ == State::open && !retired_; }
-    bool usable() const { return state_ != State::closed && !retired_; }
+    bool usable() const { return state_ != State::closed && !retired_ && !suspect_; }
     std::size_t load() const { return callsOut() + waiting_.size(); }
     bool idle() const { return callsOut() == 0 && waiting_.empty() && probes_.empty() && !writing_; }
     Millis idleSince() const { return lastUse_; }
@@ -73,6 +77,7 @@
     void ended(AttemptId attempt, Outcome outcome, std::string_view value, Load load);
     void used();
     void closeIfDone();
+    void handBack();  // what waits here goes to another connection
 
     Pool& pool_;
     std::string server_;
@@ -80,6 +85,7 @@
     net::Buffer in_;
     State state_ = State::dialing;
     bool retired_ = false, writing_ = false;
+    bool suspect_ = false;  // part of a message has come and the rest has not: nothing new goes on it
     std::deque<std::vector<Attempt>> waiting_;  // calls not yet written
 
 private:
@@ -106,6 +112,7 @@
     void abandon(AttemptId attempt) override;
     void probe(const std::string& server) override;
     void close();
+    std::size_t connections() const { return connections_; }
 
     asio::io_context& io() { return io_; }
     const Clock& clock() const { return clock_; }
@@ -122,6 +129,7 @@
         std::vector<Connection> connections;
     };
     Connection pick(const std::string& server, Host& host);
+    bool makeRoom();
     void sweep();
 
     asio::io_context& io_;
@@ -132,6 +140,7 @@
     ConnectionLimits limits_;
     Make make_;
     asio::steady_timer timer_;
+    std::size_t connections_ = 0;
     std::map<std::string, Host> hosts_;
     std::map<std::string, std::vector<Attempt>> sent_;  // since the last flush, by host
     std::map<AttemptId, std::weak_ptr<HostConnection>> at_;
--- a/src/back/search.cpp
+++ b/src/back/search.cpp
@@ -87,7 +87,7 @@
                       [this, self = shared_from_this()](asio::error_code error, std::size_t) {
                           writing_ = false;
                           if (state_ == State::closed) return;
-                          if (error) return close(false);
+                          if (error) return close(End::broken);
                           written_ = true;
                           fill();
                       });
@@ -101,12 +101,12 @@
             used();
             const auto state = error ? reader_.finish() : reader_.parse();
             if (state == net::HttpReader::State::complete && callsOut() > 0) return onAnswer();
-            if (error) return close(false);
+            if (error) return close(End::broken);
             if (state == net::HttpReader::State::more && (callsOut() > 0 || in_.size() == 0)) return read();
             // An answer that is malformed, too large, or to nothing that was asked.
             pool_.counters().add(Counter::badFrames);
             pool_.log().seldom("answer", "host {} sent a bad answer: connection closed", server_);
-            close(false);
+            close(End::broken);
         });
 }
 
@@ -120,7 +120,7 @@
         ended(id, searchOutcome(message.status, message.body), message.body, {});
     }
     if (state_ == State::closed) return;
-    if (!keep) return close(false);
+    if (!keep) return close(End::broken);
     reader_.next();
     read();
     fill();
@@ -130,7 +130,7 @@
 void SearchConnection::abandon(AttemptId attempt) {
     if (out_ != attempt) return;  // still waiting: claim() will stop it
     out_.reset();
-    close(false);
+    close(End::broken);
 }
 
 std::vector<HostConnection::Lost> SearchConnection::lost() {
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -39,6 +39,7 @@
     watchesBroken,
     snmpRequests,
     snmpDropped,
+    extraBytes,
     count
 };
 
@@ -73,6 +74,7 @@
     "watchesBroken",
     "snmpRequests",
     "snmpDropped",
+    "extraBytes",
 };
 
 class Counters {
--- a/src/core/logger.hpp
+++ b/src/core/logger.hpp
@@ -28,6 +28,9 @@
     // At most one line a second of each kind; the next one tells how many were left out.
     template <class... A>
     void seldom(std::string_view kind, fmt::format_string<A...> form, A&&... values) {
+        if (kinds_.size() >= kMostKinds)  // kinds may name a host: those of the past are not kept for good
+            std::erase_if(kinds_,
+                          [now = clock_.now()](const auto& k) { return k.second.last + kEvery <= now; });
         Kind& k = kinds_[std::string(kind)];
         if (k.written && clock_.now() < k.last + kEvery) {
             ++k.skipped;
@@ -39,6 +42,8 @@
         write("warn", text);
     }
 
+    std::size_t kinds() const { return kinds_.size(); }
+
 private:
     struct Kind {
         bool written = false;
@@ -46,6 +51,7 @@
         unsigned skipped = 0;
     };
     static constexpr Millis kEvery = 1000;
+    static constexpr std::size_t kMostKinds = 64;  // more only within one second
 
     void write(std::string_view level, std::string_view text) {
         std::string line = fmt::format("{:.3f} {} {}", (clock_.now() - Clock::kOrigin) / 1000, level, text);
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -20,9 +20,12 @@
     return std::chrono::microseconds(static_cast<long long>(std::max(ms, 0.0) * 1000) + 1);
 }
 
+std::size_t hostSockets(std::size_t sockets) { return std::min(sockets / 2, kMostHostSockets); }
+
 // The track hosts' connections, as they speak.
 back::ConnectionLimits hostLimits(const Config& config) {
     back::ConnectionLimits limits = config.connections;
+    limits.total = hostSockets(config.sockets);
     if (config.searchTrackHosts) {  // one search at a time on a connection, so more of these
         limits.perHost = limits.calls;
         limits.calls = limits.bundle = 1;
@@ -38,7 +41,8 @@
 
 // Descriptors left for clients once the track hosts have theirs.
 std::size_t clientSockets(std::size_t sockets) {
-    return std::max<std::size_t>(16, sockets - std::min(sockets / 2, kMostHostSockets) - kOwnSockets);
+    const std::size_t taken = hostSockets(sockets) + kOwnSockets;
+    return std::max<std::size_t>(16, sockets - std::min(sockets, taken));
 }
 
 }  // namespace
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -141,6 +141,20 @@
     CHECK(!late.exchange.claim(late.hosts.sent[0].id));
 }
 
+// On a long day hosts come and go under new ids, and each is a kind of its own.
+void forgetsKindsOfLines() {
+    Clock clock;
+    std::FILE* const out = std::tmpfile();
+    Logger log(clock, out);
+    for (int i = 0; i < 1000; ++i) {
+        clock.set(Clock::kOrigin + i * 100.0);
+        log.seldom("dial " + std::to_string(i), "host {}", i);
+        log.seldom("same", "again");
+    }
+    CHECK(log.kinds() <= 65);
+    std::fclose(out);
+}
+
 void timesAttemptsOut() {
     Bed bed;
     bed.take("t", 1, 500);
@@ -160,4 +174,5 @@
     holdsToTheCaps();
     claimsAgain();
     timesAttemptsOut();
+    forgetsKindsOfLines();
 }
