Bound silent, half-sent and idle clients; refuse ambiguous framing, shares and reused ids

Read in the code: a message that never came whole held its descriptor for 15 s and adopt() went over its limit when none was idle; after a 413 the connection was reset 0.5 s later while its client still sent; shares were not summed; http-parser lets 'Content-Length : 3' pass as an unknown header; an id whose query had just ended was taken again; a request sent ahead had its time counted from when it was looked at, not from when it came. Now: silent and half-sent connections end 2 s after connecting (408 for half a message), 10 s between requests; at the limit the one missed least is closed, never one whose request has come, and else the next waits in the backlog; what is still being sent is thrown away for up to 3 s; idle connections hold no buffer. Tests: tables of heads and bodies, shedsThoseWhoSayNothing, answersWhoStillSends, countsTheTimeInTheBuffer.

--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr Millis kEndMargin = 30;     // the module ends what is not in by so long before its time
+constexpr Millis kEndMargin = 30;  // the module ends what is not in by so long before its time
+constexpr Millis kIdRest = 3000;   // an id is new with every request: one used so lately is somebody else's
 constexpr double kShareSlack = 1e-4;  // sums of shares may fall so short, as the rules allow
 
 Counter counterOf(Outcome outcome) {
@@ -59,6 +60,8 @@
 
 Ticket Exchange::take(Request request, Done done) {
     counters_.add(Counter::queriesTaken);
+    for (; !past_.empty() && past_.front().first <= clock_.now(); past_.pop_front())
+        ids_.erase(past_.front().second);
     const std::size_t more = 1 + request.parts.size();
     const auto refuse = [&](Final::Why why, Counter counter) {
         counters_.add(counter);
@@ -121,7 +124,7 @@
     if (found == queries_.end()) return;  // it had its answer already
     Live live = std::move(found->second);
     queries_.erase(found);
-    ids_.erase(live.request->id);
+    past_.emplace_back(clock_.now() + kIdRest, live.request->id);
     overdue_.erase({live.request->expires, query});
     open_ -= 1 + live.parts.size();
     for (const LivePart& part : live.parts) queryOf_.erase(part.id);
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -124,6 +124,7 @@
     void tick();  // sees to all that is due
     std::size_t live() const { return queries_.size(); }
     std::size_t open() const { return open_; }
+    std::size_t idsHeld() const { return ids_.size(); }
     const firkeel::Settings& settings() const { return settings_; }
 
 private:
@@ -177,7 +178,8 @@
 
     std::unordered_map<RequestId, Live> queries_;
     std::unordered_map<RequestId, RequestId> queryOf_;  // by part
-    std::unordered_set<std::string> ids_;               // the clients' ids of the live queries
+    std::unordered_set<std::string> ids_;  // the clients' ids of the live queries and of the past ones
+    std::deque<std::pair<Millis, std::string>> past_;  // ids of queries that ended, until they may come again
     OutMap out_;
     std::set<std::pair<Millis, AttemptId>> timeouts_;
     std::set<std::pair<Millis, RequestId>> overdue_;
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -18,6 +18,8 @@
 constexpr std::string_view kJson = "application/json";
 constexpr std::int64_t kLongestWaitMs = 24 * 3600 * 1000;
 constexpr double kShareSlack = 1e-3;
+constexpr double kSumSlack = 0.01;  // shares are rounded, up to a hundred of them
+constexpr int kDeepest = 8;         // a request's JSON nests three deep
 
 bool knownClass(const firkeel::Settings& settings, std::string_view name) {
     return std::any_of(settings.classes.begin(), settings.classes.end(),
@@ -27,6 +29,7 @@
 std::string_view need(const net::HttpMessage& m, const char* name) {
     const std::string_view value = m.header(name);
     if (value.empty()) throw BadRequest(fmt::format("header {} is missing", name));
+    if (m.count(name) > 1) throw BadRequest(fmt::format("header {} is given twice", name));
     return value;
 }
 
@@ -38,6 +41,30 @@
     });
 }
 
+bool isRoute(std::string_view text) {
+    return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+}
+
+// The body as JSON. A name given twice in one object means something else to each reader, and nesting without
+// end is an attack: neither is taken.
+Json readBody(std::string_view text) {
+    std::vector<std::set<std::string>> names;
+    const char* wrong = nullptr;
+    const Json::parser_callback_t look = [&](int depth, Json::parse_event_t event, Json& parsed) {
+        if (depth > kDeepest) wrong = "the body nests too deep";
+        if (wrong) return false;
+        if (event == Json::parse_event_t::object_start) names.emplace_back();
+        if (event == Json::parse_event_t::object_end) names.pop_back();
+        if (event == Json::parse_event_t::key && !names.back().insert(parsed.get<std::string>()).second)
+            wrong = "a name is given twice";
+        return true;
+    };
+    Json body = Json::parse(text.begin(), text.end(), look, false);
+    if (wrong) throw BadRequest(wrong);
+    if (!body.is_object()) throw BadRequest("the body must be a JSON object");
+    return body;
+}
+
 RequestPart readPart(const Json& target, int slices) {
     if (!target.is_object()) throw BadRequest("each target must be an object");
     const auto slice = target.find("partition"), share = target.find("share");
@@ -49,6 +76,12 @@
     const double weight = share->get<double>();
     if (!std::isfinite(weight) || weight < 0 || weight > 1 + kShareSlack)
         throw BadRequest("share must lie between 0 and 1");
+    const auto work = target.find("est_us"), route = target.find("route");
+    if (work != target.end() &&
+        !(work->is_number() && std::isfinite(work->get<double>()) && work->get<double>() >= 0))
+        throw BadRequest("est_us must be a number, 0 or more");
+    if (route != target.end() && !(route->is_string() && isRoute(route->get_ref<const std::string&>())))
+        throw BadRequest("route must be 16 hex digits");
     return {static_cast<int>(number), weight};
 }
 
@@ -71,18 +104,20 @@
     r.expires = received + static_cast<Millis>(ms);
     r.repeat = m.header("X-Second-Try") == "1";
 
-    const Json body = Json::parse(m.body.begin(), m.body.end(), nullptr, false);
-    if (!body.is_object()) throw BadRequest("the body must be a JSON object");
+    const Json body = readBody(m.body);
     const auto targets = body.find("targets"), text = body.find("query");
     if (targets == body.end() || !targets->is_array() || targets->empty())
         throw BadRequest("targets must be a list with at least one entry");
     if (text == body.end() || !text->is_string()) throw BadRequest("query must be text");
     r.text = text->get<std::string>();
     std::set<int> seen;
+    double sum = 0;
     for (const Json& target : *targets) {
         r.parts.push_back(readPart(target, settings.shards));
         if (!seen.insert(r.parts.back().slice).second) throw BadRequest("a partition is named twice");
+        sum += r.parts.back().share;
     }
+    if (std::abs(sum - 1) > kSumSlack) throw BadRequest("the shares must add up to 1");
     return r;
 }
 
@@ -112,7 +147,7 @@
     try {
         if (path.size() < 2 || path.front() != '/') return connection->respond(404, kText, "no such path\n");
         if (!knownClass(exchange_.settings(), klass)) throw BadRequest("unknown class");
-        request = readPlatformRequest(m, exchange_.settings(), clock_.now());
+        request = readPlatformRequest(m, exchange_.settings(), connection->receivedAt());
     } catch (const BadRequest& e) {
         counters_.add(Counter::badRequests);
         return connection->respond(400, kText, std::string(e.what()) + "\n");
@@ -121,7 +156,7 @@
         if (final.kind == Final::Kind::answered) {
             try {
                 return connection->respond(200, kJson, platformBody(final));
-            } catch (const Json::exception&) {
+            } catch (const Json::exception&) {  // the back takes no such value
                 return connection->respond(500, kText, "a value was not text\n");
             }
         }
--- a/src/gatherer.hpp
+++ b/src/gatherer.hpp
@@ -28,6 +28,7 @@
     asio::ip::tcp::endpoint searchEndpoint() const { return searchServer_->endpoint(); }
     asio::ip::udp::endpoint snmpEndpoint() const { return snmp_->endpoint(); }
     Exchange& exchange() { return exchange_; }
+    std::size_t clients() const { return connections(); }
 
 private:
     void wake(Millis at);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -22,6 +22,11 @@
     return {};
 }
 
+std::size_t HttpMessage::count(std::string_view name) const {
+    return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(),
+                                                  [&](const auto& h) { return sameWord(h.first, name); }));
+}
+
 HttpReader::HttpReader(Kind kind, Buffer& buffer, OnBody onBody, std::size_t maxBody)
     : buffer_(buffer), handOn_(std::move(onBody)), kind_(kind), maxBody_(maxBody) {
     http_parser_settings_init(&settings_);
@@ -37,6 +42,7 @@
     settings_.on_headers_complete = [](http_parser* p) {
         HttpReader& r = of(p);
         r.headDone_ = true;
+        if (r.kind_ == Kind::request && !r.soundHead()) return -1;
         r.keepAlive_ = http_should_keep_alive(p) != 0;
         const bool declared = p->content_length != UINT64_MAX && p->content_length > r.maxBody_;
         r.tooLarge_ = declared && !r.handOn_;
@@ -51,6 +57,22 @@
     next();
 }
 
+// A request whose length could be read in two ways may hide another within its body: none of these is passed
+// on. http-parser forgives blanks in names, which then are no framing headers to it, and unknown codings.
+bool HttpReader::soundHead() {
+    std::size_t lengths = 0, codings = 0;
+    for (const auto& [nameAt, valueAt] : headers_) {
+        const std::string_view name = view(nameAt);
+        if (name.empty() || name.find_first_of(" \t()<>@,;:\\\"/[]?={}") != std::string_view::npos)
+            return false;
+        if (sameWord(name, "Content-Length")) ++lengths;
+        if (!sameWord(name, "Transfer-Encoding")) continue;
+        ++codings;
+        if (!sameWord(view(valueAt), "chunked")) return false;
+    }
+    return lengths + codings <= 1;
+}
+
 int HttpReader::extend(Slice& slice, const char* at, std::size_t size) {
     if (slice.size == 0) slice.at = static_cast<std::size_t>(at - buffer_.data());
     slice.size += size;
@@ -137,6 +159,8 @@
             return "Not Found";
         case 405:
             return "Method Not Allowed";
+        case 408:
+            return "Request Timeout";
         case 413:
             return "Payload Too Large";
         case 429:
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -33,6 +33,7 @@
     }
     // The first header of that name, in any case; nullptr-data view where there is none.
     std::string_view header(std::string_view name) const;
+    std::size_t count(std::string_view name) const;  // headers of that name
 };
 
 // Parses message after message from the front of one Buffer. A body in chunks is moved together in place, so
@@ -60,6 +61,7 @@
     };
     static HttpReader& of(http_parser* p) { return *static_cast<HttpReader*>(p->data); }
     int extend(Slice& slice, const char* at, std::size_t size);
+    bool soundHead();
     int onHeader(bool value, const char* at, std::size_t size);
     int onBody(const char* at, std::size_t size);
     std::string_view view(const Slice& s) { return {buffer_.data() + s.at, s.size}; }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -1,5 +1,6 @@
 #include "net/server.hpp"
 
+#include <array>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <vector>
@@ -13,39 +14,56 @@
 constexpr std::size_t kReadSize = 4096;
 // A client may send ahead while its request is in hand; reading stops here, so that it can't fill the memory.
 constexpr std::size_t kMostAhead = kMaxBody + 2 * kMaxHead;
-constexpr auto kLinger = std::chrono::milliseconds(500);
-constexpr auto kSweepEvery = std::chrono::seconds(1);
-constexpr Millis kPartialMessage = 15'000;  // a message must come whole within this
-constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+constexpr auto kSweepEvery = std::chrono::milliseconds(250);
+constexpr auto kAcceptPause = std::chrono::milliseconds(10);
+// Those who send nothing, or no whole message, hear so or are closed well inside 3 s of their connecting.
+constexpr Millis kSilent = 2000;
+constexpr Millis kPartialMessage = 2000;
+constexpr Millis kIdle = 10'000;        // between requests; less where room is short
+constexpr Millis kWriteWithin = 5000;   // a client that does not read its answer
+constexpr Millis kLinger = 500;         // for the client's end after the last answer
+constexpr Millis kLingerBroken = 3000;  // while it still sends what was refused
 
 }  // namespace
 
 HttpConnection::HttpConnection(HttpServer& server, tcp::socket socket)
     : server_(server),
       socket_(std::move(socket)),
-      timer_(server.io_),
       reader_(HttpReader::Kind::request, buffer_),
-      since_(server.clock_.now()) {
+      since_(server.clock_.now()),
+      receivedAt_(since_) {
     asio::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
 }
 
+// Waits for bytes without a buffer for them: hundreds of idle connections must not hold one each.
 void HttpConnection::read() {
     if (readOut_ || state_ == State::closed) return;
     if (state_ != State::lingering && buffer_.size() > kMostAhead) return;
     readOut_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadSize),
-                            [self = shared_from_this()](asio::error_code error, std::size_t got) {
-                                self->readOut_ = false;
-                                if (self->state_ == State::closed) return;
-                                error ? self->onEnd() : self->onRead(got);
-                            });
-}
-
-void HttpConnection::onRead(std::size_t got) {
-    if (state_ == State::lingering) return read();  // thrown away
-    buffer_.commit(got);
-    if (state_ == State::reading) parse();
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code error) {
+        self->readOut_ = false;
+        if (self->state_ == State::closed) return;
+        error ? self->onEnd() : self->onReadable();
+    });
+}
+
+void HttpConnection::onReadable() {
+    asio::error_code error;
+    if (state_ == State::lingering) {  // thrown away
+        static std::array<char, 64 * 1024> sink;
+        socket_.read_some(asio::buffer(sink), error);
+    } else {
+        const std::size_t got = socket_.read_some(buffer_.prepare(kReadSize), error);
+        if (!error) {
+            receivedAt_ = server_.clock_.now();
+            buffer_.commit(got);
+            if (state_ == State::reading) parse();
+        }
+    }
+    if (state_ == State::closed) return;
+    if (error && error != asio::error::would_block) return onEnd();
+    if (state_ == State::reading) buffer_.release();
     read();
 }
 
@@ -56,16 +74,21 @@
 
 void HttpConnection::parse() {
     const HttpReader::State state = reader_.parse();
-    if (state == HttpReader::State::more) return;
+    if (state == HttpReader::State::more) {
+        partialSince_ = buffer_.size() == 0 ? 0 : partialSince_ > 0 ? partialSince_ : server_.clock_.now();
+        return;
+    }
     state_ = State::handling;
+    partialSince_ = 0;
     if (state == HttpReader::State::complete) {
-        since_ = server_.clock_.now();
+        asked_ = true;
         const HttpMessage message = reader_.message();
         keepAlive_ = message.keepAlive;
         server_.handler_(message, shared_from_this());
         return;
     }
     keepAlive_ = false;  // where the next message begins is unknown
+    broken_ = true;
     const bool large = state == HttpReader::State::tooLarge;
     respond(large ? 413 : 400, "text/plain", large ? "message too large\n" : "malformed request\n");
 }
@@ -77,6 +100,7 @@
     if (server_.closing_) keepAlive_ = false;
     out_ = response(status, type, body, keepAlive_, extra);
     state_ = State::writing;
+    since_ = server_.clock_.now();
     write();
 }
 
@@ -87,7 +111,10 @@
                           if (error) return self->close();
                           if (!self->keepAlive_) return self->linger();
                           self->state_ = State::reading;
+                          self->since_ = self->server_.clock_.now();
                           self->reader_.next();
+                          std::string().swap(self->out_);
+                          self->buffer_.release();
                           self->server_.connections_.splice(self->server_.connections_.end(),
                                                             self->server_.connections_, self->place_);
                           self->parse();  // what the client sent ahead
@@ -99,22 +126,41 @@
 // awaited for a while.
 void HttpConnection::linger() {
     state_ = State::lingering;
+    since_ = server_.clock_.now();
+    std::string().swap(out_);
+    buffer_.consume(buffer_.size());
+    buffer_.release();
     asio::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    timer_.expires_after(kLinger);
-    timer_.async_wait([self = shared_from_this()](asio::error_code error) {
-        if (!error) self->close();
-    });
     read();
 }
 
+bool HttpConnection::unread() const {
+    asio::error_code error;
+    return socket_.available(error) > 0 && !error;
+}
+
+// Whether it has had its time, whatever it is about. Who is owed an answer never has.
+bool HttpConnection::late(Millis now) const {
+    switch (state_) {
+        case State::reading:
+            if (!asked_) return now - since_ > kSilent;
+            return partialSince_ > 0 ? now - partialSince_ > kPartialMessage : now - since_ > kIdle;
+        case State::writing:
+            return now - since_ > kWriteWithin;
+        case State::lingering:
+            return now - since_ > (broken_ ? kLingerBroken : kLinger);
+        default:
+            return false;
+    }
+}
+
 void HttpConnection::close() {
     if (state_ == State::closed) return;
     state_ = State::closed;
     const auto self = shared_from_this();
     asio::error_code ignored;
     socket_.close(ignored);
-    timer_.cancel();
     server_.connections_.erase(place_);
     if (gone_) std::exchange(gone_, nullptr)();
 }
@@ -127,7 +173,8 @@
       max_(maxConnections),
       handler_(std::move(handler)),
       acceptor_(io),
-      timer_(io) {}
+      timer_(io),
+      timerAccept_(io) {}
 
 HttpServer::~HttpServer() { closeAll(); }
 
@@ -143,50 +190,83 @@
 }
 
 void HttpServer::accept() {
-    acceptor_.async_accept([this](asio::error_code error, tcp::socket socket) {
+    acceptor_.async_wait(tcp::acceptor::wait_read, [this](asio::error_code error) {
         if (error == asio::error::operation_aborted || !accepting_) return;
-        if (!error) {
-            adopt(std::move(socket));
-            return accept();
-        }
-        // Out of descriptors, most likely: make room, and do not spin.
-        log_.seldom("accept", "could not accept a connection: {}", error.message());
-        if (!connections_.empty() && connections_.front()->idle()) connections_.front()->close();
-        auto pause = std::make_shared<asio::steady_timer>(io_, kAcceptPause);
-        pause->async_wait([this, pause](asio::error_code) {
-            if (accepting_) accept();
-        });
+        // Where all connections have a request in hand, the next one waits in the backlog.
+        if (connections_.size() >= max_ && !makeRoom()) return acceptLater();
+        acceptOne();
     });
 }
 
+void HttpServer::acceptOne() {
+    asio::error_code error;
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+        adopt(std::move(socket));
+        return accept();
+    }
+    if (error == asio::error::would_block || error == asio::error::connection_aborted) return accept();
+    // Out of descriptors, most likely: make room, and do not spin.
+    log_.seldom("accept", "could not accept a connection: {}", error.message());
+    makeRoom();
+    acceptLater();
+}
+
+void HttpServer::acceptLater() {
+    timerAccept_.expires_after(kAcceptPause);
+    timerAccept_.async_wait([this](asio::error_code error) {
+        if (!error && accepting_) accept();
+    });
+}
+
+// Closes the connection that is missed least: one that has its answer, one that never asked, half a message,
+// one between requests; of each kind the oldest. Closing between requests is harmless, but never is one
+// closed whose request has come.
+bool HttpServer::makeRoom() {
+    using State = HttpConnection::State;
+    const auto rank = [](const HttpConnection& c) {
+        if (c.state_ == State::lingering) return 0;
+        if (c.state_ != State::reading) return 9;
+        if (c.idle()) return c.asked_ ? 3 : 1;
+        return 2;
+    };
+    std::shared_ptr<HttpConnection> least;
+    for (const auto& c : connections_) {
+        const int r = rank(*c);
+        if (r < 9 && (!least || r < rank(*least)) && (r == 0 || !c->unread())) least = c;
+    }
+    if (least) least->close();
+    return least != nullptr;
+}
+
 void HttpServer::adopt(tcp::socket socket) {
-    // Over the limit the connection that has been idle longest makes room: closing between requests is
-    // harmless.
-    if (connections_.size() >= max_)
-        for (const auto& old : connections_)
-            if (old->idle()) {
-                old->close();
-                break;
-            }
     const auto connection = std::make_shared<HttpConnection>(*this, std::move(socket));
     connections_.push_back(connection);
     connection->place_ = std::prev(connections_.end());
     connection->start();
 }
 
-// A message that never comes whole must not hold a descriptor for ever.
+// What never comes whole, is not read or is not used must not hold a descriptor for ever.
 void HttpServer::sweep() {
     timer_.expires_after(kSweepEvery);
     timer_.async_wait([this](asio::error_code error) {
         if (error) return;
         std::vector<std::shared_ptr<HttpConnection>> late;
-        for (const auto& c : connections_) {
-            if (c->state_ != HttpConnection::State::reading || c->idle())
-                c->since_ = clock_.now();
-            else if (clock_.now() - c->since_ > kPartialMessage)
-                late.push_back(c);
+        const Millis now = clock_.now();
+        for (const auto& c : connections_)
+            if (c->late(now)) late.push_back(c);
+        for (const auto& c : late) {
+            if (c->state_ != HttpConnection::State::reading) {
+                c->close();
+            } else if (!c->idle()) {  // half a message: its client hears why
+                c->state_ = HttpConnection::State::handling;
+                c->keepAlive_ = false;
+                c->respond(408, "text/plain", "the request did not come whole in time\n");
+            } else if (!c->unread()) {
+                c->close();
+            }
         }
-        for (const auto& c : late) c->close();
         sweep();
     });
 }
@@ -194,6 +274,7 @@
 void HttpServer::stopAccepting() {
     if (!accepting_) return;
     accepting_ = false;
+    timerAccept_.cancel();
     for (asio::error_code error; !error;) {  // what waits in the backlog counts as accepted
         tcp::socket socket(io_);
         acceptor_.accept(socket, error);
@@ -207,8 +288,7 @@
 void HttpServer::closeIdle() {
     std::vector<std::shared_ptr<HttpConnection>> idle;
     for (const auto& c : connections_) {
-        asio::error_code error;
-        if (c->idle() && (c->socket_.available(error) == 0 || error)) idle.push_back(c);
+        if (c->idle() && !c->unread()) idle.push_back(c);
     }
     for (const auto& c : idle) c->close();
 }
@@ -218,6 +298,7 @@
     asio::error_code ignored;
     acceptor_.close(ignored);
     timer_.cancel();
+    timerAccept_.cancel();
     while (!connections_.empty()) connections_.front()->close();
 }
 
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -23,6 +23,8 @@
 public:
     HttpConnection(HttpServer& server, asio::ip::tcp::socket socket);
     void start() { read(); }
+    // When the last byte read so far came: the request in hand came no later.
+    Millis receivedAt() const { return receivedAt_; }
     // The answer to the request in hand.
     void respond(int status, std::string_view type, std::string_view body, std::string_view extra = {});
     // Called once if the client leaves before the answer is given.
@@ -37,23 +39,28 @@
     friend class HttpServer;
     enum class State { reading, handling, writing, lingering, closed };
     void read();
-    void onRead(std::size_t got);
+    void onReadable();
     void onEnd();
     void parse();
     void write();
     void linger();
+    bool late(Millis now) const;
+    bool unread() const;  // more has come than was read
 
     HttpServer& server_;
     asio::ip::tcp::socket socket_;
-    asio::steady_timer timer_;
     Buffer buffer_;
     HttpReader reader_;
     State state_ = State::reading;
     bool readOut_ = false;  // a read is under way
     bool keepAlive_ = true;
+    bool broken_ = false;  // it may still be sending what was not taken
     std::string out_;
     std::function<void()> gone_;
-    Millis since_ = 0;  // of its last whole message
+    bool asked_ = false;       // at least one whole message has come
+    Millis since_ = 0;         // of the state it is in; until a whole message has come, of its connecting
+    Millis partialSince_ = 0;  // of the first byte of a message that is not whole; 0: none
+    Millis receivedAt_ = 0;
     std::list<std::shared_ptr<HttpConnection>>::iterator place_;
 };
 
@@ -78,7 +85,10 @@
 private:
     friend class HttpConnection;
     void accept();
+    void acceptOne();
+    void acceptLater();
     void adopt(asio::ip::tcp::socket socket);
+    bool makeRoom();
     void sweep();
 
     asio::io_context& io_;
@@ -87,7 +97,7 @@
     std::size_t max_;
     Handler handler_;
     asio::ip::tcp::acceptor acceptor_;
-    asio::steady_timer timer_;
+    asio::steady_timer timer_, timerAccept_;
     bool closing_ = false, accepting_ = false;
     std::list<std::shared_ptr<HttpConnection>> connections_;  // longest idle first
 };
--- a/src/simhost/settings.hpp
+++ b/src/simhost/settings.hpp
@@ -12,7 +12,7 @@
 
 // What a program with connections of its own must keep to; the module has no need of it.
 struct ConnectionSettings {
-    Nanos idle = 0;      // idle connections are closed after this; 0: never
+    Nanos idle = 0;       // idle connections are closed after this; 0: never
     int callsAtOnce = 1;  // on one connection
     int partsInCall = 1;
 };
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -107,6 +107,13 @@
     CHECK(bed.finals[0].kind == Final::Kind::refused && bed.finals[0].retryAfter == 500);
     bed.take("a", 0);  // its id is in use
     CHECK(bed.finals.size() == 2 && bed.finals[1].why == Final::Why::duplicateId);
+    bed.pass(2000);  // both have ended: who comes with their ids right after is still somebody else
+    CHECK(bed.finals.size() == 4 && bed.exchange.live() == 0);
+    bed.take("a", 1);
+    CHECK(bed.finals.size() == 5 && bed.finals[4].why == Final::Why::duplicateId);
+    bed.pass(5000);  // and ids are not kept for good
+    bed.take("d", 1);
+    CHECK(bed.exchange.live() == 1 && bed.exchange.idsHeld() == 1);
 
     Bed other;  // whatever fails, no part goes out more than three times
     other.take("t", 1);
--- a/tests/net/parse_test.cpp
+++ b/tests/net/parse_test.cpp
@@ -40,6 +40,22 @@
         {"\x01\x02 nonsense\r\n\r\n", State::bad, "", false},
         {"POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n", State::bad, "", false},
         {"POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", State::bad, "", false},
+        // Lengths that can be read in two ways: another request may hide in the body.
+        {"POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", State::bad, "", false},
+        {"POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", State::bad,
+         "", false},
+        {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", State::bad,
+         "", false},
+        {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         State::bad, "", false},
+        {"POST /a HTTP/1.1\r\nTransfer-Encoding: identity\r\n\r\n", State::bad, "", false},
+        {"POST /a HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n", State::bad, "", false},
+        {"POST /a HTTP/1.1\r\nTransfer-Encoding : chunked\r\nContent-Length: 3\r\n\r\nabc", State::bad, "",
+         false},
+        {"POST /a HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", State::bad, "", false},
+        {"POST /a HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\nabc", State::bad, "", false},
+        {"POST /a HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc", State::bad, "", false},
+        {"POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", State::bad, "", false},
     };
     for (const auto& c : cases)
         for (const std::size_t step : {c.bytes.size(), std::size_t{1}}) {  // at once, and byte by byte
@@ -184,15 +200,43 @@
         R"({"targets":[{"partition":-1,"share":1}],"query":"q"})",
         R"({"targets":[{"partition":1.5,"share":1}],"query":"q"})",
         R"({"targets":[{"partition":1,"share":"1"}],"query":"q"})",
-        R"({"targets":[{"partition":1,"share":0.5},{"partition":1,"share":0.5}],"query":"q"})"};
+        R"({"targets":[{"partition":1,"share":0.5},{"partition":1,"share":0.5}],"query":"q"})",
+        R"({"targets":[{"partition":1,"share":0.5},{"partition":2,"share":0.4}],"query":"q"})",
+        R"({"targets":[{"partition":1,"share":0.9},{"partition":2,"share":0.9}],"query":"q"})",
+        R"({"targets":[{"partition":1,"share":1.5},{"partition":2,"share":-0.5}],"query":"q"})",
+        R"({"targets":[{"partition":1,"share":1e999}],"query":"q"})",
+        R"({"targets":[{"partition":99999999999999999999,"share":1}],"query":"q"})",
+        R"({"targets":[{"partition":1,"share":1,"share":1}],"query":"q"})",
+        R"({"targets":[{"partition":1,"share":1}],"query":"q","query":"r"})",
+        R"({"targets":[{"partition":1,"share":1,"est_us":-1}],"query":"q"})",
+        R"({"targets":[{"partition":1,"share":1,"est_us":"9"}],"query":"q"})",
+        R"({"targets":[{"partition":1,"share":1,"route":"12"}],"query":"q"})",
+        R"({"targets":[{"partition":1,"share":1}],"query":")"
+        "\xff"
+        R"("})",
+        R"({"targets":[{"partition":1,"share":1}],"query":7})",
+        R"({"targets":[{"partition":1,"share":1}],"query":"q","x":)" + std::string(30000, '[') +
+            std::string(30000, ']') + "}"};
     for (const std::string& body : bodies)
         CHECK(read(post("/pallet-lookup/k", head, body)).starts_with("400"));
     const std::string body = R"({"targets":[{"partition":1,"share":1}],"query":"q"})";
     CHECK(read(post("/pallet-lookup/k", head, body)) == "t pallet-lookup k 109");
-    const std::string heads[] = {"", "X-Trace-Id: t\r\nX-Qos: pallet-lookup\r\n",
-                                 "X-Trace-Id: a b\r\nX-Qos: pallet-lookup\r\nX-Expires-In-Ms: 9\r\n",
-                                 "X-Trace-Id: t\r\nX-Qos: other\r\nX-Expires-In-Ms: 9\r\n",
-                                 "X-Trace-Id: t\r\nX-Qos: pallet-lookup\r\nX-Expires-In-Ms: 9x\r\n"};
+    CHECK(
+        read(post(
+            "/pallet-lookup/k", head,
+            R"({"targets":[{"partition":1,"share":0.333,"est_us":9000},{"partition":0,"share":0.333,)"
+            R"("route":"c41e77d0c41e77d0"},{"partition":2,"share":0.333}],"query":"q","new":{"a":[1]}})")) ==
+        "t pallet-lookup k 109");
+    const std::string heads[] = {
+        "",
+        "X-Trace-Id: t\r\nX-Qos: pallet-lookup\r\n",
+        "X-Trace-Id: a b\r\nX-Qos: pallet-lookup\r\nX-Expires-In-Ms: 9\r\n",
+        "X-Trace-Id: t\r\nX-Qos: other\r\nX-Expires-In-Ms: 9\r\n",
+        "X-Trace-Id: t\r\nX-Qos: pallet-lookup\r\nX-Expires-In-Ms: 9x\r\n",
+        "X-Trace-Id: t\r\nX-Qos: pallet-lookup\r\nX-Expires-In-Ms: -9\r\n",
+        "X-Trace-Id: t\r\nX-Qos: pallet-lookup\r\nX-Expires-In-Ms: NaN\r\n",
+        "X-Trace-Id: t\r\nX-Qos: pallet-lookup\r\nX-Expires-In-Ms: 99999999999999999999\r\n",
+        "X-Trace-Id: t\r\nX-Trace-Id: u\r\nX-Qos: pallet-lookup\r\nX-Expires-In-Ms: 9\r\n"};
     for (const std::string& h : heads) CHECK(read(post("/pallet-lookup/k", h, body)).starts_with("400"));
 }
 
--- a/tests/net/sockets_test.cpp
+++ b/tests/net/sockets_test.cpp
@@ -126,6 +126,67 @@
     CHECK(client.ask(query("t", {0})).status == 200 && rig.count(Counter::badFrames) == 1);
 }
 
+// Hundreds that say nothing, or half of something, do not shut real clients out, and are gone within 3 s.
+void shedsThoseWhoSayNothing() {
+    Pair hosts;
+    Rig rig(hosts.addresses(), [](Config& c) { c.sockets = 48; });  // 16 of them for clients
+    std::vector<std::unique_ptr<Client>> silent;
+    const auto add = [&](const std::string& text) {
+        silent.push_back(std::make_unique<Client>(rig.io, rig.gatherer->endpoint()));
+        if (!text.empty()) silent.back()->send(text);
+    };
+    Client regular(rig.io, rig.gatherer->endpoint());
+    CHECK(regular.ask(query("t0", {0, 1})).status == 200);
+    for (int i = 0; i < 60; ++i) add(i % 2 == 0 ? "" : query("half", {0}).substr(0, 80));
+    Client late(rig.io, rig.gatherer->endpoint());
+    CHECK(late.ask(query("t1", {0, 1})).status == 200 && regular.ask(query("t2", {2})).status == 200);
+    until(rig.io, [&] { return silent[0]->peer->ended; });
+    CHECK(!regular.peer->ended && rig.gatherer->clients() <= 16);
+    rig.clock.set(rig.clock.now() + 2300);  // of 3 s from their connecting
+    until(rig.io, [&] {
+        return std::all_of(silent.begin(), silent.end(), [](const auto& c) { return c->peer->ended; });
+    });
+    CHECK(std::any_of(silent.begin(), silent.end(), [](const auto& c) {  // half a request is told why
+        return c->answers.size() == 1 && c->answers[0].status == 408 && !c->answers[0].keepAlive;
+    }));
+    CHECK(!regular.peer->ended);
+    rig.clock.set(rig.clock.now() + 11'000);  // between requests for too long
+    until(rig.io, [&] { return regular.peer->ended && rig.gatherer->clients() == 0; });
+}
+
+// Closing while a client still sends would reset its connection before it reads why.
+void answersWhoStillSends() {
+    Pair hosts;
+    Rig rig(hosts.addresses());
+    Client client(rig.io, rig.gatherer->endpoint());
+    client.send("POST /pallet-lookup/k HTTP/1.1\r\nContent-Length: 8388608\r\n\r\n");
+    const std::string piece(32768, 'x');
+    for (int i = 0; i < 256; ++i) {
+        asio::error_code error;
+        asio::write(client.peer->socket, asio::buffer(piece), error);
+        CHECK(!error);
+        rig.io.restart();
+        while (rig.io.poll() > 0) rig.io.restart();
+    }
+    until(rig.io, [&] { return client.answers.size() == 1; });
+    CHECK(client.answers[0].status == 413 && !client.answers[0].keepAlive);
+}
+
+// What is sent ahead waits behind the answer before it, while its own time passes already.
+void countsTheTimeInTheBuffer() {
+    Pair hosts;
+    std::vector<FrameHost::Part> held;
+    hosts.onPart([&](const FrameHost::Part& p) { held.push_back(p); });
+    Rig rig(hosts.addresses());
+    Client client(rig.io, rig.gatherer->endpoint());
+    const Millis began = rig.clock.now();
+    client.send(query("t1", {0}) + query("t2", {0}, 200));
+    until(rig.io, [&] { return held.size() == 1 && rig.clock.now() - began > 220; });
+    held[0].answer("done", "v");
+    until(rig.io, [&] { return client.answers.size() == 2; });
+    CHECK(client.answers[0].status == 200 && client.answers[1].status == 429 && held.size() == 1);
+}
+
 // One host that holds all, so that whatever fails is asked there again.
 struct Single {
     explicit Single(const std::function<void(Config&)>& change = {})
@@ -333,6 +394,9 @@
     triesAgainElsewhere();
     brokenConnections();
     badFramesCloseOnlyTheirConnection();
+    shedsThoseWhoSayNothing();
+    answersWhoStillSends();
+    countsTheTimeInTheBuffer();
     spoiltAnswers();
     goodAnswersWithMore();
     lateAnswers();
