--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -101,6 +101,7 @@
     bool cut = false,
          down = false;  // E8: a connection broke; could not be connected to; no probe passed since
     Nanos backAt = 0;   // when it was found up again
+    Nanos goneAt = 0;   // since when it is not usable
     Nanos redialAt = 0;
 };
 
@@ -136,7 +137,8 @@
     int tenant = -1;
     Nanos arrived = 0, expires = 0, aimAt = 0, stepAt = 0;
     int expected = 0, step = 1;  // parts expected of the present step
-    int lost = 0;                // attempts whose connection broke (E9)
+    int lost = 0;                // servers whose connection broke (E9)
+    int lastLost = -1;           // the last of them: its other parts break with it
     bool firstWhole = false;
     bool careful = false;  // one attempt out at a time, until a part has been served (E9)
     std::string key;
@@ -162,6 +164,7 @@
     std::uint64_t random;
     std::map<std::string, int> index;
     std::vector<Server> servers;
+    std::vector<int> spare;  // places of servers that are gone for good, to be used again
     std::map<RequestId, Query> queries;
     std::map<std::int64_t, RequestId> byNumber;
     std::map<RequestId, RequestId> partOf;
@@ -463,7 +466,8 @@
         return q.careful &&
                std::any_of(q.parts.begin(), q.parts.end(), [](auto& p) { return p.outCount() > 0; });
     }
-    bool lostUnder(Query& q) {  // true: q was given up
+    bool lostUnder(Query& q, int server) {  // true: q was given up
+        if (std::exchange(q.lastLost, server) == server) return false;
         q.careful = q.step == 1 && std::none_of(q.parts.begin(), q.parts.end(), [](auto& p) { return p.in; });
         if (!q.careful || ++q.lost < kKills) return false;
         say("blamed", "a query of class " + classOf(q).name + " under which servers were lost");
@@ -749,8 +753,8 @@
         if (list.kind != ListKind::changes)
             for (Server& s : servers) s.usable = false;
         for (const ServerEntry& e : list.entries) {
-            const auto [it, fresh] = index.try_emplace(e.id, static_cast<int>(servers.size()));
-            if (fresh) servers.emplace_back();
+            const auto [it, fresh] = index.try_emplace(e.id, 0);
+            if (fresh) it->second = place();
             Server& s = at(it->second);
             const bool started = fresh || e.startedAt > s.entry.startedAt;
             s.entry = e;
@@ -766,9 +770,28 @@
         usable = 0;
         for (std::vector<int>& members : byCell) members.clear();
         for (int i = 0; i < static_cast<int>(servers.size()); ++i)
-            if (at(i).usable) ++usable, cell(at(i).entry.cell).push_back(i);
+            if (at(i).usable)
+                ++usable, at(i).goneAt = 0, cell(at(i).entry.cell).push_back(i);
+            else
+                forget(i);
         sweep();
     }
+    // Servers come under new ids for as long as the coordinator runs, so what is known of one ends a while
+    // after the list dropped it. Not while an attempt is out there: its outcome looks the server up.
+    int place() {
+        if (spare.empty()) return servers.emplace_back(), static_cast<int>(servers.size()) - 1;
+        const int i = spare.back();
+        return spare.pop_back(), i;
+    }
+    void forget(int i) {
+        Server& s = at(i);
+        if (s.goneAt == 0) s.goneAt = now;
+        if (s.entry.id.empty() || s.out > 0 || now < s.goneAt + nanos(kWindowS)) return;
+        index.erase(s.entry.id);
+        s = Server{};
+        s.goneAt = now;
+        spare.push_back(i);
+    }
     void on(const QueryArrived& e) {
         taken.push_back(now), keepLookBack();
         if (queries.contains(e.id)) return;  // twice: one end is owed, and the first is held
@@ -829,7 +852,7 @@
         a.out = false;
         a.mayHaveRun = e.outcome != Outcome::turnedAway && e.outcome != Outcome::noConnection &&
                        e.outcome != Outcome::notSent;
-        if (e.outcome == Outcome::connectionLost && lostUnder(q)) return;
+        if (e.outcome == Outcome::connectionLost && lostUnder(q, o.server)) return;
         if (e.outcome == Outcome::served) {
             p.in = true;
             p.tookS = seconds(e.took);
--- a/tests/later_test.cpp
+++ b/tests/later_test.cpp
@@ -138,6 +138,21 @@
     EXPECT_EQ(bed.sent.size(), 8u);  // it does no harm: the rest follows
 }
 
+// One server that dies breaks all its connections: that is one loss, however many parts were out there.
+TEST(Blame, PartsThatBreakWithOneServerAreOneLoss) {
+    Bed b(basic(), {"a"});
+    b.query(1, 3);
+    ASSERT_EQ(b.sent.size(), 3u);
+    b.change(Bed::up("b"));
+    for (std::size_t i = 0; i < 3; ++i) b.end(i, Outcome::connectionLost);
+    EXPECT_EQ(b.finals(1), 0);
+    for (std::size_t i = 3; i < b.sent.size(); ++i) {
+        EXPECT_EQ(b.sent[i].server, "b");
+        b.end(i);
+    }
+    EXPECT_EQ(b.all<Answer>().size(), 1u);
+}
+
 TEST(Blame, PartServedClearsTheQueryAndLossesFailOver) {
     Bed bed(ring(12, 2), names(12));
     placeRing(bed, 12);
