Tell silent connections by five usual answer times, not by a fixed 60 ms

Lines at fault: kQuiet in pool.cpp. Now five times the running mean from sending to answer, 60 ms at least.

--- a/src/back/pool.cpp
+++ b/src/back/pool.cpp
@@ -12,8 +12,11 @@
 constexpr auto kSweepEvery = std::chrono::milliseconds(500);
 constexpr double kIdleShare = 0.8;  // of the host's idle limit: closed here before the host does
 // A connection may fall silent while its host is well: what is out on it waits for nothing, and since all
-// given up there makes room, it would draw all that is new. After so long nothing new goes there.
-constexpr Millis kQuiet = 60;
+// given up there makes room, it would draw all that is new. After so long nothing new goes there: several
+// times what an answer takes of late, so that slow hosts are not taken for dead connections.
+constexpr Millis kQuietLeast = 60;
+constexpr double kQuietMeans = 5;
+constexpr double kMeanStep = 0.02;  // of the running mean: some 50 answers
 constexpr int kMostQuiet = 3;  // of a host: then it is the host that is silent, and more dials tell nothing
 constexpr double kProbeDials = 2;  // a probe's time, in dial time-outs: it may need a dial first
 
@@ -143,11 +146,12 @@
 // What was sent there so much later is answered, and on another connection nothing has been heard since: that
 // one is dead, the host is not.
 void Pool::answered(const std::string& server, Millis sentAt) {
+    meanTime_ += kMeanStep * (clock_.now() - sentAt - meanTime_);
     const auto host = hosts_.find(server);
     if (host == hosts_.end() || host->second.connections.size() < 2) return;
     std::vector<Connection> dead;
     for (const Connection& c : host->second.connections)
-        if (const auto since = c->quietSince(); since && *since + kQuiet <= sentAt) dead.push_back(c);
+        if (const auto since = c->quietSince(); since && *since + quietAfter() <= sentAt) dead.push_back(c);
     for (const Connection& c : dead) {
         counters_.add(Counter::silentConnections);
         log_.seldom("silent", "a connection to host {} fell silent: closed", server);
@@ -227,9 +231,11 @@
     return oldest ? std::optional(std::max(*oldest, heard_)) : std::nullopt;
 }
 
+Millis Pool::quietAfter() const { return std::max(kQuietLeast, kQuietMeans * meanTime_); }
+
 bool HostConnection::quiet() const {
     const auto since = quietSince();
-    return since && pool_.clock().now() - *since > kQuiet;
+    return since && pool_.clock().now() - *since > pool_.quietAfter();
 }
 
 void HostConnection::used() { lastUse_ = pool_.clock().now(); }
--- a/src/back/pool.hpp
+++ b/src/back/pool.hpp
@@ -121,6 +121,7 @@
     // A part that was sent at `sentAt` has been answered on a connection to the host.
     void answered(const std::string& server, Millis sentAt);
     std::size_t connections() const { return connections_; }
+    Millis quietAfter() const;
 
     asio::io_context& io() { return io_; }
     const Clock& clock() const { return clock_; }
@@ -149,6 +150,7 @@
     Make make_;
     asio::steady_timer timer_;
     std::size_t connections_ = 0;
+    Millis meanTime_ = 0;  // from a part's sending to its answer, of late
     std::map<std::string, Host> hosts_;
     std::map<std::string, std::vector<Attempt>> sent_;  // since the last flush, by host
     std::map<AttemptId, std::weak_ptr<HostConnection>> at_;
--- a/tests/net/sockets_test.cpp
+++ b/tests/net/sockets_test.cpp
@@ -263,6 +263,26 @@
     CHECK(s.client.answers[0].status == 200 && s.rig.clock.now() - began < 800);
     CHECK(s.host.peers.size() == 2 && s.rig.count(Counter::silentConnections) == 1);
 
+    Single slow;  // a host that takes long for all it does has no dead connections
+    std::vector<FrameHost::Part> held;
+    slow.host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+    for (int i = 0; i < 60; ++i) {
+        held.clear();
+        slow.client.send(query("w" + std::to_string(i), {0}));
+        until(slow.rig.io, [&] { return held.size() == 1; });
+        slow.rig.clock.set(slow.rig.clock.now() + 40);
+        held[0].answer("done", "v");
+        until(slow.rig.io, [&] { return slow.client.answers.size() == static_cast<std::size_t>(i) + 1; });
+    }
+    held.clear();
+    slow.client.send(query("w", {0}));
+    until(slow.rig.io, [&] { return held.size() == 1; });
+    slow.rig.clock.set(slow.rig.clock.now() + 100);
+    Client more(slow.rig.io, slow.rig.gatherer->endpoint());
+    more.send(query("x", {1}));
+    until(slow.rig.io, [&] { return held.size() == 2; });
+    CHECK(slow.host.peers.size() == 1 && slow.rig.count(Counter::silentConnections) == 0);
+
     Single given;  // where all that is out was given up, nothing new goes there either
     given.host.onPart = [&](const FrameHost::Part& p) {
         if (&p.peer != given.host.peers[0].get()) p.answer("done", "v");
