Put the log on spdlog, with JSON lines and no line that can hold the loop up

Need: logs that programs can read, and a log call that never waits. The hand-made sink wrote with fwrite and fflush: a reader that stopped reading stopped the gatherer's only loop.

Change: core/logger is spdlog behind a narrow header (spdlog's own stay out of every file). A line goes out only if standard error is ready for it; else it is counted as lost and the next one says so. Weighed and dropped: spdlog's asynchronous logger. It needs a thread, some 450 bytes a queue place, and at exit it waits for the reader that is not there. With it, for the emulator to come: back::readParts (what a track host reads of an S frame), discovery::writeListing, Clock::toUnix.

--- a/src/back/frame.cpp
+++ b/src/back/frame.cpp
@@ -106,6 +106,40 @@
     return r;
 }
 
+std::optional<std::vector<PartCall>> readParts(std::string_view rest) {
+    const auto whole = [](std::string_view text, auto& into) {
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), into);
+        return error == std::errc{} && end == text.data() + text.size();
+    };
+    std::vector<PartCall> parts;
+    while (!rest.empty()) {
+        const auto feed = rest.find('\n');
+        if (feed == std::string_view::npos) return std::nullopt;
+        std::string_view line = rest.substr(0, feed);
+        rest.remove_prefix(feed + 1);
+        std::string_view words[4];
+        for (std::size_t i = 0; i < 4; ++i) {
+            const auto blank = line.find(' ');
+            if ((blank == std::string_view::npos) != (i == 3)) return std::nullopt;
+            words[i] = line.substr(0, blank);
+            line.remove_prefix(i == 3 ? line.size() : blank + 1);
+        }
+        PartCall part;
+        part.id = words[0];
+        std::size_t length = 0;
+        int wait = 0;
+        if (part.id.empty() || !whole(words[1], part.slice) || part.slice < 0 ||
+            words[2].substr(0, 2) != "d=" || !whole(words[2].substr(2), wait) || wait < 0 ||
+            !whole(words[3], length) || length > rest.size())
+            return std::nullopt;
+        part.wait = wait;
+        part.text = rest.substr(0, length);
+        rest.remove_prefix(length);
+        parts.push_back(part);
+    }
+    return parts;
+}
+
 std::string partId(const Request& request, int slice) { return fmt::format("{}.{}", request.id, slice); }
 
 void writeFrame(std::string& out, char letter, std::string_view rest) {
--- a/src/back/frame.hpp
+++ b/src/back/frame.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/exchange.hpp"
 
@@ -37,6 +38,14 @@
 std::optional<Load> readReport(std::string_view text);  // name=value pairs set apart by commas, or "-"
 std::string partId(const Request& request, int slice);
 void writeFrame(std::string& out, char letter, std::string_view rest);
+// What a track host reads: the parts of an S frame's rest. Nothing where it is malformed.
+struct PartCall {
+    std::string_view id;  // all are slices of `rest`
+    int slice = 0;
+    Millis wait = 0;
+    std::string_view text;
+};
+std::optional<std::vector<PartCall>> readParts(std::string_view rest);
 // One part's entry in an S frame.
 void writePart(std::string& out, const std::string& id, int slice, Millis wait, std::string_view text);
 
--- a/src/back/frames.cpp
+++ b/src/back/frames.cpp
@@ -105,7 +105,7 @@
     const std::string_view rest =
         in_.size() > 5 && in_.view()[4] == 'R' ? in_.view().substr(5) : std::string_view{};
     pool_.counters().add(Counter::badFrames);
-    pool_.log().seldom("frame", "host {} sent a bad frame: connection closed", server_);
+    pool_.log().seldom("frame", "host {} sent a bad frame: connection closed", field("host", server_));
     auto part = out_.find(std::string(rest.substr(0, rest.find_first_of(" \n"))));
     if (part == out_.end() && out_.size() == 1) part = out_.begin();
     const auto self = shared_from_this();
@@ -158,7 +158,8 @@
             return load.has_value();
         }
         case 'F':
-            pool_.log().seldom("refused frame", "host {} could not use a frame: {}", server_, frame.rest);
+            pool_.log().seldom("refused frame", "host {} could not use a frame: {}", field("host", server_),
+                               field("words", frame.rest));
             retired_ = true;  // the host closes the connection
             return true;
         default:
--- a/src/back/pool.cpp
+++ b/src/back/pool.cpp
@@ -72,7 +72,8 @@
         const auto endpoint = readEndpoint(entry.address);
         const bool up = entry.entry.state == firkeel::ServerState::up;
         if (!endpoint && up)
-            log_.warn("discovery gave host {} a bad address: {}", entry.entry.id, entry.address);
+            log_.warn("discovery gave host {} a bad address: {}", field("host", entry.entry.id),
+                      field("address", entry.address));
         const bool moved = endpoint != host.endpoint;
         host.endpoint = endpoint;
         host.listed = entry.entry.state != firkeel::ServerState::removed;
@@ -154,7 +155,7 @@
         if (const auto since = c->quietSince(); since && *since + quietAfter() <= sentAt) dead.push_back(c);
     for (const Connection& c : dead) {
         counters_.add(Counter::silentConnections);
-        log_.seldom("silent", "a connection to host {} fell silent: closed", server);
+        log_.seldom("silent", "a connection to host {} fell silent: closed", field("host", server));
         c->close(HostConnection::End::spoilt);
     }
 }
@@ -203,7 +204,7 @@
         if (error || self->state_ != State::dialing) return;
         self->pool_.counters().add(Counter::dialsFailed);
         self->pool_.log().seldom("dial " + self->server_, "host {} did not take a connection in time",
-                                 self->server_);
+                                 field("host", self->server_));
         self->close(End::broken);
     });
     socket_.async_connect(to, [self](asio::error_code error) {
@@ -212,7 +213,7 @@
         if (error) {
             self->pool_.counters().add(Counter::dialsFailed);
             self->pool_.log().seldom("dial " + self->server_, "could not connect to host {}: {}",
-                                     self->server_, error.message());
+                                     field("host", self->server_), field("error", error.message()));
             return self->close(End::broken);
         }
         asio::error_code ignored;
--- a/src/back/search.cpp
+++ b/src/back/search.cpp
@@ -105,7 +105,7 @@
             if (state == net::HttpReader::State::more && (callsOut() > 0 || in_.size() == 0)) return read();
             // An answer that is malformed, too large, or to nothing that was asked.
             pool_.counters().add(Counter::badFrames);
-            pool_.log().seldom("answer", "host {} sent a bad answer: connection closed", server_);
+            pool_.log().seldom("answer", "host {} sent a bad answer: connection closed", field("host", server_));
             close(End::broken);
         });
 }
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -23,6 +23,8 @@
     // has a positive time: the module takes 0 and less for "long ago", which would call a cold host warm.
     Millis fromUnix(Millis unixMs) const { return unixMs - unixAtStart_ + kOrigin; }
 
+    Millis toUnix(Millis time) const { return time - kOrigin + unixAtStart_; }
+
     void set(Millis now) { fixed_ = now; }
     void setUnixAtStart(Millis unixMs) { unixAtStart_ = unixMs; }
 
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -237,7 +237,7 @@
 void Exchange::carry(const firkeel::Send& a) {
     LivePart* part = partOf(a.id);
     if (!part) {
-        log_.seldom("send", "the module sent part {} of a query that is over", a.id);
+        log_.seldom("send", "the module sent part {} of a query that is over", field("part", a.id));
         return;
     }
     const Live& live = queries_.at(queryOf_.at(a.id));
@@ -279,7 +279,8 @@
     final.whole = a.whole && (every || in >= klass->completeFrom * all - kShareSlack);
     // Guards the rule on honest answers, whatever the module says: too little is no answer at all.
     if (!every && in < klass->leastShare * all - kShareSlack) {
-        log_.seldom("short answer", "query {} had too few parts in to be answered", live.request->id);
+        log_.seldom("short answer", "query {} had too few parts in to be answered",
+                    field("query", live.request->id));
         final.kind = Final::Kind::failed;
     }
     finish(a.id, std::move(final));
@@ -322,7 +323,7 @@
     hosts_->probe(a.server);
 }
 
-void Exchange::carry(const firkeel::Log& a) { log_.info("{}", a.text); }
+void Exchange::carry(const firkeel::Log& a) { log_.info("{}", field("decision", a.text)); }
 
 // ---- time
 
@@ -342,7 +343,8 @@
     // answer, and the module is told that the query is gone.
     while (!overdue_.empty() && overdue_.begin()->first <= now) {
         const RequestId id = overdue_.begin()->second;
-        log_.seldom("overdue", "query {} was ended by the exchange", queries_.at(id).request->id);
+        log_.seldom("overdue", "query {} was ended by the exchange",
+                    field("query", queries_.at(id).request->id));
         Final final;
         final.why = Final::Why::deadline;
         finish(id, std::move(final));
--- a/src/core/logger.hpp
+++ b/src/core/logger.hpp
@@ -1,48 +1,95 @@
-// A small logger: one line an event, to standard error, each kind at most so often that a broken peer cannot
-// flood it.
+// The program's log: one line an event, to standard error, each kind at most so often that a broken peer
+// cannot flood it. A line is text, or one JSON object with time, level, kind, text and fields. The kind is
+// made of the form's own words, so it is the same for every line of that form. spdlog carries the lines; its
+// headers are kept out of here, since every file includes this one.
+//
+// No call blocks: a line that standard error can't take at once is left out and counted, and the next line
+// that it takes tells of those.
 #pragma once
 
 #include <fmt/format.h>
 
-#include <cstdio>
+#include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <type_traits>
+#include <utility>
+#include <vector>
 
 #include "core/clock.hpp"
 
 namespace beechpoint {
 
+// A value with a name for the JSON form; in text it reads as the value alone.
+template <class T>
+struct Field {
+    const char* name;
+    const T& value;
+};
+template <class T>
+Field<T> field(const char* name, const T& value) {
+    return {name, value};
+}
+
+namespace logging {
+
+enum class Format { text, json };
+enum class Level { info, warn };
+
+template <class T>
+struct BareOf {
+    using type = T;
+};
+template <class T>
+struct BareOf<Field<T>> {
+    using type = T;
+};
+template <class T>
+using Bare = typename BareOf<std::remove_cvref_t<T>>::type;
+
+template <class T>
+const T& bare(const T& value) {
+    return value;
+}
+template <class T>
+const T& bare(const Field<T>& field) {
+    return field.value;
+}
+
+using Fields = std::vector<std::pair<const char*, std::string>>;
+
+}  // namespace logging
+
 class Logger {
 public:
-    explicit Logger(const Clock& clock, std::FILE* out = stderr) : clock_(clock), out_(out) {}
+    template <class... A>
+    using Form = std::type_identity_t<fmt::format_string<const logging::Bare<A>&...>>;
+
+    // Writes to `descriptor`, which it doesn't own; below 0 it writes nothing at all.
+    explicit Logger(const Clock& clock, logging::Format format = logging::Format::text, int descriptor = 2);
+    ~Logger();
+    Logger(const Logger&) = delete;
+    Logger& operator=(const Logger&) = delete;
 
     template <class... A>
-    void info(fmt::format_string<A...> form, A&&... values) {
-        write("info", fmt::format(form, std::forward<A>(values)...));
+    void info(Form<A...> form, const A&... values) {
+        write(logging::Level::info, form, 0, values...);
     }
     template <class... A>
-    void warn(fmt::format_string<A...> form, A&&... values) {
-        write("warn", fmt::format(form, std::forward<A>(values)...));
+    void warn(Form<A...> form, const A&... values) {
+        write(logging::Level::warn, form, 0, values...);
     }
     // At most one line a second of each kind; the next one tells how many were left out.
     template <class... A>
-    void seldom(std::string_view kind, fmt::format_string<A...> form, A&&... values) {
-        if (kinds_.size() >= kMostKinds)  // kinds may name a host: those of the past are not kept for good
-            std::erase_if(kinds_,
-                          [now = clock_.now()](const auto& k) { return k.second.last + kEvery <= now; });
-        Kind& k = kinds_[std::string(kind)];
-        if (k.written && clock_.now() < k.last + kEvery) {
-            ++k.skipped;
-            return;
-        }
-        std::string text = fmt::format(form, std::forward<A>(values)...);
-        if (k.skipped > 0) text += fmt::format(" ({} more like this left out)", k.skipped);
-        k = {true, clock_.now(), 0};
-        write("warn", text);
+    void seldom(std::string_view kind, Form<A...> form, const A&... values) {
+        unsigned skipped = 0;
+        if (due(kind, skipped)) write(logging::Level::warn, form, skipped, values...);
     }
 
     std::size_t kinds() const { return kinds_.size(); }
+    std::uint64_t lost() const;  // lines that standard error did not take
 
 private:
     struct Kind {
@@ -50,20 +97,32 @@
         Millis last = 0;
         unsigned skipped = 0;
     };
-    static constexpr Millis kEvery = 1000;
-    static constexpr std::size_t kMostKinds = 64;  // more only within one second
-
-    void write(std::string_view level, std::string_view text) {
-        std::string line = fmt::format("{:.3f} {} {}", (clock_.now() - Clock::kOrigin) / 1000, level, text);
-        for (char& c : line)  // what a peer sent must not forge a second line
-            if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f) c = ' ';
-        line += '\n';
-        std::fwrite(line.data(), 1, line.size(), out_);
-        std::fflush(out_);
+    struct Sink;
+
+    template <class... A, class F>
+    void write(logging::Level level, const F& form, unsigned skipped, const A&... values) {
+        if (!sink_) return;
+        logging::Fields fields;
+        if (json_) (addField(fields, values), ...);
+        const fmt::string_view words = form;
+        put(level, std::string_view(words.data(), words.size()),
+            fmt::vformat(words, fmt::make_format_args(logging::bare(values)...)), skipped, fields);
+    }
+    template <class T>
+    static void addField(logging::Fields& fields, const Field<T>& f) {
+        fields.emplace_back(f.name, fmt::format("{}", f.value));
     }
+    template <class T>
+    static void addField(logging::Fields&, const T&) {}
+
+    bool due(std::string_view kind, unsigned& skipped);
+    void put(logging::Level level, std::string_view form, const std::string& text, unsigned skipped,
+             const logging::Fields& fields);
+
     const Clock& clock_;
-    std::FILE* out_;
-    std::map<std::string, Kind> kinds_;
+    bool json_;
+    std::unique_ptr<Sink> sink_;
+    std::map<std::string, Kind, std::less<>> kinds_;
 };
 
 }  // namespace beechpoint
--- a/src/discovery/hostlist.cpp
+++ b/src/discovery/hostlist.cpp
@@ -71,4 +71,26 @@
     return readListing(json, clock);
 }
 
+std::string writeListing(const Listing& listing, const Clock& clock) {
+    Json instances = Json::array();
+    for (const HostEntry& host : listing.list.entries) {
+        const firkeel::ServerEntry& e = host.entry;
+        const char* const state = e.state == firkeel::ServerState::up         ? "Ready"
+                                  : e.state == firkeel::ServerState::draining ? "Terminating"
+                                                                              : "Gone";
+        instances.push_back(
+            {{"instanceId", e.id},
+             {"hostPort", host.address},
+             {"zone", e.zone},
+             {"machineType", e.kind},
+             {"cell", e.cell},
+             {"lifecycle", state},
+             {"weight", e.rating},
+             {"startedAtMs", e.startedAt > 0 ? std::llround(clock.toUnix(fromNanos(e.startedAt))) : 0}});
+    }
+    const bool full = listing.list.kind != firkeel::ListKind::changes;
+    return Json{{"generation", listing.generation}, {"reset", full}, {"instances", std::move(instances)}}
+        .dump();
+}
+
 }  // namespace beechpoint::discovery
--- a/src/discovery/hostlist.hpp
+++ b/src/discovery/hostlist.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <stdexcept>
+#include <string>
 #include <string_view>
 
 #include "core/exchange.hpp"
@@ -23,4 +24,7 @@
 Listing parseListing(std::string_view text, const Clock& clock);
 Listing readListing(const nlohmann::json& json, const Clock& clock);
 
+// As discovery writes it, on one line.
+std::string writeListing(const Listing& listing, const Clock& clock);
+
 }  // namespace beechpoint::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -134,7 +134,8 @@
     } catch (const BadList& e) {
         // The old list holds. The generation stays too, so that the next watch asks for what was missed.
         counters_.add(Counter::badListUpdates);
-        log_.seldom("list", "discovery sent a bad update, the old list holds: {}", e.what());
+        log_.seldom("list", "discovery sent a bad update, the old list holds: {}",
+                    field("error", std::string_view(e.what())));
         return;
     }
     generation_ = listing.generation;
@@ -149,7 +150,7 @@
     c->socket.close(ignored);
     if (stopped_) return;
     counters_.add(Counter::watchesBroken);
-    log_.seldom("watch", "discovery's watch broke, asking again: {}", why);
+    log_.seldom("watch", "discovery's watch broke, asking again: {}", field("error", why));
     again_.expires_after(micros(times_.again));
     again_.async_wait([this](asio::error_code error) {
         if (!error && !stopped_) start();
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -87,13 +87,14 @@
     server_.listen(config_.listen);
     if (snmp_) snmp_->listen(*config_.snmp);
     if (searchServer_) searchServer_->listen(config_.search->listen);
-    log_.info("{} serves on {}:{} with {} hosts known", config_.name, config_.listen.address().to_string(),
-              endpoint().port(), config_.known.list.entries.size());
+    log_.info("{} serves on {}:{} with {} hosts known", field("name", config_.name),
+              field("address", config_.listen.address().to_string()), field("port", endpoint().port()),
+              field("hosts", config_.known.list.entries.size()));
 }
 
 void Gatherer::reload(const Config& fresh) {
-    log_.info("configuration read again: discovery at {}:{}", fresh.discovery.address().to_string(),
-              fresh.discovery.port());
+    log_.info("configuration read again: discovery at {}:{}",
+              field("address", fresh.discovery.address().to_string()), field("port", fresh.discovery.port()));
     if (fresh.listen != config_.listen || fresh.name != config_.name)
         log_.warn("name and listen change only with a restart");
     watch_.move(fresh.discovery);
@@ -108,7 +109,7 @@
 
 void Gatherer::stop(std::function<void()> done) {
     if (stopped_) return;
-    log_.info("stopping: {} queries held", exchange_.live());
+    log_.info("stopping: {} queries held", field("queries", exchange_.live()));
     stopped_ = std::move(done);
     stopBy_ = clock_.now() + kStopWithin;
     platform_.ready(false);
@@ -131,7 +132,7 @@
     server_.closeIdle();
     if (searchServer_) searchServer_->closeIdle();
     if (connections() == 0 || clock_.now() >= stopBy_) {
-        log_.info("stopped: {} queries left", exchange_.live());
+        log_.info("stopped: {} queries left", field("queries", exchange_.live()));
         watch_.stop();
         if (snmp_) snmp_->close();
         hosts_.close();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,7 +26,7 @@
     std::function<void()> awaitPrint = [&] {
         print.async_wait([&](asio::error_code error, int) {
             if (error) return;
-            log.info("counters: {}", counters.line());
+            log.info("counters: {}", field("counters", counters.line()));
             awaitPrint();
         });
     };
@@ -36,7 +36,8 @@
             try {
                 gatherer.reload(readConfigFile(path, clock));
             } catch (const std::exception& e) {
-                log.warn("bad configuration, the old one holds: {}", e.what());
+                log.warn("bad configuration, the old one holds: {}",
+                         field("error", std::string_view(e.what())));
             }
             awaitReload();
         });
@@ -48,7 +49,7 @@
     awaitReload();
     gatherer.start();
     io.run();
-    log.info("counters at exit: {}", counters.line());
+    log.info("counters at exit: {}", field("counters", counters.line()));
     return 0;
 }
 
@@ -56,14 +57,15 @@
 
 int main(int argc, char** argv) {
     Clock clock;
-    Logger log(clock);
+    auto log = std::make_unique<Logger>(clock);
     try {
         cxxopts::Options options("beechpoint",
                                  "Gathers answers of track hosts: beechpoint serve|check-config|version\n");
         options.add_options()("command", "serve, check-config or version", cxxopts::value<std::string>())(
             "c,config", "the configuration's file; $NODE_CONFIG where absent", cxxopts::value<std::string>())(
             "o,operator", "an operator's file: the query API, SNMP", cxxopts::value<std::string>())(
-            "h,help", "print this");
+            "log-format", "text, or json: one object a line",
+            cxxopts::value<std::string>()->default_value("text"))("h,help", "print this");
         options.parse_positional({"command"});
         options.positional_help("COMMAND");
         const auto given = options.parse(argc, argv);
@@ -80,6 +82,12 @@
             std::cerr << "beechpoint: no such command: " << command << '\n';
             return kUsage;
         }
+        const auto format = given["log-format"].as<std::string>();
+        if (format != "text" && format != "json") {
+            std::cerr << "beechpoint: --log-format must be text or json\n";
+            return kUsage;
+        }
+        if (format == "json") log = std::make_unique<Logger>(clock, logging::Format::json);
         const char* const named = std::getenv("NODE_CONFIG");
         const std::string path = given.count("config") ? given["config"].as<std::string>()
                                  : named               ? named
@@ -90,7 +98,7 @@
         }
         Config config = readConfigFile(path, clock);
         if (given.count("operator")) readOperatorFile(given["operator"].as<std::string>(), config);
-        if (command == "serve") return serve(config, path, clock, log);
+        if (command == "serve") return serve(config, path, clock, *log);
         std::cout << "the configuration is sound: " << config.settings.classes.size() << " classes, "
                   << config.known.list.entries.size() << " hosts known\n";
         return 0;
@@ -98,9 +106,9 @@
         std::cerr << "beechpoint: " << e.what() << '\n';
         return kUsage;
     } catch (const BadConfig& e) {
-        log.warn("bad configuration: {}", e.what());
+        log->warn("bad configuration: {}", field("error", std::string_view(e.what())));
     } catch (const std::exception& e) {
-        log.warn("can't go on: {}", e.what());
+        log->warn("can't go on: {}", field("error", std::string_view(e.what())));
     }
     return 1;
 }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -214,7 +214,7 @@
     if (!error) return accept();
     if (error == asio::error::would_block || error == asio::error::connection_aborted) return accept();
     // Out of descriptors, most likely: make room, and do not spin.
-    log_.seldom("accept", "could not accept a connection: {}", error.message());
+    log_.seldom("accept", "could not accept a connection: {}", field("error", error.message()));
     makeRoom();
     acceptLater();
 }
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -151,15 +151,13 @@
 // On a long day hosts come and go under new ids, and each is a kind of its own.
 void forgetsKindsOfLines() {
     Clock clock;
-    std::FILE* const out = std::tmpfile();
-    Logger log(clock, out);
+    Logger log(clock, logging::Format::text, -1);
     for (int i = 0; i < 1000; ++i) {
         clock.set(Clock::kOrigin + i * 100.0);
         log.seldom("dial " + std::to_string(i), "host {}", i);
         log.seldom("same", "again");
     }
     CHECK(log.kinds() <= 65);
-    std::fclose(out);
 }
 
 void timesAttemptsOut() {
