--- /dev/null
+++ b/src/emulator/real_process.cpp
@@ -0,0 +1,63 @@
+#include "emulator/real_process.hpp"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+
+#include "emulator/real_stage.hpp"
+
+namespace beechpoint::emulator {
+
+RealProcess::~RealProcess() {
+    if (pid_ <= 0) return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+}
+
+void RealProcess::start(const std::string& program, const std::string& config, const std::string& log,
+                        int sockets) {
+    if (::access(program.c_str(), X_OK) != 0)
+        throw RunFailed("can't run " + program + ": " + std::strerror(errno));
+    const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    if (out < 0) throw RunFailed("can't write " + log + ": " + std::strerror(errno));
+    const pid_t parent = ::getpid();
+    const pid_t pid = ::fork();
+    if (pid == 0) {
+        // A gatherer does not outlive the emulator, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (::getppid() != parent) ::_exit(127);
+        sigset_t none;
+        ::sigemptyset(&none);
+        ::sigprocmask(SIG_SETMASK, &none, nullptr);
+        ::signal(SIGPIPE, SIG_DFL);
+        const rlimit limit{static_cast<rlim_t>(sockets), static_cast<rlim_t>(sockets)};
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+        ::dup2(out, 1);
+        ::dup2(out, 2);
+        // A listener that it inherited would go on listening for a host that has died.
+        ::close_range(3, ~0U, 0);
+        ::execl(program.c_str(), program.c_str(), "serve", "--config", config.c_str(), nullptr);
+        ::_exit(127);
+    }
+    ::close(out);
+    if (pid < 0) throw RunFailed(std::string("can't start a process: ") + std::strerror(errno));
+    pid_ = pid;
+}
+
+void RealProcess::signal(int number) const {
+    if (pid_ > 0) ::kill(pid_, number);
+}
+
+bool RealProcess::reap(int& status) {
+    if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_) return false;
+    pid_ = 0;
+    return true;
+}
+
+}  // namespace beechpoint::emulator
--- /dev/null
+++ b/src/emulator/real_process.hpp
@@ -0,0 +1,29 @@
+// One gatherer's process: its configuration, its start, its signals, its end.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+
+namespace beechpoint::emulator {
+
+class RealProcess {
+public:
+    RealProcess() = default;
+    ~RealProcess();  // kills what still runs, and waits for it
+    RealProcess(const RealProcess&) = delete;
+    RealProcess& operator=(const RealProcess&) = delete;
+
+    // Starts `program serve --config FILE`, with standard output and error added to a log. Throws RunFailed.
+    void start(const std::string& program, const std::string& config, const std::string& log, int sockets);
+    void signal(int number) const;
+    bool runs() const { return pid_ > 0; }
+    pid_t pid() const { return pid_; }
+    // Looks whether it has ended since, and how.
+    bool reap(int& status);
+
+private:
+    pid_t pid_ = 0;
+};
+
+}  // namespace beechpoint::emulator
