--- a/src/emulator/main.cpp
+++ b/src/emulator/main.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <iostream>
 
+#include "core/logger.hpp"
 #include "emulator/real_run.hpp"
 #include "emulator/real_stage.hpp"
 #include "emulator/results.hpp"
@@ -21,11 +22,29 @@
 constexpr int kFailed = 1, kUsage = 2, kBrokenRule = 3;
 
 struct Given {
-    std::string command, scenario, out, gatherer;
+    std::string command, scenario, out, gatherer, logFormat;
     std::uint64_t seed = 0;
     bool seedGiven = false, inVirtualTime = false;
 };
 
+// What the script did, as log lines; the clock is the run's.
+std::function<void(const World&, Millis)> logged(const std::string& format) {
+    struct Log {
+        explicit Log(logging::Format format) : lines(clock, format) {}
+        Clock clock;
+        Logger lines;
+        std::size_t told = 0;
+    };
+    const auto log = std::make_shared<Log>(format == "json" ? logging::Format::json : logging::Format::text);
+    return [log](const World& world, Millis) {
+        for (; log->told < world.notes().size(); ++log->told) {
+            const Note& note = world.notes()[log->told];
+            log->clock.set(Clock::kOrigin + note.at);
+            log->lines.info("script: {} {}", field("event", note.event), field("detail", note.detail));
+        }
+    };
+}
+
 // One line that is written over, on a terminal only: what reads a pipe wants no such thing.
 std::function<void(const World&, Millis)> progress() {
     if (!::isatty(STDERR_FILENO)) return {};
@@ -61,14 +80,14 @@
     Results results;
     if (given.inVirtualTime) {
         VirtualOptions options;
-        options.everySecond = progress();
+        options.everySecond = given.logFormat.empty() ? progress() : logged(given.logFormat);
         results = runVirtual(scenario, seed, options);
     } else {
         std::signal(SIGPIPE, SIG_IGN);
         RealOptions options;
         options.gatherer = given.gatherer.empty() ? besideThis() : given.gatherer;
         options.folder = folder;
-        options.everySecond = progress();
+        options.everySecond = given.logFormat.empty() ? progress() : logged(given.logFormat);
         results = runReal(scenario, seed, options);
     }
     write(results, folder);
@@ -94,7 +113,8 @@
                                                            cxxopts::value<std::uint64_t>())(
             "out", "the folder for the results; emulated-NAME where absent", cxxopts::value<std::string>())(
             "gatherer", "the gatherer's program; the beechpoint beside this one where absent",
-            cxxopts::value<std::string>())("h,help", "print this");
+            cxxopts::value<std::string>())("log-format", "what the script does as log lines: text or json",
+                                           cxxopts::value<std::string>())("h,help", "print this");
         options.parse_positional({"command", "scenario"});
         options.positional_help("COMMAND SCENARIO");
         const auto parsed = options.parse(argc, argv);
@@ -112,6 +132,11 @@
         given.seedGiven = parsed.count("seed") > 0;
         if (given.seedGiven) given.seed = parsed["seed"].as<std::uint64_t>();
         if (parsed.count("out")) given.out = parsed["out"].as<std::string>();
+        if (parsed.count("log-format")) given.logFormat = parsed["log-format"].as<std::string>();
+        if (!given.logFormat.empty() && given.logFormat != "text" && given.logFormat != "json") {
+            std::cerr << "beechpoint-emulate: --log-format must be text or json\n";
+            return kUsage;
+        }
         if (parsed.count("gatherer")) given.gatherer = parsed["gatherer"].as<std::string>();
         if (given.command != "run" && given.command != "check" && given.command != "describe") {
             std::cerr << "beechpoint-emulate: no such command: " << given.command << '\n';
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -49,7 +49,7 @@
 }
 
 void World::note(Millis scripted, std::string event, std::string detail) {
-    notes_.push_back({scripted, now_, std::move(event), std::move(detail)});
+    notes_.push_back({scripted, called_, std::move(event), std::move(detail)});
 }
 
 int World::newHost(int place, Millis now, bool cold, std::uint64_t life) {
@@ -107,6 +107,7 @@
 }
 
 void World::advance(Millis now, Happenings& out) {
+    called_ = std::max(called_, now);
     // One thing at a time, in the order of time; of those at one time: the script and messages first, then
     // hosts, the list, and the clients.
     while (true) {
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -84,7 +84,7 @@
 // One line of what was scripted and what happened.
 struct Note {
     Millis scripted = 0;  // when it was to happen
-    Millis at = 0;        // when it did
+    Millis at = 0;        // when it was carried out
     std::string event;
     std::string detail;
 };
@@ -232,6 +232,7 @@
     std::uint64_t seed_;
     Sink sink_;
     Millis now_ = 0;
+    Millis called_ = 0;  // the caller's time: what is carried out now was due at now_, and is late by the difference
     std::vector<std::string> places_;
     Directory directory_;
     ClientDesk desk_;
--- a/tests/emulator/world_test.cpp
+++ b/tests/emulator/world_test.cpp
@@ -278,6 +278,16 @@
               2);
 }
 
+// A driver that comes late does not look punctual.
+TEST(World, TellsWhenAnEventWasCarriedOutAndNotWhenItWasDue) {
+    Stage s([](Json& j) { j["script"] = cut("late"); });
+    s.to(1'990);
+    Happenings out;
+    while (!s.noted("site_cut")) s.world.advance(2'200, out);
+    EXPECT_EQ(s.world.notes().front().scripted, 2'000);
+    EXPECT_EQ(s.world.notes().front().at, 2'200);
+}
+
 TEST(World, CancelledWorkRunsOnInTheHostsLoad) {
     Stage s([](Json& j) {
         j["classes"][0]["workMs"] = {500, 500};
