Layout: a durable store with a lease and a fencing number for the one controller

Need: a controller that dies between any two steps must resume or roll back, and of two controllers started by mistake one must be turned down, also when the first was only paused and comes back.

Change: LayoutStore keeps the layout's base and a log of the state machine's inputs in SQLite (WAL, one transaction a step, committed before anything is done about it). Read again, the log gives the same state. The lease's fencing number is checked in every transaction. The log is cut whenever no change is under way; above a bound none begins until then.

A file that is no database, a folder that is not there, a layout with a slice nobody holds are each one error that names the place.

--- a/src/layout/changes.cpp
+++ b/src/layout/changes.cpp
@@ -50,6 +50,17 @@
 Changes::Changes(LayoutPtr first, ChangeLimits limits)
     : limits_(limits), layout_(std::move(first)), lastSlice_(layout_->highestId()) {}
 
+void Changes::restore(ChangeId lastChange, SliceId lastSlice, std::set<std::string> dead) {
+    last_ = lastChange;
+    lastSlice_ = std::max(lastSlice, layout_->highestId());
+    dead_ = std::move(dead);
+}
+
+std::string Changes::sourceOf(ChangeId id) const {
+    const auto found = changes_.find(id);
+    return found == changes_.end() ? std::string() : found->second.source;
+}
+
 std::size_t Changes::underWay() const { return changes_.size(); }
 
 std::vector<ChangeView> Changes::changes() const {
@@ -269,6 +280,7 @@
             stands < change.releasing &&
             epoch >= change.releasing)  // from here on it counts the longest query's time itself
             change.view.until = std::max(change.view.until, now + limits_.longestQuery);
+    if (epoch > stands) ++revision_;
     stands = std::max(stands, epoch);
     std::vector<ChangeId> ids;
     for (const auto& [id, change] : changes_) ids.push_back(id);
@@ -297,6 +309,7 @@
 
 void Changes::died(Millis now, const std::string& host, LayoutActions& out) {
     if (!dead_.insert(host).second) return;
+    ++revision_;
     stands_.erase(host);  // what it stood at died with it
     std::vector<ChangeId> ids;
     for (const auto& [id, change] : changes_) ids.push_back(id);
@@ -306,6 +319,7 @@
 
 void Changes::returned(Millis, const std::string& host, LayoutActions& out) {
     if (dead_.erase(host) == 0) return;
+    ++revision_;
     // A move that had lost every host to copy from may go on.
     for (auto& [id, change] : changes_) {
         const auto* const move = std::get_if<Move>(&change.view.spec);
--- a/src/layout/changes.hpp
+++ b/src/layout/changes.hpp
@@ -128,6 +128,15 @@
     std::vector<ChangeView> changes() const;  // those under way, then the last that ended
     std::size_t underWay() const;
     std::uint64_t ignored() const { return ignored_; }
+
+    // ---- for whoever keeps it durably. Ids and what is dead, as they were with no change under way.
+    void restore(ChangeId lastChange, SliceId lastSlice, std::set<std::string> dead);
+    ChangeId lastChange() const { return last_; }
+    SliceId lastSlice() const { return lastSlice_; }
+    const std::set<std::string>& dead() const { return dead_; }
+    std::string sourceOf(ChangeId id) const;  // of a move's copy; empty: none
+    // Goes up with whatever a later step may depend on.
+    std::uint64_t revision() const { return revision_; }
     bool alive(const std::string& host) const { return !dead_.contains(host); }
 
 private:
@@ -173,6 +182,7 @@
     ChangeId last_ = 0;
     SliceId lastSlice_ = 0;
     std::uint64_t ignored_ = 0;
+    std::uint64_t revision_ = 0;
 };
 
 }  // namespace beechpoint::layout
--- /dev/null
+++ b/src/layout/store.hpp
@@ -0,0 +1,121 @@
+// The layout kept durably, and the one controller that may change it. Every report and request that changes
+// something is one row of a log, committed before anything is done about it; the state machine is
+// deterministic, so a controller that died anywhere is brought back by reading the log again. SQLite in WAL
+// mode, one transaction a step.
+//
+// Only the holder of the lease may write. A lease has a fencing number that every transaction checks: a
+// controller that was paused, and comes back after another took over, is turned down at its next step,
+// whatever it believes.
+//
+// | state   | open                    | step, renew             | another took the lease | its time passes |
+// | free    | held, number + 1        | -                       | -                      | - | | held    |
+// refused: by whom, until | done, if the number is  | LeaseLost              | free for whoever opens | | |
+// when                    | its own                 |                        |                        |
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <variant>
+
+#include "layout/changes.hpp"
+
+namespace beechpoint::layout {
+
+// The file can't be used; says which and why.
+struct StoreFailed : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+// Somebody else may write: what this controller believes is void.
+struct LeaseLost : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// ---- what may change the layout, one row each
+
+struct BeginStep {
+    ChangeSpec spec;
+};
+struct AbortStep {
+    ChangeId change = 0;
+};
+struct CopiedStep {
+    ChangeId change = 0;
+};
+struct CaughtUpStep {
+    ChangeId change = 0;
+};
+struct StandsStep {
+    std::string host;
+    Epoch epoch = 0;
+};
+struct DiedStep {
+    std::string host;
+};
+struct ReturnedStep {
+    std::string host;
+};
+struct ReleasedStep {
+    Epoch epoch = 0;
+};
+struct TimeStep {};
+using LayoutStep = std::variant<BeginStep, AbortStep, CopiedStep, CaughtUpStep, StandsStep, DiedStep,
+                                ReturnedStep, ReleasedStep, TimeStep>;
+
+struct StoreOptions {
+    Millis lease = 5'000;
+    ChangeLimits limits;
+    std::size_t mostRows =
+        10'000;  // above this no change begins until those under way have ended and the log is cut
+    // Called at every point where a crash could matter; tests end the process there.
+    std::function<void(const char* point)> at = [](const char*) {};
+};
+
+class LayoutStore {
+public:
+    // Opens or makes the file; `first` is the layout of a new one. `now` is wall time in milliseconds: it is
+    // the only clock that two controllers share. It never goes back within a store: an earlier one counts as
+    // the last one seen. Throws StoreFailed, or LeaseLost where another controller holds the lease.
+    LayoutStore(const std::string& file, const std::string& controller, Millis now, const LayoutPtr& first,
+                StoreOptions options = {});
+    ~LayoutStore();
+    LayoutStore(const LayoutStore&) = delete;
+    LayoutStore& operator=(const LayoutStore&) = delete;
+
+    // Takes one step: committed first, then returned what is to be done. A step that changes nothing is not
+    // kept. `why` says why a change did not begin. Throws LeaseLost and StoreFailed; then nothing has
+    // changed.
+    LayoutActions step(Millis now, const LayoutStep& step, std::string* why = nullptr,
+                       ChangeId* id = nullptr);
+    void renew(Millis now);
+    // What a controller has to do after its start: publish the newest epoch and go on with copies under way.
+    // Hosts and gatherers may have had all of it before; none of it does harm twice.
+    LayoutActions resume() const;
+
+    const Changes& changes() const { return changes_; }
+    std::uint64_t fence() const { return fence_; }
+    std::size_t rows() const { return rows_; }
+
+private:
+    struct Base;
+    class Db;
+    void takeLease(const std::string& controller, Millis now);
+    void load(const LayoutPtr& first);
+    void compact();
+    Millis forward(Millis now);
+
+    StoreOptions options_;
+    std::unique_ptr<Db> db_;
+    Changes changes_;
+    std::uint64_t fence_ = 0;
+    Millis last_ = 0;
+    std::size_t rows_ = 0;
+};
+
+// As they stand in the file and on the wire.
+std::string layoutText(const Layout& layout);
+LayoutPtr readLayout(const std::string& text);  // throws BadLayout
+
+}  // namespace beechpoint::layout
