--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -198,34 +198,24 @@
 void World::answered(Millis now, std::uint64_t tryNumber, bool whole,
                      std::vector<std::pair<int, std::string>> parts) {
     RunEvent e;
-    e.kind = RunEvent::Kind::final;
-    e.at = now;
-    e.tryNumber = tryNumber;
-    e.end = TryEnd::answered;
     e.whole = whole;
     e.parts = std::move(parts);
-    emit(e);
-    desk_.ended(now, tryNumber, TryEnd::answered, 0);
+    finalCame(now, tryNumber, TryEnd::answered, 0, std::move(e));
 }
 
 void World::refused(Millis now, std::uint64_t tryNumber, Millis retryAfter) {
-    RunEvent e;
-    e.kind = RunEvent::Kind::final;
-    e.at = now;
-    e.tryNumber = tryNumber;
-    e.end = TryEnd::refused;
-    emit(e);
-    desk_.ended(now, tryNumber, TryEnd::refused, retryAfter);
+    finalCame(now, tryNumber, TryEnd::refused, retryAfter, {});
 }
 
-void World::failed(Millis now, std::uint64_t tryNumber) {
-    RunEvent e;
+void World::failed(Millis now, std::uint64_t tryNumber) { finalCame(now, tryNumber, TryEnd::failed, 0, {}); }
+
+void World::finalCame(Millis now, std::uint64_t tryNumber, TryEnd end, Millis retryAfter, RunEvent e) {
     e.kind = RunEvent::Kind::final;
     e.at = now;
     e.tryNumber = tryNumber;
-    e.end = TryEnd::failed;
+    e.end = end;
     emit(e);
-    desk_.ended(now, tryNumber, TryEnd::failed, 0);
+    desk_.ended(now, tryNumber, end, retryAfter);
 }
 
 void World::connectionFailed(Millis now, std::uint64_t tryNumber, bool written) {
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -227,6 +227,7 @@
     void sample(Millis at);
     void emit(const RunEvent& event) { sink_(event); }
     void emitTold(int gatherer, const ListedHost& host);
+    void finalCame(Millis now, std::uint64_t tryNumber, TryEnd end, Millis retryAfter, RunEvent e);
 
     const Scenario& scenario_;
     std::uint64_t seed_;
