Choose hosts by the queue that their answers report, not by own records alone

A trace of every attempt of all 100 gatherers showed hosts with 30 to 45 parts waiting and 10 answers a second from 3.5 s to 15 s, which were sent 40 parts a second all that time: 889 and 1,363 turned away in two windows of 5 s. One gatherer sends a host half a part a second, so its 3 s of own records hold one or two answers; the reports in the answers, also in those that turn work away, told of it within a second and were dropped (logic.cpp, on(AttemptEnded)).

So the report counts by how few own answers there are.

Change: E11. queue / qps is the wait at a host, worn off linearly over twice its length, weighed 2 to the own answers of late; absent, negative, infinite and absurd figures tell nothing; a restart ends it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -35,6 +35,10 @@
 constexpr int kLeastPairs = 8;         // fewer say nothing about T(x)
 
 // Exceptions and guards.
+constexpr double kQueueMemory = 2;     // E11: a reported queue is remembered for so many times its wait
+constexpr double kReportWeight = 2;    // E11: in own answers of late
+constexpr double kQueueLeast = 2;      // E11: a shorter queue is chance
+constexpr double kMostReported = 1e6;  // E11: a figure beyond this is no report
 constexpr double kOverdue = 2;       // E1: no copy before this many mean times: half of all work ends sooner
 constexpr double kCalmShare = 0.25;  // E1: mean time over aim above which everything is slow: no copies
 constexpr double kFurtherShare = 0.2;  // further sends per part at most: below the design's 3 in 10
@@ -103,6 +107,8 @@
     Nanos backAt = 0;   // when it was found up again
     Nanos goneAt = 0;   // since when it is not usable
     Nanos redialAt = 0;
+    double wait = 0;  // E11: seconds that its last report's queue takes it
+    Nanos toldAt = 0;
 };
 
 struct Attempt {
@@ -256,7 +262,26 @@
         const double prior = fleetTime(klass) * s.ratio.value(lore, zone / best / warmth(s));
         const double mean = s.classes[klass].t.value(lore, prior);
         const double t = mean * (1 + aheadWeight() * (static_cast<double>(s.out) + planned));
-        return std::max(t, silence(s.classes[klass])) + std::max(0.0, seconds(s.fullUntil - now));
+        const double full = std::max(0.0, seconds(s.fullUntil - now));
+        return std::max(t, silence(s.classes[klass])) + waitAt(s) + full;
+    }
+    // E11, the others' load. Where many coordinators share the servers, own records tell of a queue long
+    // after it is there; a report tells what all of them have put there. What stands in line takes queue /
+    // qps and is gone that much later. The fewer own answers came of late, the more that counts. Could hurt
+    // where rates are not those of a server at work.
+    double waitAt(const Server& s) const {
+        const double age = seconds(now - s.toldAt) / kQueueMemory;
+        return std::max(0.0, s.wait - age) * kReportWeight / (kReportWeight + s.ratio.count(lore));
+    }
+    void hear(Server& s, const std::vector<LoadValue>& load) {
+        double queue = -1, rate = -1;
+        for (const LoadValue& v : load) {
+            if (v.name == "queue") queue = v.value;
+            if (v.name == "qps") rate = v.value;
+        }
+        if (!(queue >= 0 && queue < kMostReported && rate >= 0 && rate < kMostReported)) return;
+        s.wait = queue < kQueueLeast ? 0 : std::min(queue / std::max(rate, 1.0), kWindowS);
+        s.toldAt = now;
     }
     double silence(const Record& r) const {
         return r.out.empty() ? 0 : seconds(now - std::max(*r.out.begin(), r.lastServed));
@@ -764,6 +789,7 @@
                 s.ratio = Mean{};
                 s.f = Mean{kFailMemoryS};
                 s.cut = s.down = false;
+                s.wait = 0;
                 s.coldAt = now + nanos(draw() * seconds(coldGap(s)));
             }
         }
@@ -843,6 +869,7 @@
         std::multiset<Nanos>& sent = s.classes[o.klass].out;
         if (const auto one = sent.find(o.sentAt); one != sent.end()) sent.erase(one);  // not after a restart
         --s.out;
+        hear(s, e.load);
         learn(o, e.outcome, e.took);
         const auto query = partOf.find(e.id);
         if (query == partOf.end()) return;
@@ -869,6 +896,7 @@
         const auto found = index.find(e.server);
         if (found == index.end()) return;
         Server& s = at(found->second);
+        hear(s, e.load);
         if (e.outcome == Outcome::served || e.outcome == Outcome::turnedAway) {
             reached(s);
         } else if (s.cut) {
