Send a copy at the last call, so that the copies' budget is left to parts that need it

Change: a copy goes only once three times the other replica's t are left before the query's end (kLastCall).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -39,8 +39,9 @@
 constexpr double kReportWeight = 2;    // E11: in own answers of late
 constexpr double kQueueLeast = 2;      // E11: a shorter queue is chance
 constexpr double kMostReported = 1e6;  // E11: a figure beyond this is no report
-constexpr double kOverdue = 2;       // E1: no copy before this many mean times: half of all work ends sooner
-constexpr double kCalmShare = 0.25;  // E1: mean time over aim above which everything is slow: no copies
+constexpr double kOverdue = 2;   // E1: no copy before this many mean times: half of all work ends sooner
+constexpr double kLastCall = 3;  // E1: nor while so many times the other replica's t are left: it may come
+constexpr double kCalmShare = 0.25;    // E1: mean time over aim above which everything is slow: no copies
 constexpr double kFurtherShare = 0.2;  // further sends per part at most: below the design's 3 in 10
 constexpr double kFurtherFree = 3;  // and these on top in a window, so that a quiet coordinator can fail over
 constexpr double kCopyPart = 0.5;   // share of that allowance for copies; the rest is kept for failures
@@ -581,7 +582,8 @@
     // looks slow enough for v > 1. Once a part is overdue the same test is made with what is left: as long
     // again as it has waited, or as its server is silent, against another replica's t. Answers hangs, stalls,
     // slow and cold servers, lost answers. Parts of a heavy query are held against their siblings, since
-    // another copy would be as slow. Could hurt at full load: hence kCalmShare.
+    // another copy would be as slow. Only what is in by the aim counts, so a copy goes no sooner than it
+    // must, and the budget is left to parts that need it. Could hurt at full load: hence kCalmShare.
     void copyIfOverdue(Query& q, Part& p) {
         if (p.in || p.over || p.outCount() != 1 || !copiesAllowed(q) || q.careful) return;
         const auto a = std::find_if(p.attempts.begin(), p.attempts.end(), [](auto& x) { return x.out; });
@@ -597,7 +599,8 @@
         const double rest = std::max(age, quiet);
         const std::vector<Scored> w = passing(ranked(q, p));
         if (w.empty() || rest - w.front().t < gainTarget(q.klass)) return;
-        if (now + nanos(w.front().t / 2) > endOf(q)) return;
+        if (now + nanos(w.front().t / 2) > endOf(q) || now + nanos(kLastCall * w.front().t) < endOf(q))
+            return;
         send(q, p, w.front().server, true);
     }
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -82,4 +82,20 @@
     }
 }
 
+// Only what is in by the aim counts. A copy sent while a slow part may still come by itself spends the budget
+// of one that can't.
+TEST(Copies, GoNoSoonerThanTheyMust) {
+    Bed bed(basic(), {"a", "b"});
+    bed.warm(40, [](const std::string&) { return 50 * kMs; });
+    const std::size_t first = bed.sent.size();
+    bed.query(1);
+    bed.pass(400 * kMs);  // overdue at 100 ms; the aim is 1 s, and the other answers in 50 ms
+    EXPECT_EQ(bed.sent.size(), first + 1);
+    bed.pass(500 * kMs);
+    ASSERT_EQ(bed.sent.size(), first + 2);
+    EXPECT_NE(bed.sent[first].server, bed.sent[first + 1].server);
+    EXPECT_GE(bed.sent[first + 1].at + 80 * kMs, bed.sent[first].at + 800 * kMs);
+    EXPECT_LE(bed.sent[first + 1].at, bed.sent[first].at + 900 * kMs);
+}
+
 }  // namespace firkeel::test
