--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -60,6 +60,8 @@
     Bed brief = told(report(3, 150));
     brief.pass(200 * kMs);
     EXPECT_GT(toB(brief), 10);
+    Bed idle = told(report(1.5, 1));  // one part there by chance, at a host that is asked little
+    EXPECT_GT(toB(idle), 10);
     Bed old = told(report(36, 10));
     old.pass(8 * kS);
     EXPECT_GT(toB(old), 10);
@@ -79,6 +81,9 @@
           std::vector<LoadValue>{{"queue", 36}}, std::vector<LoadValue>{{"util", 1}}}) {
         Bed bed = told(load);
         EXPECT_GT(toB(bed), 10) << load.size() << " " << load.front().value;
+        Bed queued = told(report(36, 10));  // nor does it take back what was told before
+        queued.give(ProbeEnded{"b", Outcome::served, kMs, load});
+        EXPECT_LE(toB(queued), 1) << load.size() << " " << load.front().value;
     }
 }
 
