Add the operators' door with readiness and drain, and listen beside an old process

Change: Lifecycle (free of I/O) is asked by /up, readiness, drain and SIGTERM; ops/door is the wire on net/; clients' addresses are listened on with SO_REUSEPORT where an operators' address is set. While closing, a kept connection may stay idle for 0.7 s more, since a request on it ends it in order. A head that is too large is 431 now. Tests: the lifecycle's table, bad calls, slow callers, a drain under load that is undone, a wrong address refused. None of them can pass before this change, which brings the door that they call.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -66,6 +66,7 @@
         config.name = text(json, "name");
         config.listen = address(json, "listen");
         config.discovery = address(json, "discovery");
+        if (json.contains("operator")) config.door = address(json, "operator");
         config.seed = readSeed(text(json, "seed"));
         if (json.contains("limits") && json["limits"].contains("sockets"))
             config.sockets = json["limits"]["sockets"].get<std::size_t>();
@@ -82,6 +83,11 @@
     return config;
 }
 
+void readDoor(const std::string& text, Config& config) {
+    config.door = back::readEndpoint(text);
+    if (!config.door) throw BadConfig(fmt::format("$NODE_OPERATOR must be ADDRESS:PORT, not {}", text));
+}
+
 void readOperator(const std::string& source, Config& config) {
     const Json json = Json::parse(source, nullptr, false);
     if (!json.is_object()) throw BadConfig("operator's file: expected a JSON object");
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -29,6 +29,9 @@
     firkeel::Settings settings;
     back::ConnectionLimits connections;
 
+    // The operators' door: closed where no address is named.
+    std::optional<asio::ip::tcp::endpoint> door;
+
     // From an operator's file; off where it is absent.
     struct Search {
         asio::ip::tcp::endpoint listen;
@@ -43,6 +46,8 @@
 // Throw BadConfig with one plain line.
 Config readConfig(const std::string& text, const Clock& clock);
 Config readConfigFile(const std::string& path, const Clock& clock);
+// Takes the door's address from $NODE_OPERATOR, which prevails over the configuration's key.
+void readDoor(const std::string& text, Config& config);
 // Adds an operator's file to a configuration.
 void readOperatorFile(const std::string& path, Config& config);
 void readOperator(const std::string& text, Config& config);
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -134,7 +134,7 @@
     if (path == "/up" || path == "/counters") {
         if (m.method != "GET") return connection->respond(405, kText, "use GET\n", "Allow: GET\r\n");
         if (path == "/counters") return connection->respond(200, kText, counters_.line() + "\n");
-        return ready_ ? connection->respond(200, kText, "up\n")
+        return up_() ? connection->respond(200, kText, "up\n")
                       : connection->respond(503, kText, "not taking queries\n");
     }
     const std::string_view klass = path.size() > 1 ? path.substr(1, path.find('/', 1) - 1) : path;
--- a/src/front/platform.hpp
+++ b/src/front/platform.hpp
@@ -2,6 +2,7 @@
 // answers.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -23,16 +24,16 @@
 
 class Platform {
 public:
-    Platform(Exchange& exchange, const Clock& clock, Counters& counters)
-        : exchange_(exchange), clock_(clock), counters_(counters) {}
+    // `up` tells whether clients may be sent here.
+    Platform(Exchange& exchange, const Clock& clock, Counters& counters, std::function<bool()> up)
+        : exchange_(exchange), clock_(clock), counters_(counters), up_(std::move(up)) {}
     void handle(const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection);
-    void ready(bool ready) { ready_ = ready; }
 
 private:
     Exchange& exchange_;
     const Clock& clock_;
     Counters& counters_;
-    bool ready_ = false;
+    std::function<bool()> up_;
 };
 
 }  // namespace beechpoint::front
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <nlohmann/json.hpp>
 
 #include "back/frames.hpp"
 #include "back/search.hpp"
@@ -10,9 +11,9 @@
 
 namespace {
 
-constexpr Millis kKeepAccepting = 500;  // the front hears of the stop within this
-constexpr Millis kStopWithin = 3200;    // killed some 3.7 s after the signal
-constexpr Millis kDrainLook = 20;
+constexpr Millis kCloseLook = 20;
+constexpr Millis kKilledAfter = 3000;  // of SIGTERM at the soonest, or the longest deadline, and then
+constexpr Millis kBeforeKill = 200;    // more at least
 constexpr std::size_t kOwnSockets = 24;  // files, signals, discovery, timers
 constexpr std::size_t kMostHostSockets = 400;
 
@@ -40,9 +41,18 @@
 }
 
 // Descriptors left for clients once the track hosts have theirs.
-std::size_t clientSockets(std::size_t sockets) {
-    const std::size_t taken = hostSockets(sockets) + kOwnSockets;
-    return std::max<std::size_t>(16, sockets - std::min(sockets, taken));
+std::size_t clientSockets(const Config& config) {
+    const std::size_t door = config.door ? ops::Door::kPlaces + 1 : 0;
+    const std::size_t taken = hostSockets(config.sockets) + kOwnSockets + door;
+    return std::max<std::size_t>(16, config.sockets - std::min(config.sockets, taken));
+}
+
+ops::LifecycleTimes lifecycleTimes(const Config& config) {
+    ops::LifecycleTimes times;
+    Millis longest = kKilledAfter;
+    for (const auto& c : config.settings.classes) longest = std::max(longest, fromNanos(c.deadline));
+    times.stopWithin = longest + kBeforeKill;
+    return times;
 }
 
 }  // namespace
@@ -56,15 +66,17 @@
       stopTimer_(io),
       exchange_(config.settings, config.seed, clock, counters, log, [this](Millis at) { wake(at); }),
       hosts_(io, clock, counters, log, exchange_, hostLimits(config), hostMaker(config)),
-      platform_(exchange_, clock, counters),
+      lifecycle_(lifecycleTimes(config)),
+      platform_(exchange_, clock, counters, [this] { return lifecycle_.up(false); }),
       server_(
-          io, clock, log, clientSockets(config.sockets),
+          io, clock, log, clientSockets(config),
           [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
               platform_.handle(message, connection);
           }),
       watch_(io, clock, counters, log, config.discovery, config.known.generation,
              [this](const HostList& list) { exchange_.list(list); }) {
     exchange_.attach(hosts_);
+    if (config.door) door_ = std::make_unique<ops::Door>(io, clock, log, *this);
     if (config.snmp)
         snmp_ = std::make_unique<snmp::Agent>(io, counters, snmp::objectsOf(counters, config.name, clock),
                                               config.snmpCommunity);
@@ -73,7 +85,7 @@
         exchange_, clock, counters,
         front::SearchSettings{config.search->classOfIndex, config.settings.shards}, config.seed);
     searchServer_ = std::make_unique<net::HttpServer>(
-        io, clock, log, clientSockets(config.sockets) / 2,
+        io, clock, log, clientSockets(config) / 2,
         [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
             search_->handle(message, connection);
         });
@@ -83,10 +95,12 @@
     exchange_.list(config_.known.list);
     watch_.start();
     // Discovery may be silent for long: the list as last known is enough to serve.
-    platform_.ready(true);
-    server_.listen(config_.listen);
+    const bool shared = door_ != nullptr;  // operators upgrade by a second process beside this one
+    if (door_) door_->listen(*config_.door);
+    server_.listen(config_.listen, shared);
     if (snmp_) snmp_->listen(*config_.snmp);
-    if (searchServer_) searchServer_->listen(config_.search->listen);
+    if (searchServer_) searchServer_->listen(config_.search->listen, shared);
+    lifecycle_.served();
     log_.info("{} serves on {}:{} with {} hosts known", field("name", config_.name),
               field("address", config_.listen.address().to_string()), field("port", endpoint().port()),
               field("hosts", config_.known.list.entries.size()));
@@ -107,43 +121,65 @@
     });
 }
 
+// ---- starting, draining, stopping: as the lifecycle says
+
 void Gatherer::stop(std::function<void()> done) {
-    if (stopped_) return;
+    if (!lifecycle_.terminate(clock_.now())) return;
     log_.info("stopping: {} queries held", field("queries", exchange_.live()));
     stopped_ = std::move(done);
-    stopBy_ = clock_.now() + kStopWithin;
-    platform_.ready(false);
-    server_.beginClosing();
-    if (searchServer_) searchServer_->beginClosing();
-    stopTimer_.expires_after(micros(kKeepAccepting));
-    stopTimer_.async_wait([this](asio::error_code error) {
-        if (error) return;
+    lifecycleChanged();
+}
+
+bool Gatherer::drain(bool start) {
+    const bool yes = start ? lifecycle_.drainStart() : lifecycle_.drainStop();
+    lifecycleChanged();
+    return yes;
+}
+
+void Gatherer::lifecycleChanged() {
+    server_.closing(lifecycle_.closing());
+    if (searchServer_) searchServer_->closing(lifecycle_.closing());
+    if (lifecycle_.closing() && !closingSome_) closeSome();
+}
+
+// While closing: idle connections go, and when the process stops, the listeners and then the rest.
+void Gatherer::closeSome() {
+    closingSome_ = lifecycle_.closing();
+    if (!closingSome_) return;
+    if (!lifecycle_.listening(clock_.now(), false)) {
         server_.stopAccepting();
         if (searchServer_) searchServer_->stopAccepting();
-        drain();
+    }
+    server_.closeIdle(lifecycle_.mayIdle());
+    if (searchServer_) searchServer_->closeIdle(lifecycle_.mayIdle());
+    if (lifecycle_.over(clock_.now(), connections(), false)) return finish();
+    stopTimer_.expires_after(micros(kCloseLook));
+    stopTimer_.async_wait([this](asio::error_code error) {
+        if (!error) closeSome();
     });
 }
 
+void Gatherer::finish() {
+    log_.info("stopped: {} queries left", field("queries", exchange_.live()));
+    watch_.stop();
+    if (snmp_) snmp_->close();
+    hosts_.close();
+    server_.closeAll();
+    if (searchServer_) searchServer_->closeAll();
+    if (door_) door_->close();
+    stopped_();
+}
+
 std::size_t Gatherer::connections() const {
     return server_.connections() + (searchServer_ ? searchServer_->connections() : 0);
 }
 
-void Gatherer::drain() {
-    server_.closeIdle();
-    if (searchServer_) searchServer_->closeIdle();
-    if (connections() == 0 || clock_.now() >= stopBy_) {
-        log_.info("stopped: {} queries left", field("queries", exchange_.live()));
-        watch_.stop();
-        if (snmp_) snmp_->close();
-        hosts_.close();
-        server_.closeAll();
-        if (searchServer_) searchServer_->closeAll();
-        return stopped_();
-    }
-    stopTimer_.expires_after(micros(kDrainLook));
-    stopTimer_.async_wait([this](asio::error_code error) {
-        if (!error) drain();
-    });
+// ---- what operators ask
+
+std::string Gatherer::stats() const {
+    return nlohmann::json{{"inflight", exchange_.live()}}.dump();
 }
 
+void Gatherer::trackHost(const std::string&, bool, Later later) { later(Reply::impossible); }
+
 }  // namespace beechpoint
--- a/src/gatherer.hpp
+++ b/src/gatherer.hpp
@@ -12,11 +12,13 @@
 #include "front/opensearch.hpp"
 #include "front/platform.hpp"
 #include "net/server.hpp"
+#include "ops/door.hpp"
+#include "ops/lifecycle.hpp"
 #include "snmp/agent.hpp"
 
 namespace beechpoint {
 
-class Gatherer {
+class Gatherer : public ops::Controls {
 public:
     Gatherer(asio::io_context& io, const Config& config, const Clock& clock, Counters& counters, Logger& log);
     void start();  // throws where an address can't be listened on
@@ -26,13 +28,21 @@
     void reload(const Config& fresh);
     asio::ip::tcp::endpoint endpoint() const { return server_.endpoint(); }
     asio::ip::tcp::endpoint searchEndpoint() const { return searchServer_->endpoint(); }
+    asio::ip::tcp::endpoint doorEndpoint() const { return door_->endpoint(); }
     asio::ip::udp::endpoint snmpEndpoint() const { return snmp_->endpoint(); }
     Exchange& exchange() { return exchange_; }
     std::size_t clients() const { return connections(); }
 
 private:
     void wake(Millis at);
-    void drain();
+    // What operators may ask for.
+    bool ready() const override { return lifecycle_.ready(); }
+    std::string stats() const override;
+    bool drain(bool start) override;
+    void trackHost(const std::string& id, bool out, Later later) override;
+    void lifecycleChanged();
+    void closeSome();
+    void finish();
     std::size_t connections() const;
 
     const Config& config_;
@@ -41,14 +51,16 @@
     asio::steady_timer timer_, stopTimer_;
     Exchange exchange_;
     back::Pool hosts_;
+    ops::Lifecycle lifecycle_;
     front::Platform platform_;
     net::HttpServer server_;
     std::unique_ptr<front::OpenSearch> search_;  // off on the platform
     std::unique_ptr<net::HttpServer> searchServer_;
     std::unique_ptr<snmp::Agent> snmp_;  // off on the platform
     discovery::Watch watch_;
+    std::unique_ptr<ops::Door> door_;  // closed where no address is named
     std::function<void()> stopped_;
-    Millis stopBy_ = 0;
+    bool closingSome_ = false;
 };
 
 }  // namespace beechpoint
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -97,6 +97,7 @@
             return kUsage;
         }
         Config config = readConfigFile(path, clock);
+        if (const char* const door = std::getenv("NODE_OPERATOR"); door && *door) readDoor(door, config);
         if (given.count("operator")) readOperatorFile(given["operator"].as<std::string>(), config);
         if (command == "serve") return serve(config, path, clock, *log);
         std::cout << "the configuration is sound: " << config.settings.classes.size() << " classes, "
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -159,6 +159,8 @@
             return "Not Found";
         case 405:
             return "Method Not Allowed";
+        case 409:
+            return "Conflict";
         case 408:
             return "Request Timeout";
         case 413:
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -53,6 +53,7 @@
     State finish();         // the peer ended the connection: completes an answer that lasts until then
     HttpMessage message();  // after complete
     void next();            // gives up the message's bytes and begins another
+    bool inHead() const { return !headDone_; }
     int status() const { return headDone_ ? static_cast<int>(parser_.status_code) : 0; }
 
 private:
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -96,6 +96,7 @@
     keepAlive_ = false;  // where the next message begins is unknown
     broken_ = true;
     const bool large = state == HttpReader::State::tooLarge;
+    if (large && reader_.inHead()) return respond(431, "text/plain", "the head is too large\n");
     respond(large ? 413 : 400, "text/plain", large ? "message too large\n" : "malformed request\n");
 }
 
@@ -184,9 +185,11 @@
 
 HttpServer::~HttpServer() { closeAll(); }
 
-void HttpServer::listen(const tcp::endpoint& at) {
+void HttpServer::listen(const tcp::endpoint& at, bool shared) {
+    using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    if (shared) acceptor_.set_option(ReusePort(true));
     acceptor_.bind(at);
     acceptor_.listen();
     acceptor_.non_blocking(true);
@@ -292,10 +295,11 @@
 }
 
 // A request that has come but was not read yet counts as taken: such a connection stays for its answer.
-void HttpServer::closeIdle() {
+void HttpServer::closeIdle(Millis longerThan) {
     std::vector<std::shared_ptr<HttpConnection>> idle;
+    const Millis before = clock_.now() - longerThan;
     for (const auto& c : connections_) {
-        if (c->idle() && !c->unread()) idle.push_back(c);
+        if (c->idle() && c->since_ <= before && !c->unread()) idle.push_back(c);
     }
     for (const auto& c : idle) c->close();
 }
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -72,13 +72,16 @@
     HttpServer(asio::io_context& io, const Clock& clock, Logger& log, std::size_t maxConnections,
                Handler handler);
     ~HttpServer();
-    void listen(const asio::ip::tcp::endpoint& at);  // throws where it can't
+    // Throws where it can't. With `shared`, another process of this user may listen there too, and newcomers are
+    // dealt out among both.
+    void listen(const asio::ip::tcp::endpoint& at, bool shared = false);
     asio::ip::tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
-    // From now on every answer ends its connection.
-    void beginClosing() { closing_ = true; }
+    // While closing, every answer ends its connection.
+    void closing(bool closing) { closing_ = closing; }
     // Takes what has connected so far and accepts nothing more.
     void stopAccepting();
-    void closeIdle();
+    // Closes those that have been between requests for longer, or have asked nothing for so long.
+    void closeIdle(Millis longerThan);
     void closeAll();
     std::size_t connections() const { return connections_.size(); }
 
