Count requests by class and attempts as their peers see them

Need: the operators hold the figures against what peers saw; the counters count decisions, know no classes, and count an attempt before it is written. Change: Figures (core), owned by the exchange: a request holds a place from its taking until the last byte of its answer is handed over; a place dropped before that counts as left. Coordinator::avoids is the narrow question behind hosts_down.

--- a/src/back/frames.cpp
+++ b/src/back/frames.cpp
@@ -54,10 +54,13 @@
 
 void FrameConnection::onWritten(asio::error_code error, std::size_t count) {
     writing_ = false;
-    for (const Mark& m : marks_)
+    for (const Mark& m : marks_) {
+        if (m.end > count) continue;
+        pool_.exchange().written();  // also where it was given up meanwhile
         if (const auto part = out_.find(m.part);
-            part != out_.end() && part->second.call == m.call && m.end <= count)
+            part != out_.end() && part->second.call == m.call)
             part->second.written = true;
+    }
     if (state_ == State::closed) return;
     if (error) return close(End::broken);
     used();
--- a/src/back/search.cpp
+++ b/src/back/search.cpp
@@ -89,6 +89,7 @@
                           if (state_ == State::closed) return;
                           if (error) return close(End::broken);
                           written_ = true;
+                          if (!probing_) pool_.exchange().written();
                           fill();
                       });
 }
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -41,6 +41,7 @@
     snmpDropped,
     extraBytes,
     silentConnections,
+    attemptsWritten,
     count
 };
 
@@ -77,6 +78,7 @@
     "snmpDropped",
     "extraBytes",
     "silentConnections",
+    "attemptsWritten",
 };
 
 class Counters {
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -41,7 +41,9 @@
       counters_(counters),
       log_(log),
       wake_(std::move(wake)),
-      coordinator_(settings, seed, toNanos(clock.now())) {}
+      coordinator_(settings, seed, toNanos(clock.now())) {
+    for (const auto& c : settings_.classes) figures_.know(c.name);
+}
 
 RequestId Exchange::nextId() {
     // Ids come back after 2^32 of them; one still held is passed over, and 0 means none.
@@ -63,6 +65,7 @@
     for (; !past_.empty() && past_.front().first <= clock_.now(); past_.pop_front())
         ids_.erase(past_.front().second);
     const std::size_t more = 1 + request.parts.size();
+    Figures::Held place = figures_.taken(request.klass);
     const auto refuse = [&](Final::Why why, Counter counter) {
         counters_.add(counter);
         Final final;
@@ -70,6 +73,7 @@
         final.why = why;
         final.retryAfter =
             why == Final::Why::openCap && settings_.retryAfter ? fromNanos(settings_.maxRetryAfter) : 0;
+        final.place = std::move(place);
         done(final);
         return Ticket{0};
     };
@@ -81,6 +85,7 @@
     Live& live = queries_[id];
     live.request = std::make_shared<const Request>(std::move(request));
     live.done = std::move(done);
+    live.place = std::move(place);
     const Request& r = *live.request;
     live.aimAt = r.expires;
     if (const auto* klass = classOf(r.klass))
@@ -128,7 +133,8 @@
     overdue_.erase({live.request->expires, query});
     open_ -= 1 + live.parts.size();
     for (const LivePart& part : live.parts) queryOf_.erase(part.id);
-    if (!live.done) return;
+    if (!live.done) return;  // its place is left with it
+    final.place = std::move(live.place);
     if (final.kind == Final::Kind::answered)
         for (const LivePart& part : live.parts)
             if (part.in) final.parts.push_back({part.slice, part.value});
@@ -197,7 +203,10 @@
 
 void Exchange::list(const HostList& list) {
     counters_.add(Counter::listUpdates);
-    if (list.kind != firkeel::ListKind::changes) up_.clear();
+    if (list.kind != firkeel::ListKind::changes) {
+        up_.clear();
+        listed_.clear();
+    }
     firkeel::ServerList event;
     event.kind = list.kind;
     for (const HostEntry& host : list.entries) {
@@ -205,12 +214,21 @@
             up_.insert(host.entry.id);
         else
             up_.erase(host.entry.id);
+        if (host.entry.state == firkeel::ServerState::removed)
+            listed_.erase(host.entry.id);
+        else
+            listed_.insert(host.entry.id);
         event.entries.push_back(host.entry);
     }
     hosts_->update(list);
     give(std::move(event));
 }
 
+std::size_t Exchange::hostsDown() const {
+    return static_cast<std::size_t>(
+        std::count_if(listed_.begin(), listed_.end(), [&](const std::string& id) { return coordinator_.avoids(id); }));
+}
+
 // ---- the module
 
 void Exchange::give(firkeel::Event event) {
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -18,6 +18,7 @@
 
 #include "core/clock.hpp"
 #include "core/counters.hpp"
+#include "core/figures.hpp"
 #include "core/logger.hpp"
 #include "firkeel/coordinator.hpp"
 
@@ -56,6 +57,12 @@
     bool whole = false;
     std::vector<PartAnswer> parts;  // valid during the call only
     Millis retryAfter = 0;          // refused: 0 is no advice
+    Figures::Held place;            // to be ended once the answer is handed over
+    std::function<void()> handedOver() const {
+        return Figures::ending(place, kind == Kind::answered  ? Figures::End::served
+                                      : kind == Kind::refused ? Figures::End::refused
+                                                              : Figures::End::failed);
+    }
 };
 
 using Ticket = RequestId;  // 0: none
@@ -112,9 +119,17 @@
     Ticket take(Request request, Done done);
     void gone(Ticket ticket);
 
+    // A request of a class that was turned down before it became a query: its place, if the class is known.
+    Figures::Held turnedDown(const std::string& klass) { return figures_.taken(klass); }
+    const Figures& figures() const { return figures_; }
+    // Of the hosts in the list as told, and how many of them get nothing now.
+    std::size_t hostsListed() const { return listed_.size(); }
+    std::size_t hostsDown() const;
+
     // Server side. claim() is asked right before an attempt is written: whether it still may be. Where not,
     // it is over for the server side.
     bool claim(AttemptId attempt);
+    void written() { counters_.add(Counter::attemptsWritten); }  // an attempt's last byte
     void ended(AttemptId attempt, Outcome outcome, std::string_view value = {}, Load load = {});
     void probed(const std::string& server, Outcome outcome, Millis took, Load load = {});
 
@@ -140,6 +155,7 @@
         std::shared_ptr<const Request> request;
         std::vector<LivePart> parts;
         Done done;
+        Figures::Held place;
         Millis aimAt = 0;  // its class's aim, or its end where that comes first
     };
     struct Out {
@@ -175,6 +191,7 @@
     std::function<void(Millis)> wake_;
     firkeel::Coordinator coordinator_;
     TrackHosts* hosts_ = nullptr;
+    Figures figures_;  // outlives the live queries, which hold places in it
 
     std::unordered_map<RequestId, Live> queries_;
     std::unordered_map<RequestId, RequestId> queryOf_;  // by part
@@ -184,7 +201,7 @@
     std::set<std::pair<Millis, AttemptId>> timeouts_;
     std::set<std::pair<Millis, RequestId>> overdue_;
     std::multimap<Millis, std::int64_t> timers_;
-    std::unordered_set<std::string> up_;
+    std::unordered_set<std::string> up_, listed_;
     std::deque<firkeel::Event> events_;
     bool pumping_ = false;
     std::size_t open_ = 0;  // queries and parts held
--- a/src/front/opensearch.cpp
+++ b/src/front/opensearch.cpp
@@ -26,6 +26,7 @@
 struct OpenSearch::Multi {
     std::vector<std::string> bodies;
     std::vector<Ticket> tickets;
+    std::vector<std::function<void()>> handedOver;  // of each search
     std::size_t left = 0;
     Millis began = 0;
 };
@@ -74,20 +75,24 @@
     return exchange_.take(std::move(r), std::move(done));
 }
 
-void OpenSearch::refuse(const Connection& connection, const SearchError& error, Millis retry) {
+// By the figures a search that was not answered whole has failed, unless it was refused.
+void OpenSearch::refuse(const Connection& connection, const SearchError& error, const Final& final) {
+    const bool refused = final.kind == Final::Kind::refused;
     connection->respond(error.status, kJson, searchErrorBody(error),
-                        error.status == 429 ? retryAfter(retry) : std::string());
+                        error.status == 429 ? retryAfter(final.retryAfter) : std::string(),
+                        Figures::ending(final.place, refused ? Figures::End::refused : Figures::End::failed));
 }
 
 void OpenSearch::one(Search search, const Connection& connection) {
     const Millis began = clock_.now();
     const Ticket ticket = begin(search, [this, search, connection, began](const Final& final) {
         if (final.kind != Final::Kind::answered || !final.whole)
-            return refuse(connection, errorOf(final), final.retryAfter);
+            return refuse(connection, errorOf(final), final);
         try {
-            connection->respond(200, kJson, mergedBody(search, final, clock_.now() - began));
+            connection->respond(200, kJson, mergedBody(search, final, clock_.now() - began), {},
+                                final.handedOver());
         } catch (const SearchError& e) {
-            refuse(connection, e, 0);
+            refuse(connection, e, final);
         }
     });
     if (ticket != 0) connection->whenGone([this, ticket] { exchange_.gone(ticket); });
@@ -101,6 +106,7 @@
     for (std::size_t i = 0; i < searches.size(); ++i) {
         const Search search = searches[i];
         multi->tickets.push_back(begin(search, [this, search, multi, connection, i](const Final& final) {
+            multi->handedOver.push_back(final.handedOver());
             try {
                 if (final.kind != Final::Kind::answered || !final.whole) throw errorOf(final);
                 std::string body = mergedBody(search, final, clock_.now() - multi->began);
@@ -113,7 +119,10 @@
                                           static_cast<long long>(clock_.now() - multi->began));
             for (std::size_t k = 0; k < multi->bodies.size(); ++k)
                 all.append(k > 0 ? "," : "").append(multi->bodies[k]);
-            connection->respond(200, kJson, all + "]}");
+            connection->respond(200, kJson, all + "]}", {}, [multi] {
+                for (const auto& handedOver : multi->handedOver)
+                    if (handedOver) handedOver();
+            });
         }));
     }
     connection->whenGone([this, multi] {
--- a/src/front/opensearch.hpp
+++ b/src/front/opensearch.hpp
@@ -22,7 +22,7 @@
     Ticket begin(const Search& search, Done done);
     void one(Search search, const Connection& connection);
     void many(std::vector<Search> searches, const Connection& connection);
-    void refuse(const Connection& connection, const SearchError& error, Millis retryAfter);
+    void refuse(const Connection& connection, const SearchError& error, const Final& final);
 
     Exchange& exchange_;
     const Clock& clock_;
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -150,22 +150,27 @@
         request = readPlatformRequest(m, exchange_.settings(), connection->receivedAt());
     } catch (const BadRequest& e) {
         counters_.add(Counter::badRequests);
-        return connection->respond(400, kText, std::string(e.what()) + "\n");
+        return connection->respond(
+            400, kText, std::string(e.what()) + "\n", {},
+            Figures::ending(exchange_.turnedDown(std::string(klass)), Figures::End::failed));
     }
     const Ticket ticket = exchange_.take(std::move(request), [connection](const Final& final) {
         if (final.kind == Final::Kind::answered) {
             try {
-                return connection->respond(200, kJson, platformBody(final));
+                return connection->respond(200, kJson, platformBody(final), {}, final.handedOver());
             } catch (const Json::exception&) {  // the back takes no such value
-                return connection->respond(500, kText, "a value was not text\n");
+                return connection->respond(500, kText, "a value was not text\n", {},
+                                           Figures::ending(final.place, Figures::End::failed));
             }
         }
         if (final.kind == Final::Kind::refused)
             return connection->respond(
                 429, kText, "refused\n",
-                final.retryAfter > 0 ? net::retryAfterHeader(final.retryAfter) : std::string());
-        final.why == Final::Why::duplicateId ? connection->respond(400, kText, "X-Trace-Id is in use\n")
-                                             : connection->respond(500, kText, "failed\n");
+                final.retryAfter > 0 ? net::retryAfterHeader(final.retryAfter) : std::string(),
+                final.handedOver());
+        const bool inUse = final.why == Final::Why::duplicateId;
+        connection->respond(inUse ? 400 : 500, kText, inUse ? "X-Trace-Id is in use\n" : "failed\n", {},
+                            final.handedOver());
     });
     if (ticket != 0) connection->whenGone([this, ticket] { exchange_.gone(ticket); });
 }
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -967,6 +967,10 @@
 Coordinator::~Coordinator() = default;
 Coordinator::Coordinator(Coordinator&&) noexcept = default;
 Coordinator& Coordinator::operator=(Coordinator&&) noexcept = default;
+bool Coordinator::avoids(const std::string& server) const {
+    const auto found = impl_->index.find(server);
+    return found == impl_->index.end() || !impl_->at(found->second).usable || impl_->at(found->second).cut;
+}
 void Coordinator::handle(Nanos now, const Event& event, std::vector<Action>& out) {
     impl_->handle(now, event, out);
 }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -101,8 +101,9 @@
 }
 
 void HttpConnection::respond(int status, std::string_view type, std::string_view body,
-                             std::string_view extra) {
+                             std::string_view extra, std::function<void()> handedOver) {
     if (state_ != State::handling) return;  // the client has gone
+    handedOver_ = std::move(handedOver);
     gone_ = nullptr;
     if (server_.closing_) keepAlive_ = false;
     out_ = response(status, type, body, keepAlive_, extra);
@@ -116,6 +117,7 @@
                       [self = shared_from_this()](asio::error_code error, std::size_t) {
                           if (self->state_ == State::closed) return;
                           if (error) return self->close();
+                          if (self->handedOver_) std::exchange(self->handedOver_, nullptr)();
                           if (!self->keepAlive_) return self->linger();
                           self->state_ = State::reading;
                           self->since_ = self->server_.clock_.now();
@@ -169,6 +171,7 @@
     asio::error_code ignored;
     socket_.close(ignored);
     server_.connections_.erase(place_);
+    handedOver_ = nullptr;
     if (gone_) std::exchange(gone_, nullptr)();
 }
 
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -26,7 +26,9 @@
     // When the last byte read so far came: the request in hand came no later.
     Millis receivedAt() const { return receivedAt_; }
     // The answer to the request in hand.
-    void respond(int status, std::string_view type, std::string_view body, std::string_view extra = {});
+    // `handedOver` is called once its last byte is; dropped uncalled where the client has gone.
+    void respond(int status, std::string_view type, std::string_view body, std::string_view extra = {},
+                 std::function<void()> handedOver = {});
     // Called once if the client leaves before the answer is given.
     void whenGone(std::function<void()> gone) {
         if (waiting()) gone_ = std::move(gone);
@@ -56,7 +58,7 @@
     bool keepAlive_ = true;
     bool broken_ = false;  // it may still be sending what was not taken
     std::string out_;
-    std::function<void()> gone_;
+    std::function<void()> gone_, handedOver_;
     bool asked_ = false;       // at least one whole message has come
     Millis since_ = 0;         // of the state it is in; until a whole message has come, of its connecting
     Millis partialSince_ = 0;  // of the first byte of a message that is not whole; 0: none
