--- a/src/config.hpp
+++ b/src/config.hpp
@@ -31,6 +31,7 @@
 
     // The operators' door: closed where no address is named.
     std::optional<asio::ip::tcp::endpoint> door;
+    std::string stateFolder;  // what an upgrade hands on is kept there; empty: nothing is
 
     // From an operator's file; off where it is absent.
     struct Search {
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -61,6 +61,7 @@
                    Logger& log)
     : config_(config),
       clock_(clock),
+      counters_(counters),
       log_(log),
       timer_(io),
       stopTimer_(io),
@@ -74,9 +75,14 @@
               platform_.handle(message, connection);
           }),
       watch_(io, clock, counters, log, config.discovery, config.known.generation,
-             [this](const HostList& list) { exchange_.list(list); }) {
+             [this](const HostList& list) { exchange_.list(bans_.overlay(list)); }) {
     exchange_.attach(hosts_);
-    if (config.door) door_ = std::make_unique<ops::Door>(io, clock, log, *this);
+    if (config.door) {
+        banFile_ = std::make_unique<ops::BanFile>(
+            io, log, config.stateFolder, config.name,
+            [this](ops::HostBans::Hosts out) { exchange_.list(bans_.take(std::move(out))); });
+        door_ = std::make_unique<ops::Door>(io, clock, log, *this);
+    }
     if (config.snmp)
         snmp_ = std::make_unique<snmp::Agent>(io, counters, snmp::objectsOf(counters, config.name, clock),
                                               config.snmpCommunity);
@@ -92,7 +98,8 @@
 }
 
 void Gatherer::start() {
-    exchange_.list(config_.known.list);
+    exchange_.list(bans_.overlay(config_.known.list));
+    if (banFile_) banFile_->start();  // nothing is sent yet
     watch_.start();
     // Discovery may be silent for long: the list as last known is enough to serve.
     const bool shared = door_ != nullptr;  // operators upgrade by a second process beside this one
@@ -167,6 +174,7 @@
     server_.closeAll();
     if (searchServer_) searchServer_->closeAll();
     if (door_) door_->close();
+    if (banFile_) banFile_->stop();
     stopped_();
 }
 
@@ -177,9 +185,27 @@
 // ---- what operators ask
 
 std::string Gatherer::stats() const {
-    return nlohmann::json{{"inflight", exchange_.live()}}.dump();
+    nlohmann::json success = nlohmann::json::object(), busy = success, failure = success;
+    for (const auto& [name, c] : exchange_.figures().classes()) {
+        success[name] = c.served;
+        busy[name] = c.refused;
+        failure[name] = c.failed;
+    }
+    return nlohmann::json{{"success", std::move(success)},
+                          {"busy", std::move(busy)},
+                          {"failure", std::move(failure)},
+                          {"backend_calls", counters_.get(Counter::attemptsWritten)},
+                          {"inflight", exchange_.figures().inFlight()},
+                          {"hosts_listed", exchange_.hostsListed()},
+                          {"hosts_down", exchange_.hostsDown()}}
+        .dump();
+}
+
+void Gatherer::trackHost(const std::string& id, bool out, Later later) {
+    if (!bans_.knows(id)) return later(Reply::unknown);
+    banFile_->change(id, out, [later = std::move(later)](bool stored) {
+        later(stored ? Reply::done : Reply::impossible);
+    });
 }
 
-void Gatherer::trackHost(const std::string&, bool, Later later) { later(Reply::impossible); }
-
 }  // namespace beechpoint
--- a/src/gatherer.hpp
+++ b/src/gatherer.hpp
@@ -12,7 +12,9 @@
 #include "front/opensearch.hpp"
 #include "front/platform.hpp"
 #include "net/server.hpp"
+#include "ops/ban_file.hpp"
 #include "ops/door.hpp"
+#include "ops/host_bans.hpp"
 #include "ops/lifecycle.hpp"
 #include "snmp/agent.hpp"
 
@@ -47,6 +49,7 @@
 
     const Config& config_;
     const Clock& clock_;
+    Counters& counters_;
     Logger& log_;
     asio::steady_timer timer_, stopTimer_;
     Exchange exchange_;
@@ -57,7 +60,9 @@
     std::unique_ptr<front::OpenSearch> search_;  // off on the platform
     std::unique_ptr<net::HttpServer> searchServer_;
     std::unique_ptr<snmp::Agent> snmp_;  // off on the platform
+    ops::HostBans bans_;
     discovery::Watch watch_;
+    std::unique_ptr<ops::BanFile> banFile_;
     std::unique_ptr<ops::Door> door_;  // closed where no address is named
     std::function<void()> stopped_;
     bool closingSome_ = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -98,6 +98,8 @@
         }
         Config config = readConfigFile(path, clock);
         if (const char* const door = std::getenv("NODE_OPERATOR"); door && *door) readDoor(door, config);
+        const char* const folder = std::getenv("TMPDIR");
+        config.stateFolder = folder && *folder ? folder : "/tmp";
         if (given.count("operator")) readOperatorFile(given["operator"].as<std::string>(), config);
         if (command == "serve") return serve(config, path, clock, *log);
         std::cout << "the configuration is sound: " << config.settings.classes.size() << " classes, "
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -1,4 +1,10 @@
 // The operators' parts on real sockets: one test for each promise.
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
 #include "check.hpp"
 
 using namespace beechpoint;
@@ -25,6 +31,12 @@
         until(rig.io, [&] { return caller.peer->ended; });  // one call to a connection
         return answer;
     }
+    // A figure of /ops/stats by its path.
+    double stat(const std::string& path) {
+        const Answer answer = call(get("/ops/stats"));
+        CHECK(answer.status == 200 && answer.has("application/json"));
+        return nlohmann::json::parse(answer.body).at(nlohmann::json::json_pointer("/" + path)).get<double>();
+    }
     int up() { return Client(rig.io, rig.gatherer->endpoint()).ask(get("/up")).status; }
     FrameHost host{Rig::loop()};
     Rig rig;
@@ -41,6 +53,8 @@
         {put("/ops/track-hosts/down/"), 400},
         {put("/ops/track-hosts/down/h%2"), 400},
         {put("/ops/track-hosts/down/a/b"), 400},
+        {put("/ops/track-hosts/down/h7"), 404},
+        {put("/ops/track-hosts/up/h7"), 404},
         {"nonsense\r\n\r\n", 400},
         {"GET /ops/stats HTTP/1.1\r\nPadding: " + std::string(24000, 'x') + "\r\n\r\n", 431}};
     for (const auto& [bytes, status] : cases) {
@@ -107,10 +121,91 @@
     CHECK(back.ask(query("t5", {0})).keepAlive && !back.peer->ended);
 }
 
+// A folder of its own, gone with the test.
+struct Folder {
+    Folder() { CHECK(::mkdtemp(path) != nullptr); }
+    ~Folder() { std::filesystem::remove_all(path); }
+    std::string file() const { return std::string(path) + "/beechpoint-n0.bans"; }
+    char path[32] = "beechpoint-state-XXXXXX";
+};
+
+// Taken out, a host gets nothing: in this process, in one beside it, in one that comes after; put back, it does.
+void hostsOutByHandOutliveTheProcess() {
+    Folder folder;
+    const auto kept = [&](Config& c) { c.stateFolder = folder.path; };
+    const std::string ids[] = {"t1", "t2", "t3", "t4"};
+    {
+        Staff old(kept), beside(kept);
+        CHECK(old.call(put("/ops/track-hosts/down/%68%30")).status == 200);
+        CHECK(old.call(put("/ops/track-hosts/down/h0")).status == 200);
+        until(beside.rig.io, [&] { return beside.stat("hosts_down") == 1; });
+        for (Staff* staff : {&old, &beside}) {
+            Client client(staff->rig.io, staff->rig.gatherer->endpoint());
+            CHECK(client.ask(query("t1", {0}, 200)).status == 429 && staff->host.got.empty());
+        }
+    }
+    Staff next(kept);
+    CHECK(next.stat("hosts_down") == 1 && next.stat("hosts_listed") == 1);
+    CHECK(next.call(put("/ops/track-hosts/up/h0")).status == 200 && next.stat("hosts_down") == 0);
+    Client client(next.rig.io, next.rig.gatherer->endpoint());
+    CHECK(client.ask(query("t2", {0})).status == 200);
+}
+
+// The figures are what the peers saw, by class, from 0 on.
+void figuresAreWhatPeersSaw() {
+    Staff staff([](Config& c) { c.settings.openCap = 4; });
+    asio::io_context& io = staff.rig.io;
+    for (const char* figure : {"success", "busy", "failure"})
+        for (const char* klass : {"pallet-lookup", "day-report"})
+            CHECK(staff.stat(std::string(figure) + "/" + klass) == 0);
+    Client client(io, staff.rig.gatherer->endpoint()), other(io, staff.rig.gatherer->endpoint());
+    for (const char* id : {"t1", "t2"}) CHECK(client.ask(query(id, {0, 1})).status == 200);
+    CHECK(client.ask(query("t3", {0}, 3000, "q", "day-report")).status == 200);
+    CHECK(client.ask(query("t4", {9})).status == 400);
+    std::vector<FrameHost::Part> held;
+    staff.host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+    client.send(query("t5", {0, 1}));
+    until(io, [&] { return held.size() == 2; });
+    CHECK(other.ask(query("t6", {0, 1})).status == 429);  // over the cap
+    CHECK(staff.stat("inflight") == 1 && staff.stat("success/pallet-lookup") == 2);
+    CHECK(staff.stat("success/day-report") == 1 && staff.stat("busy/pallet-lookup") == 1);
+    CHECK(staff.stat("failure/pallet-lookup") == 1 && staff.stat("failure/day-report") == 0);
+    CHECK(staff.stat("backend_calls") == 7 && staff.stat("hosts_listed") == 1);
+    client.peer->close();  // leaves: counted nowhere
+    until(io, [&] { return staff.rig.gatherer->exchange().live() == 0; });
+    CHECK(staff.stat("inflight") == 0 && staff.stat("success/pallet-lookup") == 2);
+}
+
+void aCallThatCantBeStoredChangesNothing() {
+    Staff staff([](Config& c) { c.stateFolder = "no-such-folder"; });
+    CHECK(staff.call(put("/ops/track-hosts/down/h0")).status == 503 && staff.stat("hosts_down") == 0);
+}
+
+void damagedFilesAreIgnored() {
+    const std::string sound = ops::writeBans({"h0", "h1"});
+    CHECK(ops::readBans(sound) == ops::HostBans::Hosts({"h0", "h1"}));
+    for (std::size_t cut = 0; cut + 2 < sound.size(); ++cut) CHECK(!ops::readBans(sound.substr(0, cut)));
+    std::string other = sound;
+    other.replace(other.find("h0"), 2, "h2");  // the checksum is another one's
+    for (const std::string& text : {other, std::string("{\"version\":2}"), std::string("[]"), std::string("null")})
+        CHECK(!ops::readBans(text));
+    Folder folder;
+    std::ofstream(folder.file()) << other;
+    Staff staff([&](Config& c) { c.stateFolder = folder.path; });
+    CHECK(staff.stat("hosts_down") == 0);
+    CHECK(staff.call(put("/ops/track-hosts/down/h0")).status == 200);  // and written anew
+    std::ifstream file(folder.file());
+    CHECK(ops::readBans(std::string(std::istreambuf_iterator<char>(file), {})) == ops::HostBans::Hosts({"h0"}));
+}
+
 }  // namespace
 
 int main() {
     badCallsGetOneClearError();
     slowCallersKeepNobodyOut();
     drainsAndIsUndone();
+    hostsOutByHandOutliveTheProcess();
+    figuresAreWhatPeersSaw();
+    aCallThatCantBeStoredChangesNothing();
+    damagedFilesAreIgnored();
 }
