Let old and new process of an upgrade know of each other and share one's limits

Need: both processes are one gatherer to rules and limits, and each held the whole open cap and all descriptors for itself; the old one said no on /up while its successor served at the same address, and listened on for half a second. Each has its share of open cap, clients' and hosts' connections (half; a third for one that stops). With a successor that serves, SIGTERM empties the accept queue and closes the listener at once, and /up stays at yes.

--- a/src/back/pool.hpp
+++ b/src/back/pool.hpp
@@ -118,6 +118,7 @@
     void abandon(AttemptId attempt) override;
     void probe(const std::string& server) override;
     void close();
+    void limit(std::size_t total) { limits_.total = total; }  // connections from now on
     // A part that was sent at `sentAt` has been answered on a connection to the host.
     void answered(const std::string& server, Millis sentAt);
     std::size_t connections() const { return connections_; }
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -78,7 +78,7 @@
         return Ticket{0};
     };
     if (ids_.contains(request.id)) return refuse(Final::Why::duplicateId, Counter::badRequests);
-    if (settings_.openCap > 0 && open_ + more > static_cast<std::size_t>(settings_.openCap))
+    if (settings_.openCap > 0 && open_ + more > static_cast<std::size_t>(settings_.openCap * share_))
         return refuse(Final::Why::openCap, Counter::refusedAtCap);
 
     const RequestId id = nextId();
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -136,6 +136,9 @@
     // Discovery.
     void list(const HostList& list);
 
+    // The part of the open cap that is this process's own: less while another one of the same gatherer lives.
+    void share(double share) { share_ = share; }
+
     void tick();  // sees to all that is due
     std::size_t live() const { return queries_.size(); }
     std::size_t open() const { return open_; }
@@ -204,6 +207,7 @@
     std::unordered_set<std::string> up_, listed_;
     std::deque<firkeel::Event> events_;
     bool pumping_ = false;
+    double share_ = 1;
     std::size_t open_ = 0;  // queries and parts held
     RequestId lastId_ = 0;
 };
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "back/frames.hpp"
@@ -68,7 +69,7 @@
       exchange_(config.settings, config.seed, clock, counters, log, [this](Millis at) { wake(at); }),
       hosts_(io, clock, counters, log, exchange_, hostLimits(config), hostMaker(config)),
       lifecycle_(lifecycleTimes(config)),
-      platform_(exchange_, clock, counters, [this] { return lifecycle_.up(false); }),
+      platform_(exchange_, clock, counters, [this] { return lifecycle_.up(overlap_.successor()); }),
       server_(
           io, clock, log, clientSockets(config),
           [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
@@ -81,6 +82,8 @@
         banFile_ = std::make_unique<ops::BanFile>(
             io, log, config.stateFolder, config.name,
             [this](ops::HostBans::Hosts out) { exchange_.list(bans_.take(std::move(out))); });
+        record_ = std::make_unique<ops::OverlapRecord>(io, log, config.stateFolder, config.name, overlap_,
+                                                       [this] { shareLimits(); });
         door_ = std::make_unique<ops::Door>(io, clock, log, *this);
     }
     if (config.snmp)
@@ -103,11 +106,13 @@
     watch_.start();
     // Discovery may be silent for long: the list as last known is enough to serve.
     const bool shared = door_ != nullptr;  // operators upgrade by a second process beside this one
+    if (record_) record_->start(clock_.toUnix(clock_.now()));
     if (door_) door_->listen(*config_.door);
     server_.listen(config_.listen, shared);
     if (snmp_) snmp_->listen(*config_.snmp);
     if (searchServer_) searchServer_->listen(config_.search->listen, shared);
     lifecycle_.served();
+    lifecycleChanged();
     log_.info("{} serves on {}:{} with {} hosts known", field("name", config_.name),
               field("address", config_.listen.address().to_string()), field("port", endpoint().port()),
               field("hosts", config_.known.list.entries.size()));
@@ -143,7 +148,21 @@
     return yes;
 }
 
+// Two processes of one upgrade keep to the limits of one: descriptors and what may be open.
+void Gatherer::shareLimits() {
+    const double share = overlap_.share();
+    if (std::exchange(share_, share) == share) return;
+    const auto part = [share](std::size_t all) { return static_cast<std::size_t>(static_cast<double>(all) * share); };
+    log_.info("{} other processes of this gatherer live, own share of the limits {}",
+              field("others", overlap_.others()), field("share", fmt::format("{:.2f}", share)));
+    exchange_.share(share);
+    hosts_.limit(part(hostSockets(config_.sockets)));
+    server_.limit(part(clientSockets(config_)));
+    if (searchServer_) searchServer_->limit(part(clientSockets(config_) / 2));
+}
+
 void Gatherer::lifecycleChanged() {
+    if (record_) record_->publish(lifecycle_.state());
     server_.closing(lifecycle_.closing());
     if (searchServer_) searchServer_->closing(lifecycle_.closing());
     if (lifecycle_.closing() && !closingSome_) closeSome();
@@ -153,13 +172,13 @@
 void Gatherer::closeSome() {
     closingSome_ = lifecycle_.closing();
     if (!closingSome_) return;
-    if (!lifecycle_.listening(clock_.now(), false)) {
+    if (!lifecycle_.listening(clock_.now(), overlap_.successor())) {
         server_.stopAccepting();
         if (searchServer_) searchServer_->stopAccepting();
     }
     server_.closeIdle(lifecycle_.mayIdle());
     if (searchServer_) searchServer_->closeIdle(lifecycle_.mayIdle());
-    if (lifecycle_.over(clock_.now(), connections(), false)) return finish();
+    if (lifecycle_.over(clock_.now(), connections(), overlap_.successor())) return finish();
     stopTimer_.expires_after(micros(kCloseLook));
     stopTimer_.async_wait([this](asio::error_code error) {
         if (!error) closeSome();
@@ -174,6 +193,7 @@
     server_.closeAll();
     if (searchServer_) searchServer_->closeAll();
     if (door_) door_->close();
+    if (record_) record_->stop();
     if (banFile_) banFile_->stop();
     stopped_();
 }
--- a/src/gatherer.hpp
+++ b/src/gatherer.hpp
@@ -16,6 +16,7 @@
 #include "ops/door.hpp"
 #include "ops/host_bans.hpp"
 #include "ops/lifecycle.hpp"
+#include "ops/overlap_record.hpp"
 #include "snmp/agent.hpp"
 
 namespace beechpoint {
@@ -33,6 +34,7 @@
     asio::ip::tcp::endpoint doorEndpoint() const { return door_->endpoint(); }
     asio::ip::udp::endpoint snmpEndpoint() const { return snmp_->endpoint(); }
     Exchange& exchange() { return exchange_; }
+    double limitsShare() const { return share_; }  // less than 1 while another process of this gatherer lives
     std::size_t clients() const { return connections(); }
 
 private:
@@ -43,6 +45,7 @@
     bool drain(bool start) override;
     void trackHost(const std::string& id, bool out, Later later) override;
     void lifecycleChanged();
+    void shareLimits();
     void closeSome();
     void finish();
     std::size_t connections() const;
@@ -55,6 +58,7 @@
     Exchange exchange_;
     back::Pool hosts_;
     ops::Lifecycle lifecycle_;
+    ops::Overlap overlap_;
     front::Platform platform_;
     net::HttpServer server_;
     std::unique_ptr<front::OpenSearch> search_;  // off on the platform
@@ -63,8 +67,10 @@
     ops::HostBans bans_;
     discovery::Watch watch_;
     std::unique_ptr<ops::BanFile> banFile_;
+    std::unique_ptr<ops::OverlapRecord> record_;
     std::unique_ptr<ops::Door> door_;  // closed where no address is named
     std::function<void()> stopped_;
+    double share_ = 1;  // of the limits
     bool closingSome_ = false;
 };
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -253,6 +253,11 @@
     return least != nullptr;
 }
 
+void HttpServer::limit(std::size_t most) {
+    max_ = most;
+    while (connections_.size() > max_ && makeRoom());
+}
+
 void HttpServer::adopt(tcp::socket socket) {
     const auto connection = std::make_shared<HttpConnection>(*this, std::move(socket));
     connections_.push_back(connection);
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -85,6 +85,8 @@
     // Closes those that have been between requests for longer, or have asked nothing for so long.
     void closeIdle(Millis longerThan);
     void closeAll();
+    // The most connections from now on; idle ones beyond that go.
+    void limit(std::size_t most);
     std::size_t connections() const { return connections_.size(); }
 
 private:
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -1,4 +1,6 @@
 // The operators' parts on real sockets: one test for each promise.
+#include <algorithm>
+#include <asio/post.hpp>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -176,6 +178,85 @@
     CHECK(staff.stat("inflight") == 0 && staff.stat("success/pallet-lookup") == 2);
 }
 
+// An upgrade under load: clients ask one request after another, each on its connection or on a new one; the old
+// process ends, and nobody is left without an answer.
+void everyRequestIsAnsweredOverAnUpgrade() {
+    Folder folder;
+    Staff old([&](Config& c) { c.stateFolder = folder.path; });
+    asio::io_context& io = old.rig.io;
+    const tcp::endpoint at = old.rig.gatherer->endpoint();
+    std::vector<std::unique_ptr<Client>> clients;
+    int asked = 0, answered = 0;
+    std::function<void(int)> ask = [&](int i) {
+        clients[static_cast<std::size_t>(i)]->send(query("t" + std::to_string(asked++), {0, 1}));
+    };
+    for (int i = 0; i < 4; ++i) {
+        clients.push_back(std::make_unique<Client>(io, at));
+        clients.back()->onAnswer = [&, i](const Answer& a) {
+            CHECK(a.status == 200);
+            ++answered;
+            asio::post(io, [&, i, keep = a.keepAlive] {
+                auto& client = clients[static_cast<std::size_t>(i)];
+                if (!keep) {
+                    auto next = std::make_unique<Client>(io, at);
+                    next->onAnswer = client->onAnswer;
+                    client = std::move(next);
+                }
+                if (asked < 2000) ask(i);
+            });
+        };
+    }
+    for (int i = 0; i < 4; ++i) ask(i);
+    until(io, [&] { return answered >= 300; });
+    Staff next([&](Config& c) {
+        c.stateFolder = folder.path;
+        c.listen = at;
+    });
+    until(io, [&] { return answered >= 600; });
+    bool ended = false;
+    old.rig.gatherer->stop([&] { ended = true; });
+    until(io, [&] { return ended && answered == 2000; });
+    CHECK(asked == 2000 && old.rig.count(Counter::queriesTaken) + next.rig.count(Counter::queriesTaken) == 2000);
+    CHECK(next.rig.count(Counter::queriesTaken) >= 1000);  // all connections moved over
+}
+
+// Both are one gatherer to the open cap, and one alone has it all again once the other is gone.
+void twoProcessesShareTheOpenCap() {
+    Folder folder;
+    const auto change = [&](Config& c) {
+        c.stateFolder = folder.path;
+        c.settings.openCap = 8;
+    };
+    Staff old(change);
+    old.host.onPart = [](const FrameHost::Part&) {};
+    asio::io_context& io = old.rig.io;
+    int id = 0;
+    const auto taken = [&](int queries) {
+        std::vector<std::unique_ptr<Client>> clients;
+        for (int i = 0; i < queries; ++i) {
+            clients.push_back(std::make_unique<Client>(io, old.rig.gatherer->endpoint()));
+            clients.back()->send(query("t" + std::to_string(++id), {0, 1}));
+        }
+        const auto refused = [&] {
+            return std::count_if(clients.begin(), clients.end(), [](const auto& c) { return !c->answers.empty(); });
+        };
+        until(io, [&] { return static_cast<int>(old.rig.gatherer->exchange().live() + refused()) == queries; });
+        const auto live = old.rig.gatherer->exchange().live();
+        clients.clear();
+        until(io, [&] { return old.rig.gatherer->exchange().live() == 0; });
+        return live;
+    };
+    CHECK(taken(4) == 2);
+    {
+        Staff beside(change);
+        // Its record is seen once the old process looks again.
+        until(io, [&] { return old.rig.gatherer->limitsShare() == 0.5; });
+        CHECK(beside.rig.gatherer->limitsShare() == 0.5 && taken(4) == 1);
+    }
+    until(io, [&] { return old.rig.gatherer->limitsShare() == 1; });
+    CHECK(taken(4) == 2);
+}
+
 void aCallThatCantBeStoredChangesNothing() {
     Staff staff([](Config& c) { c.stateFolder = "no-such-folder"; });
     CHECK(staff.call(put("/ops/track-hosts/down/h0")).status == 503 && staff.stat("hosts_down") == 0);
@@ -206,6 +287,8 @@
     drainsAndIsUndone();
     hostsOutByHandOutliveTheProcess();
     figuresAreWhatPeersSaw();
+    everyRequestIsAnsweredOverAnUpgrade();
+    twoProcessesShareTheOpenCap();
     aCallThatCantBeStoredChangesNothing();
     damagedFilesAreIgnored();
 }
