End connections with their answer once askers hold over half of the places

Lines at fault: HttpConnection::respond kept every connection whatever the places left. Test: 16 places, 40 clients that ask once: eight stay, each later one hears that its connection ends; without the change the first CHECK on keepAlive fails by its own words (i < 8), as all 40 were kept.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -87,7 +87,7 @@
     state_ = State::handling;
     partialSince_ = 0;
     if (state == HttpReader::State::complete) {
-        asked_ = true;
+        if (!std::exchange(asked_, true)) ++server_.askers_;
         const HttpMessage message = reader_.message();
         keepAlive_ = message.keepAlive;
         server_.handler_(message, shared_from_this());
@@ -105,7 +105,7 @@
     if (state_ != State::handling) return;  // the client has gone
     handedOver_ = std::move(handedOver);
     gone_ = nullptr;
-    if (server_.closing_) keepAlive_ = false;
+    if (server_.closing_ || server_.crowded()) keepAlive_ = false;
     out_ = response(status, type, body, keepAlive_, extra);
     state_ = State::writing;
     since_ = server_.clock_.now();
@@ -171,6 +171,7 @@
     asio::error_code ignored;
     socket_.close(ignored);
     server_.connections_.erase(place_);
+    if (asked_) --server_.askers_;
     handedOver_ = nullptr;
     if (gone_) std::exchange(gone_, nullptr)();
 }
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -94,6 +94,9 @@
     void accept();
     void acceptSome();
     void acceptLater();
+    // Those who ask hold over half of the places: who has its answer goes in order, before others have to be closed
+    // for newcomers. Those who say nothing don't count: they must not cost the others their connections.
+    bool crowded() const { return 2 * askers_ > max_; }
     void adopt(asio::ip::tcp::socket socket);
     bool makeRoom();
     void sweep();
@@ -105,6 +108,7 @@
     Handler handler_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer timer_, timerAccept_;
+    std::size_t askers_ = 0;  // connections on which a whole message has come
     bool closing_ = false, accepting_ = false;
     std::list<std::shared_ptr<HttpConnection>> connections_;  // longest idle first
 };
--- a/tests/net/sockets_test.cpp
+++ b/tests/net/sockets_test.cpp
@@ -157,6 +157,21 @@
     until(rig.io, [&] { return regular.peer->ended && rig.gatherer->clients() == 0; });
 }
 
+// Who asks and stays would shut out who comes later: from half of the places on, an answer ends its connection.
+void sendsAskersAwayInOrderWhenPlacesRunShort() {
+    Pair hosts;
+    Rig rig(hosts.addresses(), [](Config& c) { c.sockets = 48; });  // 16 of them for clients
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < 40; ++i) {
+        clients.push_back(std::make_unique<Client>(rig.io, rig.gatherer->endpoint()));
+        const Answer a = clients.back()->ask(query("t" + std::to_string(i), {0}));
+        CHECK(a.status == 200 && a.keepAlive == (i < 8));
+        if (!a.keepAlive) clients.back()->peer->close();
+        if (i >= 8) until(rig.io, [&] { return rig.gatherer->clients() == 8; });
+    }
+    for (int i = 0; i < 8; ++i) CHECK(!clients[static_cast<std::size_t>(i)]->peer->ended);
+}
+
 // Closing while a client still sends would reset its connection before it reads why.
 void answersWhoStillSends() {
     Pair hosts;
@@ -446,6 +461,7 @@
     triesAgainElsewhere();
     brokenConnections();
     badFramesCloseOnlyTheirConnection();
+    sendsAskersAwayInOrderWhenPlacesRunShort();
     shedsThoseWhoSayNothing();
     answersWhoStillSends();
     countsTheTimeInTheBuffer();
