--- a/src/emulator/clients.cpp
+++ b/src/emulator/clients.cpp
@@ -194,7 +194,7 @@
     out.sent.push_back(std::move(t));
 }
 
-bool ClientDesk::ended(Millis now, std::uint64_t number, TryEnd end, Millis retryAfter) {
+bool ClientDesk::ended(Millis now, std::uint64_t number, TryEnd end, Millis retryAfter, double share) {
     const auto found = out_.find(number);
     if (found == out_.end()) return false;
     const TryPtr t = found->second;
@@ -205,6 +205,7 @@
         const ClassSpec& c = scenario_.classes[static_cast<std::size_t>(q.klass)];
         q.took = now - q.at;
         q.result = q.took <= c.aim ? Result::inAim : Result::late;
+        q.earned = (q.result == Result::inAim ? 1 : c.lateWorth) * (share < 1 - 1e-6 ? c.shortWorth * share : 1);
         return true;
     }
     const bool honours = unitOf(t->query, Purpose::honours) < scenario_.clients.honourShare;
--- a/src/emulator/clients.hpp
+++ b/src/emulator/clients.hpp
@@ -50,7 +50,8 @@
     std::uint64_t key = 0;
     int tries = 0;
     Result result = Result::open;
-    Millis took = 0;  // to its last outcome
+    Millis took = 0;    // to its last outcome
+    double earned = 0;  // share of its worth
 };
 
 enum class TryEnd { answered, refused, failed };
@@ -67,7 +68,8 @@
     Millis next() const;  // 1e300: none
     void advance(Millis now, ClientActions& out);
     // A try's final answer has come. False: it was over already.
-    bool ended(Millis now, std::uint64_t number, TryEnd end, Millis retryAfter);
+    // `share`: of its weight that the answer held.
+    bool ended(Millis now, std::uint64_t number, TryEnd end, Millis retryAfter, double share = 1);
     // Its gatherer's process died, or took no connection.
     void lost(Millis now, std::uint64_t number);
     void lostAt(Millis now, int gatherer);  // all that are out there
--- a/src/emulator/gatherer_settings.cpp
+++ b/src/emulator/gatherer_settings.cpp
@@ -32,15 +32,17 @@
 }  // namespace
 
 std::string gathererSettings(const Scenario& s, int me) {
-    Json classes = Json::array(), needs = Json::array();
+    Json classes = Json::array(), needs = Json::array(), least = Json::array(), worth = Json::array();
     for (const ClassSpec& c : s.classes) {
         classes.push_back({{"name", c.name},
                            {"promise", nanos(c.aim)},
                            {"deadline", nanos(c.giveUp)},
                            {"points", c.worth},
-                           {"lateWorth", 0.0},
-                           {"effect", "safe"}});
+                           {"lateWorth", c.lateWorth},
+                           {"effect", c.repeats ? "safe" : "unsafe"}});
         needs.push_back(1.0);
+        least.push_back(c.leastShare);
+        worth.push_back(c.shortWorth);
     }
     const Json json = {{"classes", classes},
                        {"balancers", s.gathererCount()},
@@ -50,11 +52,12 @@
                        {"costs", {{"crossZone", 0.02}}},
                        {"familyInfo",
                         {{"shards", s.slices()},
-                         {"cells", s.hostCount()},
-                         {"span", s.copies},
+                         {"cells", s.cells()},
+                         {"span", s.span()},
                          {"bundleMax", 1},
                          {"completeFrom", needs},
-                         {"leastShare", needs}}},
+                         {"leastShare", least},
+                         {"shortWorth", worth}}},
                        {"permissions",
                         {{"dialTimeout", nanos(250)},
                          {"maxAttempts", s.maxAttempts},
@@ -72,7 +75,7 @@
                          {"coldFrom", s.host.coldFrom},
                          {"overloadFactor", s.host.overloadFactor},
                          {"fall", nanos(s.host.overloadTime)}}},
-                       {"report", {{"how", "piggyback"}}}};
+                       {"report", {{"how", s.reportsByProbe ? "pull" : "piggyback"}}}};
     return json.dump();
 }
 
--- a/src/emulator/host.cpp
+++ b/src/emulator/host.cpp
@@ -13,6 +13,11 @@
 constexpr double kTiny = 1e-9;       // work: what rounding may leave of a task
 constexpr std::size_t kSeen = 16;    // reports on their way at once; later ones push out the oldest
 
+double speedOf(const HostKind& kind, const Draw& draw) {
+    const Range& range = draw.unit(1) < kind.olderShare ? kind.olderSpeed : kind.speed;
+    return draw.between(range.from, range.to, 0);
+}
+
 }  // namespace
 
 HostModel::HostModel(const HostKind& kind, const CancelPolicy& policy, std::uint64_t seed,
@@ -21,7 +26,7 @@
       policy_(policy),
       fails_(seed, Purpose::partFails, subject),
       noise_(seed, Purpose::reportNoise, subject),
-      speed_(Draw(seed, Purpose::hostSpeed, subject).between(kind.speed.from, kind.speed.to, 0)),
+      speed_(speedOf(kind, Draw(seed, Purpose::hostSpeed, subject))),
       now_(now),
       startedAt_(now),
       cold_(cold && kind.coldTime > 0) {
--- a/src/emulator/real_agent.cpp
+++ b/src/emulator/real_agent.cpp
@@ -109,7 +109,7 @@
         HostEntry e;
         e.entry.id = host.id;
         e.entry.state = stateOf(host.state);
-        e.entry.cell = host.place;
+        e.entry.cell = stage_.world().scenario().cellOf(host.place);
         e.entry.zone = stage_.world().scenario().sites[static_cast<std::size_t>(host.site)].name;
         e.entry.kind = "emulated";
         e.entry.startedAt =
--- a/src/emulator/results.cpp
+++ b/src/emulator/results.cpp
@@ -156,9 +156,10 @@
     double sum = 0;
     for (std::size_t n = 0; n < queries.size(); ++n)
         for (const TryPart& part : world.desk().partsOf(n))
-            for (int j = 0; j < s.copies; ++j) {
+            for (std::size_t place = 0; place < places; ++place) {
+                if (!s.holds(static_cast<int>(place), part.slice)) continue;
                 const double w = world.desk().work(n, part.slice) / s.copies;
-                work[(static_cast<std::size_t>(part.slice) + static_cast<std::size_t>(j)) % places] += w;
+                work[place] += w;
                 sum += w;
             }
     for (const double w : work) worst(check.byPlace, w, sum / static_cast<double>(places));
@@ -174,12 +175,13 @@
     std::vector<Tally> tallies(s.classes.size());
     for (const QueryRecord& q : world.desk().queries()) tallies[static_cast<std::size_t>(q.klass)].add(q);
     double asked = 0, served = 0;
+    for (const QueryRecord& q : world.desk().queries())
+        served += q.earned * s.classes[static_cast<std::size_t>(q.klass)].worth;
     for (std::size_t c = 0; c < tallies.size(); ++c) {
         const Tally& t = tallies[c];
         r.classes.push_back({s.classes[c].name, t.offered, t.inAim, t.late, t.refused, t.failed,
                              quantile(t.took, 0.5), quantile(t.took, 0.9), quantile(t.took, 0.99)});
         asked += static_cast<double>(t.offered) * s.classes[c].worth;
-        served += static_cast<double>(t.inAim) * s.classes[c].worth;
     }
     r.service = asked > 0 ? served / asked : 1;
     r.load = loadOf(world);
--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -25,6 +25,8 @@
             return "cold-hosts";
         case Rule::honestWhole:
             return "honest-whole";
+        case Rule::once:
+            return "once";
         case Rule::values:
             return "values";
         case Rule::asked:
@@ -41,6 +43,10 @@
     return std::accumulate(std::begin(broken_), std::end(broken_), std::uint64_t{0});
 }
 
+const ClassSpec& RulesChecker::classOf(const Open& open) const {
+    return scenario_.classes[static_cast<std::size_t>(open.request->klass)];
+}
+
 void RulesChecker::breach(Rule rule, const RunEvent& event, std::string text) {
     if (++broken_[static_cast<std::size_t>(rule)] > kMostKept) return;
     const std::string query = event.tryNumber > 0 ? fmt::format("q{:x}", event.tryNumber) : std::string();
@@ -77,6 +83,9 @@
         case RunEvent::Kind::given:
             if (found != tries_.end()) found->second.given.insert({event.slice, event.value});
             return;
+        case RunEvent::Kind::turnedAway:
+            if (found != tries_.end()) ++found->second.turnedAway[event.slice];
+            return;
         case RunEvent::Kind::pushedOver:
             return breach(Rule::coldHosts, event, "a cold host was sent too much and fell over");
         case RunEvent::Kind::unasked:
@@ -102,9 +111,10 @@
     std::set<int> in;
     for (const auto& [slice, value] : event.parts) in.insert(slice);
     std::size_t missing = 0;
+    double share = 0;
     for (const TryPart& part : open.request->parts)
-        if (!in.contains(part.slice)) ++missing;
-    if (missing > 0)
+        in.contains(part.slice) ? share += part.share : ++missing;
+    if (missing > 0 && (event.whole || share < classOf(open).leastShare - 1e-6))
         breach(Rule::honestWhole, event,
                fmt::format("{} with {} of {} parts missing", event.whole ? "called whole" : "answered",
                            missing, open.request->parts.size()));
@@ -134,6 +144,11 @@
         breach(Rule::asked, event, fmt::format("slice {} is none of this request's", event.slice));
     check(Rule::attempts);
     const int count = ++found->second.attempts[event.slice];
+    if (!classOf(found->second).repeats) {
+        check(Rule::once);
+        if (count > 1 && found->second.turnedAway[event.slice] < count - 1)
+            breach(Rule::once, event, fmt::format("slice {}: sent again though it may have run", event.slice));
+    }
     if (count > scenario_.maxAttempts)
         breach(Rule::attempts, event, fmt::format("slice {}: attempt number {}", event.slice, count));
 }
--- a/src/emulator/rules.hpp
+++ b/src/emulator/rules.hpp
@@ -19,7 +19,8 @@
     drainsKept,   // nothing new to a host over 1 s after word that it drains or is gone
     attempts,     // at most so many attempts a part
     coldHosts,    // no cold host pushed over
-    honestWhole,  // whole only with all parts in; and these classes want all
+    honestWhole,  // whole only with all parts in; and no answer from less than the class allows
+    once,         // no part of a class that must not repeat is sent again, unless it never ran
     values,       // values only as a host gave them for that very request
     asked,        // only parts that a client asked for, from hosts that hold their slice
     count
@@ -56,7 +57,7 @@
         TryPtr request;
         int finals = 0;
         bool excused = false;  // its client left, or its gatherer died
-        std::map<int, int> attempts;
+        std::map<int, int> attempts, turnedAway;
         std::set<std::pair<int, std::string>> given;
     };
     struct Word {
@@ -65,6 +66,7 @@
     };
     void breach(Rule rule, const RunEvent& event, std::string text);
     void check(Rule rule) { ++checked_[static_cast<std::size_t>(rule)]; }
+    const ClassSpec& classOf(const Open& open) const;
     void onFinal(const RunEvent& event);
     void onSent(const RunEvent& event);
     void expire(Millis now);
--- a/src/emulator/run_event.hpp
+++ b/src/emulator/run_event.hpp
@@ -20,6 +20,7 @@
         told,        // discovery wrote a host's state to a gatherer
         sent,        // an attempt was written to a host
         given,       // a host answered an attempt with a value
+        turnedAway,  // a host sent an attempt away unseen: it never ran
         pushedOver,  // a cold host fell over
         unasked      // a part that no client asked for, or of a slice that its host does not hold
     };
--- a/src/emulator/scenario.hpp
+++ b/src/emulator/scenario.hpp
@@ -33,6 +33,8 @@
     Millis handshakeTime = 1.0;   // and the time until it carries a request
     Millis probeWork = 0.4;
     Range speed{0.95, 1.05};  // of each host, against the work as stated
+    double olderShare = 0;    // of the hosts are of an older kind,
+    Range olderSpeed{0.7, 0.8};  // whose speed is this
     double coldFrom = 0.3;    // share of its capacity right after a start
     Millis coldTime = 12'000;
     bool warmByWork = false;  // else by time alone
@@ -68,6 +70,10 @@
     int partsFrom = 1, partsTo = 1;
     double partsShare = 0;  // above 0: this share of all slices, partsFrom at least
     Range work{80, 110};    // of a part
+    bool repeats = true;    // false: a part that may have run is not sent again
+    double lateWorth = 0;   // share of the worth after the aim
+    double leastShare = 1;  // of the parts' weight, from which an answer may be given
+    double shortWorth = 0;  // such an answer earns this times its share
 };
 
 struct LoadPoint {  // straight lines between points; two at one time are a step
@@ -131,7 +137,9 @@
     Range sameSite{0.15, 0.34};   // one way
     Range crossSite{0.42, 0.78};  // one way
     int slicesPerHost = 2;
-    int copies = 2;  // hosts that hold a slice
+    int copies = 2;              // hosts that hold a slice
+    bool sets = false;           // the hosts of a set hold the same slices; else a ring
+    bool reportsByProbe = false;  // else with every answer
     HostKind host;
     CancelPolicy cancel;
     Range listLag{400, 2'000};  // until a change of the list is told
@@ -148,7 +156,11 @@
 
     int hostCount() const;
     int gathererCount() const;
-    int slices() const { return hostCount() * slicesPerHost; }
+    int cells() const { return sets ? hostCount() / copies : hostCount(); }
+    int span() const { return sets ? 1 : copies; }  // cells in a row that hold a slice
+    int cellOf(int place) const { return sets ? place / copies : place; }
+    bool holds(int place, int slice) const;
+    int slices() const { return cells() * slicesPerHost; }
     double rateAt(Millis at) const;                       // queries a second that the load states
     double queriesBetween(Millis from, Millis to) const;  // the integral of that
     int siteOfGatherer(int gatherer) const;
--- a/src/emulator/virtual_run.cpp
+++ b/src/emulator/virtual_run.cpp
@@ -33,7 +33,7 @@
     HostEntry e;
     e.entry.id = host.id;
     e.entry.state = stateOf(host.state);
-    e.entry.cell = host.place;
+    e.entry.cell = scenario.cellOf(host.place);
     e.entry.zone = scenario.sites[static_cast<std::size_t>(host.site)].name;
     e.entry.kind = "emulated";
     e.entry.startedAt = host.startedAt < 0 ? 0 : toNanos(Clock::kOrigin + host.startedAt);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -51,6 +51,7 @@
 constexpr double kSpread = 1.5;         // slowest of a query's parts against the slowest expected one
 constexpr double kPartTolerance = 0.4;  // E7: even the lightest part is asked within this share of the time
 constexpr double kPartMargin = 0.2;     // E7: weight kept beyond the least share, for parts that do not come
+constexpr double kCheap = 0.35;   // of the time left: what is worth least for its work may take so long
 constexpr double kOverShare = 1.5;      // a tenant is over its share from this multiple on: traffic is uneven
 constexpr double kSure = 2;             // standard deviations by which chance must be ruled out there
 constexpr double kLeft = 0.5;           // E10: clients seen to leave of late, from which on it acts
@@ -742,7 +743,7 @@
         const double worth = classOf(q).worth * (over ? set.overShareWorth : 1) /
                              (static_cast<double>(q.parts.size()) + 0.5 * classOf(q).secondStep);
         density.add(now, worth);
-        const double tolerance = std::clamp(worth / density.value(now, worth), over ? 0.3 : 0.8, 1.0);
+        const double tolerance = std::clamp(worth / density.value(now, worth), over ? 0.3 : kCheap, 1.0);
         if (partial(q))  // the heaviest parts get the shortest queues
             std::stable_sort(q.parts.begin(), q.parts.end(),
                              [](auto& a, auto& b) { return a.weight > b.weight; });
