Fence off a group founded before, and let only willing members hold duties

Seen: after a founding anew fencing numbers began at 1 again, so a holder of the old group could not be told from one of the new (found by the checker: one number, two holders). Change: the group's number stands above the fence. Seen: 300 members in session sent 1.2 MB a second through the leader; only members that are willing open one now, learners pull.

--- a/src/duties/holder.cpp
+++ b/src/duties/holder.cpp
@@ -11,8 +11,14 @@
 }  // namespace
 
 Holder::Holder(Times times, std::string self, Life life, std::vector<std::string> members, std::uint64_t seed,
-               Millis now)
-    : times_(times), self_(std::move(self)), life_(life), members_(std::move(members)), random_(seed), renewAt_(now) {
+               Millis now, bool willing)
+    : times_(times),
+      self_(std::move(self)),
+      life_(life),
+      members_(std::move(members)),
+      random_(seed),
+      renewAt_(now),
+      willing_(willing) {
     turn_ = static_cast<std::size_t>(draw() * static_cast<double>(members_.size()));
 }
 double Holder::draw() {
@@ -101,7 +107,7 @@
         drop(now);
         if (!leaving_) leader_.clear();
     }
-    if (session_ == 0 && !leaving_ &&
+    if (session_ == 0 && willing_ && !leaving_ &&
         std::none_of(requests_.begin(), requests_.end(), [](auto& r) { return r.command.op == Op::open; }) &&
         now >= silentUntil_) {
         Command c;
@@ -118,7 +124,7 @@
 Millis Holder::next() const {
     Millis at = 1e300;
     if (session_ != 0) at = std::min(until_, leaving_ ? until_ : renewAt_);
-    if (session_ == 0 && !leaving_) at = std::min(at, silentUntil_);
+    if (session_ == 0 && willing_ && !leaving_) at = std::min(at, silentUntil_);
     if (!requests_.empty()) at = std::min(at, requests_.front().sentAt + kAgain);
     return at;
 }
--- a/src/duties/holder.hpp
+++ b/src/duties/holder.hpp
@@ -27,8 +27,9 @@
 class Holder {
 public:
     // `members`: whom to ask for the leader.
+    // `willing`: to hold duties; who is not opens no session, and costs nobody anything.
     Holder(Times times, std::string self, Life life, std::vector<std::string> members, std::uint64_t seed,
-           Millis now);
+           Millis now, bool willing = true);
 
     void receive(Millis now, const Message& message, std::vector<Message>& out);
     void advance(Millis now, std::vector<Message>& out);
@@ -85,7 +86,7 @@
     std::deque<Request> requests_;
     std::uint64_t number_ = 0, handle_ = 0;
     std::vector<Outcome> outcomes_;
-    bool leaving_ = false;
+    bool willing_ = true, leaving_ = false;
     Millis openSent_ = 0;
 };
 
--- a/src/duties/table.cpp
+++ b/src/duties/table.cpp
@@ -71,6 +71,8 @@
     ++evicted_;
 }
 
+std::uint64_t Table::raise(Duty& d) const { return d.fence = std::max(d.fence, base_) + 1; }
+
 Result Table::carryOut(Index index, const Command& c) {
     const auto s = sessions_.find(c.member);
     const bool known = s != sessions_.end() && s->second.number == c.session;
@@ -100,7 +102,7 @@
             if (d == duties_.end() || !d->second.holder.empty())
                 return {Verdict::no, d == duties_.end() ? 0 : d->second.fence, c.session};
             d->second.holder = c.member, d->second.session = c.session;
-            return {Verdict::yes, ++d->second.fence, c.session};
+            return {Verdict::yes, raise(d->second), c.session};
         }
         case Op::giveUp:
         case Op::hand: {
@@ -114,7 +116,7 @@
             const auto next = sessions_.find(c.to);  // not in session: it is free
             if (next == sessions_.end()) return {Verdict::wait, c.fence, c.session};
             d->second.holder = c.to, d->second.session = next->second.number;
-            return {Verdict::yes, ++d->second.fence, c.session};
+            return {Verdict::yes, raise(d->second), c.session};
         }
     }
     return {};
--- a/src/duties/table.hpp
+++ b/src/duties/table.hpp
@@ -25,6 +25,7 @@
 
 inline constexpr std::size_t kMostDuties = 1000;
 inline constexpr std::size_t kMostSessions = 512;  // open at once
+inline constexpr int kFenceBits = 32;           // above these stands the group's number
 inline constexpr std::size_t kMostAnswers = 1024;  // answers to requests kept, the oldest goes first
 
 enum class Op : std::uint8_t { open, close, want, grant, giveUp, hand };
@@ -65,6 +66,7 @@
 
 class Table : public ledger::Machine {
 public:
+    void begin(std::uint64_t number) override { base_ = number << kFenceBits; }
     void apply(Index index, ledger::Term term, const std::string& data) override;
     std::string save() const override;
     void load(const std::string& saved) override;
@@ -81,6 +83,7 @@
 
 private:
     Result carryOut(Index index, const Command& c);
+    std::uint64_t raise(Duty& duty) const;
     void release(const std::string& member, bool lost);
     struct Answered {
         std::uint64_t number = 0;
@@ -91,6 +94,7 @@
     std::map<std::string, Session> sessions_;
     // The newest of each life: a late request of an earlier one must not make a later one's be done twice.
     std::map<std::pair<std::string, Life>, Answered> answers_;
+    std::uint64_t base_ = 0;  // of fencing numbers: a group founded anew fences off the one before
     std::uint64_t evicted_ = 0, unknown_ = 0;
 };
 
--- a/src/emulator/group_world.cpp
+++ b/src/emulator/group_world.cpp
@@ -43,6 +43,7 @@
         m->options.self = names[static_cast<std::size_t>(i)];
         m->options.members = names;
         m->options.voters = voters;
+        m->options.willing = i < plan_.willing;
         m->options.ledger.safeguards = plan_.safeguards;
         m->options.ledger.mostEntries = 40;  // cut often
         m->options.times = plan_.times;
--- a/src/emulator/group_world.hpp
+++ b/src/emulator/group_world.hpp
@@ -22,6 +22,7 @@
 struct GroupPlan {
     int members = 5;
     int voters = 5;
+    int willing = 1000;        // members from the first on that hold duties
     int duties = 3;
     Millis length = 40'000;    // faults come in its first part
     Millis quiet = 12'000;     // and none in this last one, in which all must come to rest
--- a/src/group/core.cpp
+++ b/src/group/core.cpp
@@ -34,7 +34,8 @@
       life_(life),
       ledger_(options_.ledger, options_.self, life, options_.voters, seed, now, table_, kept),
       keeper_(options_.times, options_.self, life, ledger_, table_),
-      holder_(options_.times, options_.self, life, options_.voters, seed ^ 0x9E3779B97F4A7C15ULL, now) {}
+      holder_(options_.times, options_.self, life, options_.voters, seed ^ 0x9E3779B97F4A7C15ULL, now,
+              options_.willing) {}
 
 void Core::settle(Millis now, ledger::Actions& actions, std::vector<duties::Message>& said, Step& out) {
     // Own words to oneself are carried out at once; each may bring more.
--- a/src/group/core.hpp
+++ b/src/group/core.hpp
@@ -20,6 +20,7 @@
     std::string self;
     std::vector<std::string> members;  // all, by name
     std::vector<std::string> voters;   // that a new group begins with
+    bool willing = true;               // to hold duties
     ledger::Options ledger;
     duties::Times times;
 };
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Millis kAsk = 300;             // between questions of one that recovers
+constexpr Millis kNext = 60;             // a learner that is behind asks on after so long and as much again
 constexpr Millis kFounding = 5000;       // that an operator's word to found holds
 constexpr const char* kNoVote = "?";     // no vote in this term: what was done in it is forgotten
 
@@ -65,7 +66,7 @@
       askAt_(now),
       nonce_(life) {
     if (kept && kept->number != 0) {
-        number_ = kept->number;
+        joins(kept->number);
         term_ = kept->term, promised_ = kept->promised, vote_ = kept->vote;
         base_ = kept->base, baseTerm_ = kept->baseTerm, baseDigest_ = kept->baseDigest;
         if (!kept->baseVoters.empty()) baseVoters_ = kept->baseVoters;
@@ -178,6 +179,10 @@
     leader_.clear();
     out.keep = true;
 }
+void Ledger::joins(std::uint64_t number) {
+    number_ = number;
+    if (number != 0) machine_.begin(number);
+}
 void Ledger::follow(Millis now, const char* why, Actions& out) {
     if (role_ == Role::leader) {
         ++counters_.stepsDown;
@@ -598,9 +603,8 @@
         send(m.from, t, out);
     }
 }
-void Ledger::on(Millis now, const Message& m, const Tail& b, Actions& out) {
+void Ledger::on(Millis now, const Message&, const Tail& b, Actions& out) {
     if (role_ != Role::learner) return;
-    if (number_ == 0) number_ = m.number;
     if (last() > commit_) cutFrom(commit_ + 1);  // of a time as a voter
     leader_.clear();
     if (!take(b.prev, b.prevDigest, b.holds, b.entry, out)) return;
@@ -609,7 +613,7 @@
     if (settled > commit_) {
         commit_ = settled;
         applySettled(out);
-        if (commit_ < b.commit && commit_ % options_.window == 0) askAt_ = std::min(askAt_, now + 20);
+        if (commit_ < b.commit) askAt_ = std::min(askAt_, now + kNext * (1 + draw()));
     }
     roleByVoters(now, out);
 }
@@ -642,12 +646,12 @@
 void Ledger::on(Millis now, const Message& m, const StateReply& b, Actions& out) {
     if (b.nonce != nonce_) return;
     if (role_ == Role::learner && number_ == 0) {
-        number_ = b.number;
+        joins(b.number);
         return;
     }
     if (role_ != Role::empty && role_ != Role::recovering) return;
     if (b.number != 0 && role_ == Role::empty) {
-        number_ = b.number;
+        joins(b.number);
         role_ = Role::recovering;
         founding_ = 0;
         out.notes.push_back("ledger: others have a state; this member asks for it before it votes");
@@ -666,7 +670,7 @@
         const auto a = answers_.find(name);
         if (a == answers_.end() || a->second.reply.standing != Standing::empty) return;
     }
-    number_ = founding_;
+    joins(founding_);
     role_ = Role::follower;
     out.keep = true;
     for (const std::string& name : firstVoters_)
@@ -686,7 +690,7 @@
     answers_.clear();
     askState(now, out);
     if (firstVoters_.size() == 1) {
-        number_ = number;
+        joins(number);
         role_ = Role::follower;
         out.keep = true;
     }
@@ -696,7 +700,7 @@
     if (b.life != life_ || b.number == 0 || (role_ != Role::empty && role_ != Role::recovering)) return;
     if (number_ != 0 && number_ != b.number) return;
     if (last() > 0 && !isVoter(self_)) return;
-    number_ = b.number;
+    joins(b.number);
     role_ = Role::follower;
     out.keep = true;
     armElection(now);
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -38,6 +38,8 @@
 class Machine {
 public:
     virtual ~Machine() = default;
+    // Which group this is, before anything is applied: the same at all members, higher for each new founding.
+    virtual void begin(std::uint64_t number) { (void)number; }
     virtual void apply(Index index, Term term, const std::string& data) = 0;
     virtual std::string save() const = 0;
     virtual void load(const std::string& saved) = 0;
@@ -153,6 +155,7 @@
     bool votes() const;
     void armElection(Millis now);
     void newTerm(Term term, Actions& out);
+    void joins(std::uint64_t number);
     void follow(Millis now, const char* why, Actions& out);
     void startPreVote(Millis now, Actions& out);
     void startElection(Millis now, Actions& out);
