Keep the place of a call that was given up, and claim parts in the turn they are written

Checked: a trace of each claim and outcome. Cause: FrameConnection::abandon released the call's place (frames.cpp, release(found)), while the host goes on with the work and reads nothing beyond the calls of a connection. The next part written there waited unread, was given up too and sent elsewhere, and the host read the first when the place came free: a second copy, long after its time. Change: a given up part keeps its place until its late answer; where such places are half of a connection's, it takes nothing new and closes once nothing else is out, which gives up the rest. Counter connectionsClogged.

Also, from reading: bytes were claimed into one buffer and written when the host's side had room. Now what is claimed is written in the same turn; whole frames that found no room are parts again and pass claim anew, a cut frame that nobody wants ends its connection, and what was written is known exactly (never "perhaps" by being under way). The socket's own buffer is 128 KB. A host's end that stands in the socket is looked for before a part goes on an idle connection, since it would count as perhaps run. A late answer other than a value ends the given up attempt, not the part's later one on the same connection. New: Exchange::wanted, endAll, goneBeforeSent and goneAfterSent.

--- a/src/back/frames.cpp
+++ b/src/back/frames.cpp
@@ -1,70 +1,120 @@
 #include "back/frames.hpp"
 
 #include <algorithm>
-#include <asio/write.hpp>
+#include <ranges>
+#include <set>
 
 namespace beechpoint::back {
 
+using asio::ip::tcp;
+
 namespace {
 
 constexpr std::size_t kReadSize = 8192;
 // A track host writes a frame in one go: where the rest is not there by then, the length was wrong or the end
 // is lost, and all that is out on the connection waits for nothing.
 constexpr Millis kRestWithin = 60;
-constexpr std::size_t kCancelledKept = 128;
 
 }  // namespace
 
 FrameConnection::FrameConnection(Pool& pool, std::string server)
     : HostConnection(pool, std::move(server)), stall_(pool.io()) {}
 
+// What is claimed is written in the same turn. Frames that the host's side has no room for are not kept as bytes: their parts
+// wait on as parts, and pass claim again once there is room.
 void FrameConnection::fill() {
     // Not before all that has come is read: the bytes behind an answer may spoil the connection.
     if (state_ != State::open || writing_ || filling_ || parsing_) return;
+    if (hopeless()) return close(End::spoilt);
+    if (!waiting_.empty() && calls_.empty() && outgoing_.empty() && peerEnded()) return close(End::broken);
     filling_ = true;  // claim() may come back here
-    outgoing_ = std::exchange(more_, {});
-    marks_.clear();
+    for (const std::string& frame : std::exchange(more_, {})) {
+        filled_.push_back({outgoing_.size(), outgoing_.size() + frame.size(), 0, {}, false});
+        outgoing_ += frame;
+    }
     while (!waiting_.empty() && calls_.size() < pool_.limits().calls) {
-        const std::vector<Attempt> parts = std::move(waiting_.front());
+        std::vector<Attempt> parts = std::move(waiting_.front());
         waiting_.pop_front();
-        const std::uint64_t call = ++lastCall_;
-        std::string body;
-        for (const Attempt& a : parts) {
-            if (!claim(a)) continue;
-            std::string id = partId(*a.request, a.slice);
-            writePart(body, id, a.slice, a.until - pool_.clock().now(), a.request->text);
-            ++calls_[call];
-            marks_.push_back({0, id, call});
-            out_[std::move(id)] = {a.id, call, false, pool_.clock().now()};
-        }
-        if (body.empty()) continue;
-        writeFrame(outgoing_, 'S', body);
-        for (Mark& m : marks_)
-            if (m.call == call) m.end = outgoing_.size();
+        claimCall(std::move(parts));
     }
     filling_ = false;
     if (outgoing_.empty()) return closeIfDone();
-    writing_ = true;
     used();
-    asio::async_write(socket_, asio::buffer(outgoing_),
-                      [this, self = shared_from_this()](asio::error_code error, std::size_t count) {
-                          onWritten(error, count);
-                      });
-}
-
-void FrameConnection::onWritten(asio::error_code error, std::size_t count) {
-    writing_ = false;
-    for (const Mark& m : marks_) {
-        if (m.end > count) continue;
-        pool_.exchange().written();  // also where it was given up meanwhile
-        if (const auto part = out_.find(m.part);
-            part != out_.end() && part->second.call == m.call)
-            part->second.written = true;
+    writeSome();
+}
+
+void FrameConnection::claimCall(std::vector<Attempt> parts) {
+    const std::uint64_t call = ++lastCall_;
+    std::string body;
+    Filled filled;
+    for (Attempt& a : parts) {
+        if (!claim(a)) continue;
+        std::string id = partId(*a.request, a.slice);
+        if (out_.contains(id)) {  // two at once on one connection could not be told apart
+            ended(a.id, Outcome::notSent, {}, {});
+            continue;
+        }
+        writePart(body, id, a.slice, a.until - pool_.clock().now(), a.request->text);
+        ++calls_[call];
+        out_[std::move(id)] = {a.id, call, false, pool_.clock().now()};
+        filled.parts.push_back(std::move(a));
     }
-    if (state_ == State::closed) return;
-    if (error) return close(End::broken);
-    used();
-    fill();
+    if (body.empty()) return;
+    filled.call = call;
+    filled.begin = outgoing_.size();
+    writeFrame(outgoing_, 'S', body);
+    filled.end = outgoing_.size();
+    filled_.push_back(std::move(filled));
+}
+
+void FrameConnection::writeSome() {
+    std::size_t written = 0;
+    asio::error_code error;
+    while (written < outgoing_.size() && !error)
+        written += socket_.write_some(asio::buffer(outgoing_.data() + written, outgoing_.size() - written), error);
+    settle(written);
+    if (error && error != asio::error::would_block) return close(End::broken);
+    if (!error) return closeIfDone();
+    writing_ = true;  // until there is room
+    socket_.async_wait(tcp::socket::wait_write, [this, self = shared_from_this()](asio::error_code failed) {
+        writing_ = false;
+        if (state_ == State::closed) return;
+        failed ? close(End::broken) : fill();
+    });
+}
+
+// So many bytes of `outgoing_` have gone. A frame that has begun has to be ended; whole ones behind it are taken back.
+void FrameConnection::settle(std::size_t written) {
+    std::vector<Filled> cut;
+    std::size_t keep = written;
+    for (Filled& f : filled_ | std::views::reverse) {  // from the last, so that calls taken back stay in order
+        if (f.end <= written) {
+            for (const Attempt& a : f.parts) {
+                pool_.exchange().written(a.id);  // also where it was given up meanwhile
+                if (const auto part = out_.find(partId(*a.request, a.slice)); part != out_.end() && part->second.call == f.call)
+                    part->second.written = true;
+            }
+        } else if (f.begun || f.begin < written) {
+            keep = f.end;
+            cut.push_back(std::move(f));
+        } else if (f.parts.empty()) {
+            more_.insert(more_.begin(), outgoing_.substr(f.begin, f.end - f.begin));
+        } else {
+            for (const Attempt& a : f.parts) out_.erase(partId(*a.request, a.slice));
+            calls_.erase(f.call);
+            waiting_.push_front(std::move(f.parts));
+        }
+    }
+    outgoing_ = outgoing_.substr(written, keep - written);
+    filled_ = std::move(cut);
+    for (Filled& f : filled_) f.begin = 0, f.end = outgoing_.size(), f.begun = true;
+}
+
+// A frame was cut in the middle, and all it brings has been given up since: it must not be ended now, so the connection goes.
+bool FrameConnection::hopeless() const {
+    if (filled_.empty() || filled_.front().parts.empty()) return false;
+    const auto& parts = filled_.front().parts;
+    return std::none_of(parts.begin(), parts.end(), [&](const Attempt& a) { return pool_.exchange().wanted(a.id); });
 }
 
 void FrameConnection::read() {
@@ -113,17 +163,14 @@
     if (part == out_.end() && out_.size() == 1) part = out_.begin();
     const auto self = shared_from_this();
     std::optional<AttemptId> failed;
-    if (part != out_.end()) {
-        failed = part->second.id;
-        release(part);
-    }
+    if (part != out_.end()) failed = release(part);
     close(End::spoilt);
     if (failed) ended(*failed, Outcome::error, {}, {});
 }
 
 // What is left in the buffer is the beginning of a frame, or noise behind an answer.
 void FrameConnection::watchRest(bool progress) {
-    if (in_.size() == 0 || out_.empty()) {
+    if (in_.size() == 0 || (out_.empty() && givenUp_.empty())) {
         stall_.cancel();
         resting_ = suspect_ = false;
         if (in_.size() == 0) return;
@@ -177,17 +224,20 @@
     if (!result || !isText(result->value)) return false;
     std::string part(result->id);
     const auto found = out_.find(part);
-    if (found != out_.end()) {
-        const AttemptId id = found->second.id;
+    const auto late = givenUp_.find(part);
+    // Where the part was given up here and sent here again, either may be meant: a value is as good from both, anything else
+    // is taken for the earlier's end, so that the later never counts as not run while it may be running.
+    if (found != out_.end() && (late == givenUp_.end() || result->outcome == Outcome::served)) {
         const Millis sentAt = found->second.sentAt;
-        release(found);
+        const AttemptId id = release(found);
         answered_ = std::move(part);
         ended(id, result->outcome, result->value, result->load);
         pool_.answered(server_, sentAt);  // last: what it closes may bring anything
         return true;
     }
-    if (const auto late = std::find(cancelled_.begin(), cancelled_.end(), part); late != cancelled_.end()) {
-        cancelled_.erase(late);
+    if (late != givenUp_.end()) {
+        free(late->second);
+        givenUp_.erase(late);
         pool_.counters().add(Counter::lateFrames);
         return true;
     }
@@ -200,29 +250,52 @@
     return true;
 }
 
-void FrameConnection::release(OutParts::iterator part) {
-    if (const auto call = calls_.find(part->second.call); call != calls_.end() && --call->second == 0)
-        calls_.erase(call);
+void FrameConnection::free(std::uint64_t call) {
+    if (const auto place = calls_.find(call); place != calls_.end() && --place->second == 0) calls_.erase(place);
+}
+
+AttemptId FrameConnection::release(OutParts::iterator part) {
+    const AttemptId id = part->second.id;
+    free(part->second.call);
     out_.erase(part);
+    return id;
 }
 
 void FrameConnection::abandon(AttemptId attempt) {
     const auto found =
         std::find_if(out_.begin(), out_.end(), [&](const auto& p) { return p.second.id == attempt; });
     if (found == out_.end()) return;  // still waiting: claim() will stop it
+    const auto self = shared_from_this();
     // Given up with nothing heard in all that time: the connection may be dead, and must not draw what is
     // new.
     if (quiet()) retired_ = true;
-    writeFrame(more_, 'C', found->first);
-    cancelled_.push_back(found->first);
-    if (cancelled_.size() > kCancelledKept) cancelled_.pop_front();
-    release(found);
-    fill();
+    std::string frame;
+    writeFrame(frame, 'C', found->first);
+    more_.push_back(std::move(frame));
+    givenUp_.emplace(found->first, found->second.call);
+    out_.erase(found);
+    retireIfClogged();
+    if (state_ != State::closed) fill();
+}
+
+// Places that the host may still hold are no places: where they are the half, the connection takes nothing new, and once
+// nothing else is out it closes, which gives up what is left at the host.
+void FrameConnection::retireIfClogged() {
+    std::set<std::uint64_t> live;
+    for (const auto& [id, part] : out_) live.insert(part.call);
+    if (2 * (calls_.size() - live.size()) < pool_.limits().calls) return;
+    if (!std::exchange(retired_, true)) pool_.counters().add(Counter::connectionsClogged);
+    if (filling_) return;  // fill() sees to the rest
+    if (out_.empty() && outgoing_.empty()) return close(End::spoilt);
+    handBack();
+    pool_.flush();
 }
 
 void FrameConnection::askProbe() {
     const bool reports = pool_.exchange().settings().reports != firkeel::Reports::none;
-    writeFrame(more_, reports ? 'M' : 'H', {});
+    std::string frame;
+    writeFrame(frame, reports ? 'M' : 'H', {});
+    more_.push_back(std::move(frame));
 }
 
 std::optional<Millis> FrameConnection::oldestOut() const {
@@ -234,8 +307,7 @@
 std::vector<HostConnection::Lost> FrameConnection::lost() {
     std::vector<Lost> lost;
     stall_.cancel();
-    // What was being written when the connection ended otherwise may have arrived whole.
-    for (const auto& [id, part] : out_) lost.push_back({part.id, part.written || writing_});
+    for (const auto& [id, part] : out_) lost.push_back({part.id, part.written});
     out_.clear();
     calls_.clear();
     return lost;
--- a/src/back/frames.hpp
+++ b/src/back/frames.hpp
@@ -27,36 +27,46 @@
         Millis sentAt = 0;
     };
     using OutParts = std::unordered_map<std::string, OutPart>;
-    struct Mark {  // where a part's frame ends in what is being written
-        std::size_t end;
-        std::string part;
-        std::uint64_t call;
+    struct Filled {  // a frame in `outgoing_`: where it begins and ends, and the parts that it brings, if any
+        std::size_t begin = 0, end = 0;
+        std::uint64_t call = 0;
+        std::vector<Attempt> parts;
+        bool begun = false;  // some of it has gone
     };
     std::size_t callsOut() const override { return calls_.size(); }
+    bool partsOut() const override { return !out_.empty(); }
     void read() override;
     void fill() override;
     void askProbe() override;
     std::vector<Lost> lost() override;
     std::optional<Millis> oldestOut() const override;
-    void onWritten(asio::error_code error, std::size_t count);
+    bool hopeless() const;
+    void claimCall(std::vector<Attempt> parts);
+    void writeSome();
+    void settle(std::size_t written);
     void onBytes();
     void onSpoilt();
     void watchRest(bool progress);
     void onStall(bool again);
     bool onFrame(const Frame& frame);
     bool onResult(const Frame& frame);
-    void release(OutParts::iterator part);
+    void free(std::uint64_t call);
+    AttemptId release(OutParts::iterator part);
+    void retireIfClogged();
 
     bool filling_ = false, parsing_ = false;
     bool resting_ = false;  // the rest of a frame is waited for
     asio::steady_timer stall_;
-    std::deque<std::string> cancelled_;  // given up here; an answer may still come. The oldest are forgotten
+    // Given up here, by the part's id, with the call's place: the host may still be at it, and reads nothing beyond the calls
+    // of a connection, so the place stays taken until an answer comes or the connection closes.
+    std::unordered_multimap<std::string, std::uint64_t> givenUp_;
     std::string answered_;               // the last one in: a second copy may follow it
     OutParts out_;                       // by the part's id on the wire
-    std::map<std::uint64_t, std::size_t> calls_;  // places taken: parts still out of each call
+    std::map<std::uint64_t, std::size_t> calls_;  // places taken: parts not yet answered of each call
     std::uint64_t lastCall_ = 0;
-    std::string more_, outgoing_;  // frames without a part, and what is being written
-    std::vector<Mark> marks_;
+    std::vector<std::string> more_;  // frames without a part
+    std::string outgoing_;           // what goes out now, or the rest of a frame that was cut
+    std::vector<Filled> filled_;
 };
 
 }  // namespace beechpoint::back
--- a/src/back/pool.cpp
+++ b/src/back/pool.cpp
@@ -218,6 +218,8 @@
         }
         asio::error_code ignored;
         self->socket_.set_option(tcp::no_delay(true), ignored);
+        self->socket_.set_option(asio::socket_base::send_buffer_size(self->pool_.limits().sendBuffer), ignored);
+        self->socket_.non_blocking(true, ignored);  // writes and looks must not hold up the loop
         self->state_ = State::open;
         self->used();
         self->read();
@@ -241,6 +243,13 @@
 
 void HostConnection::used() { lastUse_ = pool_.clock().now(); }
 
+bool HostConnection::peerEnded() {
+    char byte = 0;
+    asio::error_code error;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 void HostConnection::call(std::vector<Attempt> parts) {
     waiting_.push_back(std::move(parts));
     fill();
--- a/src/back/pool.hpp
+++ b/src/back/pool.hpp
@@ -26,6 +26,7 @@
     std::size_t bundle = 1;    // parts in a call
     std::size_t perHost = 16;  // connections to one host
     std::size_t total = 400;   // to all of them: descriptors are few
+    int sendBuffer = 128 * 1024;  // bytes: what stands there can't be taken back once nobody wants it any more
 };
 
 // "address:port"; nothing where it is malformed.
@@ -56,7 +57,7 @@
     bool open() const { return state_ == State::open && !retired_; }
     bool usable() const { return state_ != State::closed && !retired_ && !suspect_; }
     std::size_t load() const { return callsOut() + waiting_.size(); }
-    bool idle() const { return callsOut() == 0 && waiting_.empty() && probes_.empty() && !writing_; }
+    bool idle() const { return !partsOut() && waiting_.empty() && probes_.empty() && !writing_; }
     Millis idleSince() const { return lastUse_; }
     // Since when something has been out on it with nothing heard; nothing where nothing is out.
     std::optional<Millis> quietSince() const;
@@ -68,7 +69,8 @@
         AttemptId id;
         bool written;  // its last byte, for all that is known
     };
-    virtual std::size_t callsOut() const = 0;
+    virtual std::size_t callsOut() const = 0;  // places taken at the host, for all that is known
+    virtual bool partsOut() const = 0;         // an answer is waited for
     virtual void read() = 0;
     virtual void fill() = 0;               // writes what may be written now
     virtual void askProbe() = 0;           // queues a probe's bytes
@@ -82,6 +84,8 @@
     bool claim(const Attempt& attempt);
     void ended(AttemptId attempt, Outcome outcome, std::string_view value, Load load);
     void used();
+    // The host has ended the connection and nobody has looked yet: what is written now would count as perhaps run.
+    bool peerEnded();
     void closeIfDone();
     void handBack();  // what waits here goes to another connection
 
--- a/src/back/search.cpp
+++ b/src/back/search.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <asio/write.hpp>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -10,6 +9,8 @@
 
 namespace beechpoint::back {
 
+using asio::ip::tcp;
+
 namespace {
 
 using Json = nlohmann::json;
@@ -59,6 +60,7 @@
 
 void SearchConnection::fill() {
     if (state_ != State::open || filling_ || callsOut() > 0 || writing_) return;
+    if (!waiting_.empty() && peerEnded()) return close(End::broken);
     filling_ = true;  // claim() may come back here
     while (!out_ && !waiting_.empty()) {
         const std::vector<Attempt> parts = std::move(waiting_.front());
@@ -80,18 +82,32 @@
 
 void SearchConnection::write(std::string text) {
     outgoing_ = std::move(text);
-    writing_ = true;
     written_ = false;
     used();
-    asio::async_write(socket_, asio::buffer(outgoing_),
-                      [this, self = shared_from_this()](asio::error_code error, std::size_t) {
-                          writing_ = false;
-                          if (state_ == State::closed) return;
-                          if (error) return close(End::broken);
-                          written_ = true;
-                          if (!probing_) pool_.exchange().written();
-                          fill();
-                      });
+    writeSome();
+}
+
+// Where the host's side has no room the rest waits; a search that nobody wants by then is not ended.
+void SearchConnection::writeSome() {
+    asio::error_code error;
+    std::size_t written = 0;
+    while (written < outgoing_.size() && !error)
+        written += socket_.write_some(asio::buffer(outgoing_.data() + written, outgoing_.size() - written), error);
+    outgoing_.erase(0, written);
+    if (error && error != asio::error::would_block) return close(End::broken);
+    if (!error) {
+        written_ = true;
+        if (out_) pool_.exchange().written(*out_);
+        return;
+    }
+    writing_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [this, self = shared_from_this()](asio::error_code failed) {
+        writing_ = false;
+        if (state_ == State::closed) return;
+        if (failed) return close(End::broken);
+        if (out_ && !pool_.exchange().wanted(*out_)) return close(End::spoilt);
+        writeSome();
+    });
 }
 
 void SearchConnection::read() {
@@ -136,7 +152,7 @@
 
 std::vector<HostConnection::Lost> SearchConnection::lost() {
     std::vector<Lost> lost;
-    if (out_) lost.push_back({*out_, written_ || writing_});
+    if (out_) lost.push_back({*out_, written_});
     out_.reset();
     probing_ = false;
     return lost;
--- a/src/back/search.hpp
+++ b/src/back/search.hpp
@@ -24,11 +24,13 @@
 
 private:
     std::size_t callsOut() const override { return out_ || probing_ ? 1 : 0; }
+    bool partsOut() const override { return callsOut() > 0; }
     void read() override;
     void fill() override;
     void askProbe() override { ++probesWaiting_; }
     std::vector<Lost> lost() override;
     void write(std::string text);
+    void writeSome();
     void onAnswer();
 
     const IndexOfClass& indexes_;
@@ -36,7 +38,7 @@
     std::optional<AttemptId> out_;
     bool written_ = false, probing_ = false, filling_ = false;
     int probesWaiting_ = 0;
-    std::string outgoing_;
+    std::string outgoing_;  // what of the request in hand has not gone yet
 };
 
 }  // namespace beechpoint::back
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -51,6 +51,11 @@
     groupDutiesEnded,
     groupPresenceChanges,
     groupConflicts,
+    goneBeforeSent,
+    goneAfterSent,
+    connectionsClogged,
+    clientsFarAhead,
+    configsUnreadable,
     count
 };
 
@@ -97,6 +102,11 @@
     "groupDutiesEnded",
     "groupPresenceChanges",
     "groupConflicts",
+    "goneBeforeSent",
+    "goneAfterSent",
+    "connectionsClogged",
+    "clientsFarAhead",
+    "configsUnreadable",
 };
 
 class Counters {
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -118,6 +118,7 @@
     const auto found = queries_.find(ticket);
     if (found == queries_.end()) return;
     counters_.add(Counter::clientsGone);
+    counters_.add(found->second.sent ? Counter::goneAfterSent : Counter::goneBeforeSent);
     found->second.done = nullptr;  // nothing is owed any more
     finish(ticket, {});
     give(firkeel::QueryGone{ticket});
@@ -145,6 +146,19 @@
     live.done(final);
 }
 
+// Where none of its parts was sent, or the class is safe, coming again is harmless; else nothing is promised.
+void Exchange::endAll() {
+    while (!queries_.empty()) {
+        const auto& [id, live] = *queries_.begin();
+        const RequestId query = id;
+        const firkeel::ClassSettings* klass = classOf(live.request->klass);
+        Final final;
+        final.kind = !live.sent || (klass && klass->effect == firkeel::Effect::safe) ? Final::Kind::refused : Final::Kind::failed;
+        finish(query, std::move(final));
+        give(firkeel::QueryGone{query});
+    }
+}
+
 // ---- server side
 
 Exchange::LivePart* Exchange::partOf(RequestId part) {
@@ -154,20 +168,32 @@
     return &*std::find_if(parts.begin(), parts.end(), [&](const auto& p) { return p.id == part; });
 }
 
+// Its host was drained, its time ran out or its query ended: then it must not be sent any more.
+bool Exchange::live(AttemptId attempt, const Out& out) const {
+    return queryOf_.contains(attempt.part) && up_.contains(out.server) && clock_.now() < out.until;
+}
+
+bool Exchange::wanted(AttemptId attempt) const {
+    const auto found = out_.find(attempt);
+    return found != out_.end() && live(attempt, found->second);
+}
+
 bool Exchange::claim(AttemptId attempt) {
     const auto found = out_.find(attempt);
     if (found == out_.end()) return false;  // cancelled, or timed out
-    const LivePart* part = partOf(attempt.part);
-    // Its host was drained, its time ran out or its query ended while it waited for a connection: it never
-    // ran, and must not any more.
-    if (!part || !up_.contains(found->second.server) || clock_.now() >= found->second.until) {
+    if (!live(attempt, found->second)) {
         conclude(found, Outcome::notSent, {});
         return false;
     }
-    counters_.add(Counter::attemptsSent);
+    if (!std::exchange(found->second.claimed, true)) counters_.add(Counter::attemptsSent);
     return true;
 }
 
+void Exchange::written(AttemptId attempt) {
+    counters_.add(Counter::attemptsWritten);
+    if (const auto query = queryOf_.find(attempt.part); query != queryOf_.end()) queries_.at(query->second).sent = true;
+}
+
 void Exchange::ended(AttemptId attempt, Outcome outcome, std::string_view value, Load load) {
     const auto found = out_.find(attempt);
     if (found == out_.end()) return;  // it had its one outcome: this came late
@@ -265,7 +291,7 @@
     // No attempt outlives its query.
     const Millis until =
         std::min(a.within > 0 ? now + fromNanos(a.within) : live.request->expires, live.request->expires);
-    const auto out = out_.emplace(id, Out{a.server, now, until}).first;
+    const auto out = out_.emplace(id, Out{a.server, now, until, false}).first;
     if (id.number >= settings_.maxAttempts) {
         conclude(out, Outcome::notSent, {});
         return;
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -136,10 +136,16 @@
     std::size_t hostsListed() const { return listed_.size(); }
     std::size_t hostsDown() const;
 
+    // The end of the process is near: each query that is left has its one answer now.
+    void endAll();
+
     // Server side. claim() is asked right before an attempt is written: whether it still may be. Where not,
     // it is over for the server side.
+    // What was claimed and could not be written is claimed again.
     bool claim(AttemptId attempt);
-    void written() { counters_.add(Counter::attemptsWritten); }  // an attempt's last byte
+    // Whether it would still be given leave by claim(); changes nothing.
+    bool wanted(AttemptId attempt) const;
+    void written(AttemptId attempt);  // its last byte
     void ended(AttemptId attempt, Outcome outcome, std::string_view value = {}, Load load = {});
     void probed(const std::string& server, Outcome outcome, Millis took, Load load = {});
 
@@ -170,11 +176,13 @@
         Done done;
         Figures::Held place;
         Millis aimAt = 0;  // its class's aim, or its end where that comes first
+        bool sent = false;  // a part of it was written whole
     };
     struct Out {
         std::string server;
         Millis sentAt = 0;
         Millis until = 0;
+        bool claimed = false;
     };
     using OutMap = std::map<AttemptId, Out>;
 
@@ -192,6 +200,7 @@
     void finish(RequestId query, Final final);
     Final::Why whyEnded(RequestId query) const;
     LivePart* partOf(RequestId part);
+    bool live(AttemptId attempt, const Out& out) const;
     void conclude(OutMap::iterator out, Outcome outcome, Load load);
     const firkeel::ClassSettings* classOf(const std::string& name) const;
     RequestId nextId();
