See a client leave behind what it sent ahead, by reading on and throwing away

Cause: HttpConnection::read() stopped over kMostAhead bytes, so an end or reset behind them was never seen, and the client's request went on being sent, again and again, until its time. While a request is in hand 64 KB are read a turn.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -12,7 +12,9 @@
 namespace {
 
 constexpr std::size_t kReadSize = 4096;
-// A client may send ahead while its request is in hand; reading stops here, so that it can't fill the memory.
+constexpr std::size_t kReadAhead = 16 * kReadSize;  // while a request is in hand, so that an end behind bytes is soon seen
+// A client may send ahead while its request is in hand. More than this is read and thrown away: it can't fill the memory, and its
+// end, which lies behind, is seen.
 constexpr std::size_t kMostAhead = kMaxBody + 2 * kMaxHead;
 constexpr auto kSweepEvery = std::chrono::milliseconds(250);
 constexpr int kAcceptsAtOnce = 16;
@@ -44,7 +46,6 @@
 // Waits for bytes without a buffer for them: hundreds of idle connections must not hold one each.
 void HttpConnection::read() {
     if (readOut_ || state_ == State::closed) return;
-    if (state_ != State::lingering && buffer_.size() > kMostAhead) return;
     readOut_ = true;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code error) {
         self->readOut_ = false;
@@ -55,12 +56,18 @@
 
 void HttpConnection::onReadable() {
     asio::error_code error;
-    if (state_ == State::lingering) {  // thrown away
+    if (state_ != State::lingering && !farAhead_ && buffer_.size() > kMostAhead) {
+        farAhead_ = broken_ = true;
+        server_.log_.seldom("far ahead", "a client sent over {} bytes ahead of its answer: the rest is thrown away",
+                            field("bytes", kMostAhead));
+        if (server_.farAhead_) server_.farAhead_();
+    }
+    if (state_ == State::lingering || farAhead_) {  // thrown away
         // MSG_TRUNC: the system drops the bytes without copying them, so that 60 MB cost next to nothing.
         static std::array<char, 256 * 1024> sink;
         socket_.receive(asio::buffer(sink), MSG_TRUNC, error);
     } else {
-        const std::size_t got = socket_.read_some(buffer_.prepare(kReadSize), error);
+        const std::size_t got = socket_.read_some(buffer_.prepare(state_ == State::reading ? kReadSize : kReadAhead), error);
         if (!error) {
             receivedAt_ = server_.clock_.now();
             buffer_.commit(got);
@@ -105,7 +112,7 @@
     if (state_ != State::handling) return;  // the client has gone
     handedOver_ = std::move(handedOver);
     gone_ = nullptr;
-    if (server_.closing_ || server_.crowded()) keepAlive_ = false;
+    if (server_.closing_ || server_.crowded() || farAhead_) keepAlive_ = false;
     out_ = response(status, type, body, keepAlive_, extra);
     state_ = State::writing;
     since_ = server_.clock_.now();
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -56,6 +56,7 @@
     State state_ = State::reading;
     bool readOut_ = false;  // a read is under way
     bool keepAlive_ = true;
+    bool farAhead_ = false;  // it sent more ahead than is kept: its connection ends with the answer
     bool broken_ = false;  // it may still be sending what was not taken
     std::string out_;
     std::function<void()> gone_, handedOver_;
@@ -88,6 +89,8 @@
     // The most connections from now on; idle ones beyond that go.
     void limit(std::size_t most);
     std::size_t connections() const { return connections_.size(); }
+    // Called for each client that sent more ahead than is kept.
+    void onFarAhead(std::function<void()> then) { farAhead_ = std::move(then); }
 
 private:
     friend class HttpConnection;
@@ -110,6 +113,7 @@
     asio::steady_timer timer_, timerAccept_;
     std::size_t askers_ = 0;  // connections on which a whole message has come
     bool closing_ = false, accepting_ = false;
+    std::function<void()> farAhead_;
     std::list<std::shared_ptr<HttpConnection>> connections_;  // longest idle first
 };
 
