End a watch on a bad list, read lists spread over lines, and tell late timers apart

Causes, by reading watch.cpp: a bad line kept the watch and its generation, and the next good change jumped over what was missed (a drain never learnt of); again_'s and silence_'s handlers, queued with success before they were cancelled or set anew, started a second watch or broke a sound one; lists may come indented, and each of their lines was a bad list; an agent that accepts and says nothing was waited for as long as a silent watch; tries came in step in every gatherer. Change: objects are found by their braces; what can't be used ends its watch, and the next asks from the generation reached, at growing distances; handlers look at the timer's expiry and at the present connection; the head is waited for 1 s; pauses are drawn. The test that took the next good line on the same watch is replaced: it asks that nothing behind a bad one counts there.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t kReadSize = 8192;
-constexpr std::size_t kLongestLine = 4 * 1024 * 1024;  // thousands of hosts; more is no list
+constexpr std::size_t kLargestList = 4 * 1024 * 1024;  // thousands of hosts; more is no list
 
 std::chrono::microseconds micros(Millis ms) {
     return std::chrono::microseconds(static_cast<long long>(ms * 1000));
@@ -29,7 +29,8 @@
       onList_(std::move(onList)),
       times_(times),
       silence_(io),
-      again_(io) {}
+      again_(io),
+      random_(static_cast<std::minstd_rand::result_type>(times.seed % 2147483646 + 1)) {}
 
 void Watch::start() {
     const Held c = connection_ = std::make_shared<Connection>(io_);
@@ -40,7 +41,7 @@
     c->socket.async_connect(agent_, [this, c](asio::error_code error) {
         if (c->dead) return;
         if (error) return broken(c, error.message());
-        heard();
+        expectWithin(times_.connect);
         ask(c);
     });
 }
@@ -73,7 +74,8 @@
 void Watch::expectWithin(Millis wait) {
     silence_.expires_after(micros(wait));
     silence_.async_wait([this, c = connection_](asio::error_code error) {
-        if (!error && !c->dead) broken(c, "silent for too long");
+        if (error || c->dead || silence_.expiry() > asio::steady_timer::clock_type::now()) return;
+        broken(c, "silent for too long");
     });
 }
 
@@ -92,6 +94,8 @@
                                   if (c->dead) return;
                                   if (error) return broken(c, error.message());
                                   c->buffer.commit(got);
+                                  if (!c->answered) heard();
+                                  c->answered = true;
                                   switch (c->reader->parse()) {
                                       case net::HttpReader::State::more:
                                           break;
@@ -107,41 +111,61 @@
                               });
 }
 
-// Lines may be split anywhere, over chunks and reads alike.
-void Watch::onBody(Connection& c, std::string_view bytes) {
-    if (c.reader->status() != 200) return;
-    for (auto feed = bytes.find('\n'); feed != std::string_view::npos; feed = bytes.find('\n')) {
-        const std::string_view piece = bytes.substr(0, feed);
-        bytes.remove_prefix(feed + 1);
-        heard();
-        if (c.line.empty()) {
-            onLine(piece);
-        } else {
-            c.line += piece;
-            onLine(std::exchange(c.line, {}));
+// Objects may be split anywhere, over chunks, reads and lines alike: where one ends is told by its braces. A blank line inside
+// one says that its rest will not come. Only whole objects and blank lines between them are signs of life.
+void Watch::onBody(Connection& connection, std::string_view bytes) {
+    if (connection.reader->status() != 200) return;
+    const Held c = connection_;
+    if (c.get() != &connection || c->dead) return;
+    for (const char byte : bytes) {
+        if (byte == '\n') {
+            if (c->blank && c->object.empty()) heard();
+            if (c->blank && !c->object.empty()) return onBad(c, "an object without an end");
+            c->blank = true;
+        } else if (byte != ' ' && byte != '\t' && byte != '\r') {
+            c->blank = false;
+        }
+        if (c->object.empty()) {
+            if (c->blank) continue;
+            if (byte != '{') return onBad(c, "not an object");
+        }
+        c->object += byte;
+        if (c->object.size() > kLargestList) return onBad(c, "an object too large");
+        if (c->inText) {
+            if (!c->escaped && byte == '"') c->inText = false;
+            c->escaped = !c->escaped && byte == '\\';
+        } else if (byte == '"') {
+            c->inText = true;
+        } else if (byte == '{') {
+            ++c->depth;
+        } else if (byte == '}' && --c->depth == 0) {
+            onObject(c);
+            if (c->dead) return;
         }
-        if (c.dead) return;
     }
-    if (c.line.size() + bytes.size() > kLongestLine) return broken(connection_, "a line without an end");
-    c.line += bytes;
 }
 
-void Watch::onLine(std::string_view line) {
-    if (line.find_first_not_of(" \r\t") == std::string_view::npos) return;  // nothing changed
+void Watch::onObject(const Held& c) {
     Listing listing;
     try {
-        listing = parseListing(line, clock_);
+        listing = parseListing(std::exchange(c->object, {}), clock_);
     } catch (const BadList& e) {
-        // The old list holds. The generation stays too, so that the next watch asks for what was missed.
-        counters_.add(Counter::badListUpdates);
-        log_.seldom("list", "discovery sent a bad update, the old list holds: {}",
-                    field("error", std::string_view(e.what())));
-        return;
+        return onBad(c, e.what());
     }
+    heard();
+    bad_ = 0;
     generation_ = listing.generation;
     onList_(listing.list);
 }
 
+// The old list holds and the generation stays. This watch is over: the next change on it would jump over what was missed here.
+void Watch::onBad(const Held& c, const std::string& why) {
+    counters_.add(Counter::badListUpdates);
+    log_.seldom("list", "discovery sent a bad update, the old list holds: {}", field("error", why));
+    ++bad_;
+    broken(c, "a bad update");
+}
+
 void Watch::broken(const Held& c, const std::string& why) {
     if (c->dead) return;
     c->dead = true;
@@ -151,9 +175,10 @@
     if (stopped_) return;
     counters_.add(Counter::watchesBroken);
     log_.seldom("watch", "discovery's watch broke, asking again: {}", field("error", why));
-    again_.expires_after(micros(times_.again));
+    const Millis step = std::min(times_.again * static_cast<Millis>(1 << std::min(bad_, 10)), std::max(times_.again, times_.againBad));
+    again_.expires_after(micros(step * (1 + std::uniform_real_distribution<>(0, bad_ > 0 ? 0.2 : 1)(random_))));
     again_.async_wait([this](asio::error_code error) {
-        if (!error && !stopped_) start();
+        if (!error && !stopped_ && !live()) start();
     });
 }
 
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "core/exchange.hpp"
@@ -16,8 +17,10 @@
 
 struct WatchTimes {
     Millis silence = 3000;  // a watch without any line for longer is dead: an empty one comes every 2 s
-    Millis connect = 1000;  // the agent is on the own machine
-    Millis again = 250;     // between two tries
+    Millis connect = 1000;  // the agent is on the own machine: until the connection is up, and until its answer begins
+    Millis again = 250;     // between two tries, and up to as much more by chance, so that gatherers don't ask in step
+    Millis againBad = 2000; // at most between two tries where what comes can't be used, time after time
+    std::uint64_t seed = 1;
 };
 
 class Watch {
@@ -38,14 +41,18 @@
         asio::ip::tcp::socket socket;
         net::Buffer buffer;
         std::unique_ptr<net::HttpReader> reader;
-        std::string line, request;
-        bool dead = false;
+        std::string request, object;  // so far: an object may be spread over lines
+        int depth = 0;                // of braces in it
+        bool inText = false, escaped = false, blank = true;  // blank: nothing on this line yet
+        bool answered = false, dead = false;
     };
     using Held = std::shared_ptr<Connection>;
     void ask(const Held& c);
     void read(const Held& c);
     void onBody(Connection& c, std::string_view bytes);
-    void onLine(std::string_view line);
+    void onObject(const Held& c);
+    void onBad(const Held& c, const std::string& why);
+    bool live() const { return connection_ && !connection_->dead; }
     void broken(const Held& c, const std::string& why);
     void heard() { expectWithin(times_.silence); }
     void expectWithin(Millis wait);
@@ -59,8 +66,11 @@
     std::int64_t generation_;
     OnList onList_;
     WatchTimes times_;
+    // Each handler tells by itself that it is late: a timer that was set anew can't take back what was queued already.
     asio::steady_timer silence_, again_;
     Held connection_;
+    std::minstd_rand random_;
+    int bad_ = 0;  // tries in a row that brought what can't be used
     bool stopped_ = false;
 };
 
--- a/tests/net/sockets_test.cpp
+++ b/tests/net/sockets_test.cpp
@@ -406,13 +406,18 @@
     for (int i = 0; i < 20; ++i)
         CHECK(client.ask(query("t" + std::to_string(i), {0, 1, 2, 3})).status == 200);
     CHECK(hosts.a.got.empty());
-    // A bad update changes nothing, and is told; the next good one counts.
+    // A bad update changes nothing, is told, and ends its watch: what comes behind it there would jump over what was missed. The
+    // next watch goes on from what was reached.
     watch->send(chunk("{\"generation\":8}\n") + chunk(change(hosts.a.address(), "Ready", 9) + "\n"));
+    until(rig.io, [&] { return agent->targets.size() == 2; });
+    CHECK(rig.count(Counter::badListUpdates) == 1 && rig.count(Counter::listUpdates) == 2);
+    CHECK(agent->targets[1] == "/discovery/hosts?watch=1&from=7");
+    watch = agent->peers.back();
+    watch->send(kWatchHead + chunk(change(hosts.a.address(), "Ready", 9) + "\n"));
     until(rig.io, [&] { return rig.count(Counter::listUpdates) == 3; });
-    CHECK(rig.count(Counter::badListUpdates) == 1);
     watch->close();  // and the next watch goes on from there
-    until(rig.io, [&] { return agent->targets.size() == 2; });
-    CHECK(agent->targets[1] == "/discovery/hosts?watch=1&from=9");
+    until(rig.io, [&] { return agent->targets.size() == 3; });
+    CHECK(agent->targets[2] == "/discovery/hosts?watch=1&from=9");
 }
 
 void askAgainWhenTheWatchIsSilent() {
