Answer what is left before SIGKILL can come, and close idle connections 0.7 s after SIGTERM

Cause: lifecycleTimes() took the longest deadline or 3 s, whichever is longer, and 0.2 s. Queries left then were cut off without an answer by finish(); a connection that came late was kept idle past 0.7 s and its request could not end in time. Change: the process is gone 0.15 s before the soonest SIGKILL, what is left 0.15 s before that has its one answer (429 where coming again is harmless, else 500), and from 0.7 s on nobody may be idle. Tests: answersBeforeTheKill, closesWhoIsIdleInTime.

--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -13,8 +13,10 @@
 namespace {
 
 constexpr Millis kCloseLook = 20;
-constexpr Millis kKilledAfter = 3000;  // of SIGTERM at the soonest, or the longest deadline, and then
-constexpr Millis kBeforeKill = 200;    // more at least
+// SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as kMostWaited where it is longer, and kThenKilled.
+constexpr Millis kMostWaited = 3000, kThenKilled = 700;
+constexpr Millis kBeforeKill = 150;    // the process is gone by then
+constexpr Millis kToAnswer = 150;      // for what is left then to be read
 constexpr std::size_t kOwnSockets = 24;  // files, signals, discovery, timers
 constexpr std::size_t kMostHostSockets = 400;
 
@@ -50,9 +52,16 @@
 
 ops::LifecycleTimes lifecycleTimes(const Config& config) {
     ops::LifecycleTimes times;
-    Millis longest = kKilledAfter;
+    Millis longest = 0;
     for (const auto& c : config.settings.classes) longest = std::max(longest, fromNanos(c.deadline));
-    times.stopWithin = longest + kBeforeKill;
+    times.stopWithin = std::min(longest, kMostWaited) + kThenKilled - kBeforeKill;
+    times.answerWithin = times.stopWithin - kToAnswer;
+    return times;
+}
+
+discovery::WatchTimes watchTimes(const Config& config) {
+    discovery::WatchTimes times;
+    times.seed = config.seed;
     return times;
 }
 
@@ -76,8 +85,9 @@
               platform_.handle(message, connection);
           }),
       watch_(io, clock, counters, log, config.discovery, config.known.generation,
-             [this](const HostList& list) { exchange_.list(bans_.overlay(list)); }) {
+             [this](const HostList& list) { exchange_.list(bans_.overlay(list)); }, watchTimes(config)) {
     exchange_.attach(hosts_);
+    server_.onFarAhead([this] { counters_.add(Counter::clientsFarAhead); });
     if (config.door) {
         banFile_ = std::make_unique<ops::BanFile>(
             io, log, config.stateFolder, config.name,
@@ -100,6 +110,7 @@
         [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
             search_->handle(message, connection);
         });
+    searchServer_->onFarAhead([this] { counters_.add(Counter::clientsFarAhead); });
 }
 
 void Gatherer::start() {
@@ -184,8 +195,12 @@
         server_.stopAccepting();
         if (searchServer_) searchServer_->stopAccepting();
     }
-    server_.closeIdle(lifecycle_.mayIdle());
-    if (searchServer_) searchServer_->closeIdle(lifecycle_.mayIdle());
+    if (lifecycle_.lastCall(clock_.now()) && exchange_.live() > 0) {
+        log_.info("no time left: {} queries are given up", field("queries", exchange_.live()));
+        exchange_.endAll();
+    }
+    server_.closeIdle(lifecycle_.mayIdle(clock_.now()));
+    if (searchServer_) searchServer_->closeIdle(lifecycle_.mayIdle(clock_.now()));
     if (lifecycle_.over(clock_.now(), connections(), overlap_.successor())) return finish();
     stopTimer_.expires_after(micros(kCloseLook));
     stopTimer_.async_wait([this](asio::error_code error) {
