--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -64,11 +64,22 @@
     until(io, [&] { return second.targets.size() == 1 && first.peers.back()->ended; });
     CHECK(second.targets[0] == "/discovery/hosts?watch=1&from=43" && first.targets.size() == 2);
 
+    // Half written when the signal comes, and no other follows: the whole is read all the same.
+    HttpHost third(io);
+    writeFile(path, configuration(third).substr(0, 60));
+    ::kill(process.pid, SIGHUP);
+    second.peers[0]->close();
+    until(io, [&] { return second.targets.size() == 2; });  // the signal was handled before
+    writeFile(path, configuration(third));
+    until(io, [&] { return third.targets.size() == 1 && second.peers.back()->ended; });
+    CHECK(third.targets[0] == "/discovery/hosts?watch=1&from=43" && !process.ended());
+
     ::kill(process.pid, SIGHUP);  // the same address again, and a planned restart right behind
     ::kill(process.pid, SIGTERM);
+    ::kill(process.pid, SIGTERM);
     until(io, [&] { return process.ended(); });
     CHECK(WIFEXITED(process.status) && WEXITSTATUS(process.status) == 0);
-    CHECK(second.targets.size() == 1);
+    CHECK(second.targets.size() == 2 && third.targets.size() == 1);
     ::unlink(path);
 }
 
