Force crossings on real sockets: clients that leave, hosts that don't read, late timers, the end

A client that left is not sent on: ways to a host (a dial, a place, a lost connection, a full socket, a further attempt) by four ways of leaving on both fronts.

--- /dev/null
+++ b/tests/net/crossings_test.cpp
@@ -0,0 +1,510 @@
+// What comes between two lines: a client's leaving, a host's end, a late timer or answer, a signal's last moment. Each crossing is
+// forced on real sockets, and each test asserts that it took place.
+#include <optional>
+
+#include "check.hpp"
+
+using namespace beechpoint;
+using namespace beechpoint::test;
+
+namespace {
+
+constexpr Millis kNoticed = 300;  // after a client has left nothing of its request is sent on
+enum class Leave { end, reset, behindBytes, whilePaused };
+constexpr Leave kLeaves[] = {Leave::end, Leave::reset, Leave::behindBytes, Leave::whilePaused};
+
+void settle(asio::io_context& io) {
+    io.restart();
+    while (io.poll() > 0) io.restart();
+}
+
+void leave(Rig& rig, Client& client, Leave how) {
+    asio::error_code ignored;
+    if (how == Leave::reset) client.peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    if (how == Leave::behindBytes) client.send(std::string(20'000, 'x'));
+    if (how == Leave::whilePaused)  // far more than is kept while a request is in hand
+        for (int i = 0; i < 16; ++i) client.send(std::string(20'000, 'x')), settle(rig.io);
+    client.peer->close();
+}
+
+void searchFront(Config& c) {
+    c.search = Config::Search{kAnyPort, {{"pallets", "pallet-lookup"}}};
+}
+
+// One client for each way of leaving on each front; each one's query carries a mark that no other has.
+struct Leavers {
+    struct One {
+        std::unique_ptr<Client> client;
+        Leave how;
+        std::string mark;
+    };
+    explicit Leavers(Rig& r) : rig(r), before(r.gatherer->exchange().live()) {
+        for (const bool search : {false, true})
+            for (const Leave how : kLeaves) {
+                const std::string mark = "leaver" + std::to_string(all.size()) + "x";
+                const auto& to = search ? rig.gatherer->searchEndpoint() : rig.gatherer->endpoint();
+                all.push_back({std::make_unique<Client>(rig.io, to), how, mark});
+                all.back().client->send(search ? post("/pallets/_search?preference=_shards:0", "Content-Type: application/json\r\n",
+                                                      R"({"query":{"term":{"n":")" + mark + R"("}}})")
+                                               : query(mark, {0}, 10'000'000, mark));
+            }
+        until(rig.io, [&] { return rig.gatherer->exchange().live() == before + all.size(); });
+    }
+    void leaveAll() {
+        for (One& one : all) leave(rig, *one.client, one.how);
+    }
+    void noticed(Counter which = Counter::goneBeforeSent) {
+        const auto began = std::chrono::steady_clock::now();
+        until(rig.io, [&] { return rig.count(which) == all.size(); });
+        CHECK(std::chrono::steady_clock::now() - began < std::chrono::duration<double, std::milli>(kNoticed));
+        CHECK(rig.count(Counter::clientsGone) == all.size() && rig.gatherer->exchange().live() == before);
+    }
+    std::size_t sentIn(const std::string& seen) const {
+        return static_cast<std::size_t>(
+            std::count_if(all.begin(), all.end(), [&](const One& one) { return seen.find(one.mark) != std::string::npos; }));
+    }
+    Rig& rig;
+    std::size_t before;
+    std::vector<One> all;
+};
+
+// A host whose sockets are the test's: it accepts, reads and answers when it is told to.
+struct RawHost {
+    explicit RawHost(int backlog, int receive = 0) : acceptor(Rig::loop(), kAnyPort.protocol()) {
+        if (receive > 0) acceptor.set_option(asio::socket_base::receive_buffer_size(receive));
+        acceptor.bind(kAnyPort);
+        acceptor.listen(backlog);
+    }
+    ~RawHost() {
+        for (const PeerPtr& peer : peers) peer->close();
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+    void accept(bool reads) {
+        acceptor.async_accept([this, reads](asio::error_code error, tcp::socket socket) {
+            if (error) return;
+            peers.push_back(std::make_shared<Peer>(std::move(socket)));
+            if (reads) read(peers.size() - 1);
+            accept(reads);
+        });
+    }
+    void read(std::size_t i) {
+        peers[i]->read([this, raw = peers[i].get()] {
+            seen += raw->in.view();
+            raw->in.consume(raw->in.size());
+        });
+    }
+    tcp::acceptor acceptor;
+    std::vector<PeerPtr> peers;
+    std::string seen;
+};
+
+std::string all(const std::vector<std::string>& frames, char letter = 'S') {
+    std::string text;
+    for (const std::string& f : frames)
+        if (f[0] == letter) text += f;
+    return text;
+}
+
+void oneHost(Config& c) {
+    c.settings.cells = c.settings.span = 1;
+    c.connections.perHost = 1;
+    searchFront(c);
+}
+
+// ---- the client has left: not sent, by whatever way
+
+void waitsForADial() {
+    asio::io_context& io = Rig::loop();
+    RawHost host(0);
+    std::vector<tcp::socket> fill;  // so that the next handshake doesn't end
+    for (int i = 0; i < 4; ++i) {
+        fill.emplace_back(io, kAnyPort.protocol());
+        fill.back().async_connect(host.acceptor.local_endpoint(), [](asio::error_code) {});
+    }
+    settle(io);
+    Rig rig({host.address()}, [](Config& c) {
+        oneHost(c);
+        c.connections.dialTimeout = 15'000;
+    });
+    Leavers leavers(rig);
+    CHECK(rig.count(Counter::dials) == 1 && rig.count(Counter::attemptsSent) == 0);
+    leavers.leaveAll();
+    leavers.noticed();
+    Client after(io, rig.gatherer->endpoint());
+    after.send(query("after", {0}, 20'000, "after", "day-report"));
+    until(io, [&] { return rig.gatherer->exchange().live() == 1; });
+    CHECK(rig.count(Counter::attemptsSent) == 0);  // still dialling
+    host.accept(true);
+    until(io, [&] { return host.seen.find("after") != std::string::npos || !after.answers.empty(); });
+    CHECK(rig.count(Counter::dials) == 1 && after.answers.empty() && leavers.sentIn(host.seen) == 0);
+}
+
+void waitsForAPlace() {
+    FrameHost host(Rig::loop());
+    std::vector<FrameHost::Part> held;
+    host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+    Rig rig({host.address()}, [](Config& c) {
+        oneHost(c);
+        c.connections.calls = 1;
+    });
+    Client first(rig.io, rig.gatherer->endpoint()), after(rig.io, rig.gatherer->endpoint());
+    first.send(query("first", {0}));
+    until(rig.io, [&] { return held.size() == 1; });
+    Leavers leavers(rig);
+    CHECK(rig.count(Counter::attemptsSent) == 1);
+    leavers.leaveAll();
+    leavers.noticed();
+    held[0].answer("done", "v");
+    after.send(query("after", {0}));
+    until(rig.io, [&] { return held.size() == 2; });
+    CHECK(held[1].id == "after.0" && leavers.sentIn(all(host.got)) == 0);
+}
+
+// The connection under those that wait is lost, as they leave or after it: what waited there goes to a further one.
+void handedBack() {
+    for (const bool atOnce : {true, false}) {
+        FrameHost host(Rig::loop());
+        std::vector<FrameHost::Part> held;
+        host.onPart = [&](const FrameHost::Part& p) { held.empty() ? held.push_back(p) : p.answer("done", "v"); };
+        Rig rig({host.address()}, [](Config& c) {
+            oneHost(c);
+            c.connections.calls = 1;
+        });
+        Client first(rig.io, rig.gatherer->endpoint()), after(rig.io, rig.gatherer->endpoint());
+        first.send(query("first", {0}));
+        until(rig.io, [&] { return held.size() == 1; });
+        Leavers leavers(rig);
+        for (auto& one : leavers.all)
+            if (atOnce && one.how != Leave::reset) one.how = Leave::end;  // the others need the loop
+        leavers.leaveAll();
+        if (!atOnce) leavers.noticed();
+        host.peers[0]->close();
+        until(rig.io, [&] { return first.answers.size() == 1; });  // lost, and sent again
+        after.send(query("after", {0}));
+        until(rig.io, [&] { return after.answers.size() == 1; });
+        CHECK(rig.count(Counter::attemptsConnectionLost) == 1 && rig.count(Counter::dials) == 2);
+        CHECK(rig.count(Counter::goneBeforeSent) == leavers.all.size() && leavers.sentIn(all(host.got)) == 0);
+    }
+}
+
+// The host doesn't read: what was given leave to go stands in front of a full socket. One frame is cut, and its client leaves too.
+void standsBeforeAFullSocket() {
+    for (const bool cutToo : {false, true}) {
+        RawHost host(16, 4096);
+        host.accept(false);
+        Rig rig({host.address()}, [](Config& c) {
+            oneHost(c);
+            c.settings.openCap = 100'000;
+            for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000'000;  // all of them are let in
+            c.connections.calls = 1000;
+            c.sockets = 4096;
+        });
+        std::vector<std::unique_ptr<Client>> clients;
+        while (rig.count(Counter::attemptsWritten) == 4 * clients.size()) {
+            CHECK(clients.size() < 100);
+            const std::string n = std::to_string(clients.size());
+            clients.push_back(std::make_unique<Client>(rig.io, rig.gatherer->endpoint()));
+            clients.back()->send(query("big" + n, {0, 1, 2, 3}, 10'000'000, std::string(60'000, 'x') + "end" + n + "x"));
+            until(rig.io, [&] {
+                return rig.gatherer->exchange().live() == clients.size() && rig.count(Counter::attemptsWritten) > 0;
+            });
+        }
+        const std::string cut = "end" + std::to_string(clients.size() - 1) + "x";
+        const std::size_t whole = rig.count(Counter::attemptsWritten) - 4 * (clients.size() - 1);
+        Leavers leavers(rig);
+        CHECK(rig.count(Counter::attemptsWritten) == whole + 4 * (clients.size() - 1));
+        leavers.leaveAll();
+        leavers.noticed();
+        if (cutToo) {
+            clients.back()->peer->close();
+            until(rig.io, [&] { return rig.count(Counter::clientsGone) == leavers.all.size() + 1; });
+        }
+        Client after(rig.io, rig.gatherer->endpoint());
+        after.send(query("after", {0}, 10'000'000, "after"));
+        until(rig.io, [&] { return rig.gatherer->exchange().live() == clients.size() + (cutToo ? 0 : 1); });
+        host.read(0);
+        if (cutToo)  // half of it is out: the connection ends, and a further one brings what is wanted
+            until(rig.io, [&] { return host.peers.size() == 2 && host.peers[0]->ended; }), host.read(1);
+        until(rig.io, [&] { return host.seen.find("after") != std::string::npos; });
+        std::size_t seen = 0;
+        for (auto at = host.seen.find(cut); at != std::string::npos; at = host.seen.find(cut, at + 1)) ++seen;
+        CHECK(leavers.sentIn(host.seen) == 0 && seen == (cutToo ? whole : 4));
+    }
+}
+
+// The host gives it back once the client has left: there is no further attempt.
+void furtherAttempts() {
+    FrameHost host(Rig::loop());
+    std::vector<FrameHost::Part> held;
+    host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+    Rig rig({host.address()}, [](Config& c) {
+        oneHost(c);
+        c.connections.calls = 32;
+    });
+    Leavers leavers(rig);
+    until(rig.io, [&] { return held.size() == leavers.all.size(); });
+    leavers.leaveAll();
+    leavers.noticed(Counter::goneAfterSent);
+    const auto failed = held;
+    for (const FrameHost::Part& p : failed) p.answer("failed", "");
+    until(rig.io, [&] { return rig.count(Counter::lateFrames) == failed.size(); });
+    Client after(rig.io, rig.gatherer->endpoint());
+    after.send(query("after", {0}));
+    until(rig.io, [&] { return held.size() == failed.size() + 1; });
+    CHECK(held.back().id == "after.0");
+}
+
+// Far more ahead than is kept costs its sender its connection, after its answer.
+void sendsFarAhead() {
+    FrameHost host(Rig::loop());
+    std::vector<FrameHost::Part> held;
+    host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+    Rig rig({host.address()}, oneHost);
+    Client client(rig.io, rig.gatherer->endpoint());
+    client.send(query("t", {0}));
+    until(rig.io, [&] { return held.size() == 1; });
+    for (int i = 0; i < 100; ++i) client.send(std::string(20'000, 'x')), settle(rig.io);
+    CHECK(rig.count(Counter::clientsFarAhead) == 1);
+    held[0].answer("done", "v");
+    until(rig.io, [&] { return client.peer->ended; });
+    CHECK(client.answers.size() == 1 && client.answers[0].status == 200 && !client.answers[0].keepAlive);
+}
+
+// ---- places and answers
+
+// A host that goes on with what was given up reads nothing beyond the calls of a connection: a part behind it would be sent later.
+void placesOfWhatWasGivenUp() {
+    for (const std::size_t calls : {1U, 4U}) {
+        FrameHost host(Rig::loop());
+        std::vector<FrameHost::Part> held;
+        host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+        Rig rig({host.address()}, [&](Config& c) {
+            c.settings.cells = c.settings.span = 1;
+            c.connections.calls = calls;
+        });
+        const auto giveUp = [&](const std::string& id) {
+            const std::size_t before = held.size(), gone = rig.count(Counter::clientsGone);
+            Client client(rig.io, rig.gatherer->endpoint());
+            client.send(query(id, {0}));
+            until(rig.io, [&] { return held.size() == before + 1; });
+            client.peer->close();
+            until(rig.io, [&] { return rig.count(Counter::clientsGone) == gone + 1; });
+        };
+        Client client(rig.io, rig.gatherer->endpoint());
+        if (calls == 4) {  // one is not many, and its late answer frees its place
+            giveUp("t0");
+            held[0].answer("done", "late");
+            until(rig.io, [&] { return rig.count(Counter::lateFrames) == 1; });
+            giveUp("t1");
+            CHECK(host.peers.size() == 1 && rig.count(Counter::connectionsClogged) == 0);
+        }
+        giveUp("t2");
+        until(rig.io, [&] { return host.peers[0]->ended; });
+        CHECK(rig.count(Counter::connectionsClogged) == 1);
+        const std::size_t before = held.size();
+        client.send(query("t3", {0}));
+        until(rig.io, [&] { return held.size() == before + 1; });
+        CHECK(host.peers.size() == 2 && &held.back().peer == host.peers[1].get());
+    }
+}
+
+// The host's end stands in the socket when a part is written: it was never sent, so a class that may not be repeated goes on.
+void idleConnectionHasEnded() {
+    for (int i = 0; i < 20; ++i) {
+        FrameHost host(Rig::loop());
+        Rig rig({host.address()}, [](Config& c) {
+            oneHost(c);
+            c.settings.classes[0].effect = firkeel::Effect::unsafe;
+        });
+        Client client(rig.io, rig.gatherer->endpoint());
+        CHECK(client.ask(query("t1", {0})).status == 200);
+        client.send(query("t2", {0}));  // first, so that it is handled first
+        host.peers[0]->close();
+        until(rig.io, [&] { return client.answers.size() == 2; });
+        CHECK(client.answers[1].status == 200 && rig.count(Counter::dials) == 2);
+        CHECK(rig.count(Counter::attemptsConnectionLost) == 0 && rig.count(Counter::attemptsWritten) == 2);
+    }
+}
+
+// ---- watches
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+std::string chunk(const std::string& text) { return fmt::format("{:x}\r\n{}\r\n", text.size(), text); }
+std::string change(int generation, const std::string& state = "Ready") {
+    return fmt::format(R"({{"generation":{},"reset":false,"instances":[{{"instanceId":"h{{\"}}","hostPort":"127.0.0.1:1",)"
+                       R"("cell":0,"lifecycle":"{}"}}]}})", generation, state);
+}
+std::string indented(const std::string& json) { return nlohmann::json::parse(json).dump(2); }
+
+struct Watched {
+    explicit Watched(discovery::WatchTimes times = {})
+        : watch(io, clock, counters, log, agent.endpoint(), 3, [this](const HostList& l) { lists.push_back(l); }, times) {
+        watch.start();
+        until(io, [&] { return agent.targets.size() == 1; });
+    }
+    ~Watched() {
+        watch.stop();
+        settle(io);
+    }
+    asio::io_context& io = Rig::loop();
+    Clock clock;
+    Counters counters;
+    Logger log{clock};
+    HttpHost agent{io};
+    std::vector<HostList> lists;
+    discovery::Watch watch;
+};
+
+// Both are due before the loop turns: the silence's end and a line. The line is newer.
+void lineAsSilenceEnds() {
+    Watched w({60, 1000, 1});
+    w.agent.peers[0]->send(kHead + chunk("\n") + chunk(change(4) + "\n"));
+    until(w.io, [&] { return w.lists.size() == 1; });
+    const auto began = std::chrono::steady_clock::now();
+    w.agent.peers[0]->send(chunk("\n"));
+    while (std::chrono::steady_clock::now() - began < std::chrono::milliseconds(80));  // the loop stands still
+    w.io.restart();
+    w.io.poll_one();
+    settle(w.io);
+    CHECK(w.counters.get(Counter::watchesBroken) == 0);
+    until(w.io, [&] { return w.counters.get(Counter::watchesBroken) == 1; });  // silent from then on
+    until(w.io, [&] { return w.agent.targets.size() == 2; });
+    CHECK(w.agent.targets[1] == "/discovery/hosts?watch=1&from=4");
+}
+
+// The timer to ask again has come due when the watch is moved.
+void movedAsItAsksAgain() {
+    HttpHost other(Rig::loop());
+    Watched w({3000, 1000, 20});
+    w.agent.peers[0]->close();
+    until(w.io, [&] { return w.counters.get(Counter::watchesBroken) == 1; });
+    bool moved = false;
+    asio::steady_timer first(w.io, std::chrono::milliseconds(1));
+    first.async_wait([&](asio::error_code) {
+        w.watch.move(other.endpoint());
+        moved = true;
+    });
+    const auto began = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - began < std::chrono::milliseconds(60));  // both are due by now
+    until(w.io, [&] { return other.targets.size() == 1; });
+    other.peers[0]->send(kHead + chunk(change(9) + "\n"));
+    until(w.io, [&] { return w.lists.size() == 1; });
+    settle(w.io);
+    CHECK(moved && w.agent.targets.size() == 1 && other.targets.size() == 1 && other.peers.size() == 1);
+}
+
+// What can't be used ends its watch, so that nothing is jumped over; a list may be spread over lines, and need not end.
+void badAndSpreadLists() {
+    Watched w({3000, 1000, 1});
+    w.agent.peers[0]->send(kHead + chunk(indented(change(4)) + "\n\n") + chunk(indented(change(5, "Terminating")) + "\n"));
+    until(w.io, [&] { return w.lists.size() == 2; });
+    CHECK(w.lists[1].entries[0].entry.id == "h{\"}" && w.watch.generation() == 5);
+    const std::string bads[] = {"nonsense\n", "{\"generation\":6}\n", change(6).substr(0, 40) + "\n\n", "[]\n"};
+    std::uint64_t bad = 0;
+    for (const std::string& text : bads) {
+        w.agent.peers.back()->send((bad == 0 ? "" : kHead) + chunk(text) + chunk(change(7) + "\n"));
+        until(w.io, [&] { return w.agent.targets.size() == bad + 2; });
+        CHECK(w.counters.get(Counter::badListUpdates) == ++bad && w.lists.size() == 2);
+        CHECK(w.agent.targets.back() == "/discovery/hosts?watch=1&from=5");
+    }
+    w.agent.peers.back()->send(kHead + chunk(change(7) + "\n"));
+    until(w.io, [&] { return w.lists.size() == 3; });
+    // Without end: neither memory nor time is its sender's.
+    Watched endless({60, 1000, 1});
+    endless.agent.peers[0]->send(kHead + chunk("{\"a\":\n"));
+    for (int i = 0; endless.counters.get(Counter::watchesBroken) == 0; ++i) {
+        CHECK(i < 1'000'000);
+        endless.agent.peers[0]->send(chunk("[\n"));
+        settle(endless.io);
+    }
+    CHECK(endless.lists.empty());
+}
+
+// An agent that accepts and says nothing is asked again well before the silence of a watch that was heard.
+void agentThatSaysNothing() {
+    Watched w({20'000, 40, 1});
+    until(w.io, [&] { return w.agent.targets.size() == 3; });
+    CHECK(w.counters.get(Counter::watchesBroken) >= 2);
+}
+
+// ---- the end of the process
+
+void longClass(Config& c) {
+    c.settings.cells = c.settings.span = 1;
+    for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000;
+}
+
+// SIGKILL comes 3.7 s after SIGTERM at the soonest, however long the deadlines are: what is left by then has its answer.
+void answersBeforeTheKill() {
+    for (const bool unsafe : {false, true}) {
+        FrameHost host(Rig::loop());
+        std::vector<FrameHost::Part> held;
+        host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+        Rig rig({host.address()}, [&](Config& c) {
+            longClass(c);
+            if (unsafe) c.settings.classes[0].effect = firkeel::Effect::unsafe;
+        });
+        Client client(rig.io, rig.gatherer->endpoint());
+        client.send(query("t", {0}, 10'000));
+        until(rig.io, [&] { return held.size() == 1; });
+        bool stopped = false;
+        const Millis began = rig.clock.now();
+        rig.clock.set(began);
+        rig.gatherer->stop([&] { stopped = true; });
+        rig.clock.set(began + 3300);
+        settle(rig.io);
+        CHECK(client.answers.empty() && !stopped);
+        rig.clock.set(began + 3420);
+        until(rig.io, [&] { return client.answers.size() == 1; });
+        CHECK(client.answers[0].status == (unsafe ? 500 : 429) && !client.answers[0].keepAlive);
+        client.peer->close();
+        rig.clock.set(began + 3560);
+        until(rig.io, [&] { return stopped; });
+    }
+}
+
+// A deadline of 1 s brings SIGKILL after 1.7 s: a request of 1 s that comes on an idle connection after 0.7 s could not have it.
+void closesWhoIsIdleInTime() {
+    FrameHost host(Rig::loop());
+    Rig rig({host.address()}, [](Config& c) {
+        longClass(c);
+        for (auto& k : c.settings.classes) k.aim = k.deadline = 1'000'000'000;
+    });
+    bool stopped = false;
+    const Millis began = rig.clock.now();
+    rig.clock.set(began);
+    rig.gatherer->stop([&] { stopped = true; });
+    rig.clock.set(began + 400);
+    Client late(rig.io, rig.gatherer->endpoint());
+    until(rig.io, [&] { return rig.gatherer->clients() == 1; });
+    rig.clock.set(began + 690);
+    settle(rig.io);
+    CHECK(!late.peer->ended && !stopped);
+    rig.clock.set(began + 701);
+    until(rig.io, [&] { return late.peer->ended && stopped; });
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {  // one of them, where it is named
+    const std::pair<const char*, void (*)()> tests[] = {
+        {"waitsForADial", waitsForADial},
+        {"waitsForAPlace", waitsForAPlace},
+        {"handedBack", handedBack},
+        {"standsBeforeAFullSocket", standsBeforeAFullSocket},
+        {"furtherAttempts", furtherAttempts},
+        {"sendsFarAhead", sendsFarAhead},
+        {"placesOfWhatWasGivenUp", placesOfWhatWasGivenUp},
+        {"idleConnectionHasEnded", idleConnectionHasEnded},
+        {"lineAsSilenceEnds", lineAsSilenceEnds},
+        {"movedAsItAsksAgain", movedAsItAsksAgain},
+        {"badAndSpreadLists", badAndSpreadLists},
+        {"agentThatSaysNothing", agentThatSaysNothing},
+        {"answersBeforeTheKill", answersBeforeTheKill},
+        {"closesWhoIsIdleInTime", closesWhoIsIdleInTime}};
+    for (const auto& [name, test] : tests) {
+        if (argc > 1 && std::string(argv[1]) != name) continue;
+        std::fprintf(stderr, "%s\n", name);
+        test();
+    }
+}
