Force bytes given leave in one turn, and a late answer that meets the next attempt

claimedInOneTurn: a little room comes, all that waits is claimed in one turn, the clients leave, the host reads: nothing of theirs goes. lateAnswerMeetsTheNextAttempt: a 'full' of the given up attempt does not end the later one. core_test: who left is sent nothing, whatever copies and giving up a site allows; endAll.

--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -148,6 +148,47 @@
     CHECK(!late.exchange.claim(late.hosts.sent[0].id));
 }
 
+// Whatever a site allows, a part whose client has left is neither sent nor sent again; with its client there it is sent again.
+void sendsNothingForWhoLeft() {
+    for (const bool cancels : {true, false})
+        for (const bool copies : {true, false})
+            for (const bool left : {true, false}) {
+                firkeel::Settings s = settings();
+                s.cancelling = cancels;
+                s.parallelTries = copies;
+                Bed bed(s);
+                bed.list("b", firkeel::ServerState::up);
+                const Ticket ticket = bed.take("t", 1);
+                CHECK(bed.exchange.claim(bed.hosts.sent[0].id) && bed.exchange.wanted(bed.hosts.sent[0].id));
+                bed.exchange.written(bed.hosts.sent[0].id);
+                if (left) bed.exchange.gone(ticket);
+                CHECK(bed.exchange.wanted(bed.hosts.sent[0].id) == !left);
+                bed.pass(1000);
+                if (!left && copies) bed.exchange.ended(bed.hosts.sent[0].id, Outcome::error);
+                CHECK((bed.hosts.sent.size() > 1) == !left);
+                CHECK(bed.counters.get(Counter::goneAfterSent) == (left ? 1 : 0));
+                CHECK(bed.counters.get(Counter::goneBeforeSent) == 0);
+            }
+}
+
+// The end of the process: one answer to each, harmless to repeat or not.
+void endsAll() {
+    for (const bool unsafe : {false, true})
+        for (const bool sent : {false, true}) {
+            firkeel::Settings s = settings();
+            if (unsafe) s.classes[0].effect = firkeel::Effect::unsafe;
+            Bed bed(s);
+            bed.take("t", 1);
+            CHECK(bed.exchange.claim(bed.hosts.sent[0].id));
+            if (sent) bed.exchange.written(bed.hosts.sent[0].id);
+            bed.exchange.endAll();
+            CHECK(bed.finals.size() == 1 && bed.exchange.live() == 0 && bed.exchange.open() == 0);
+            CHECK(bed.finals[0].kind == (unsafe && sent ? Final::Kind::failed : Final::Kind::refused));
+            bed.exchange.ended(bed.hosts.sent[0].id, Outcome::served, "late");
+            CHECK(bed.finals.size() == 1);
+        }
+}
+
 // On a long day hosts come and go under new ids, and each is a kind of its own.
 void forgetsKindsOfLines() {
     Clock clock;
@@ -179,5 +220,7 @@
     holdsToTheCaps();
     claimsAgain();
     timesAttemptsOut();
+    sendsNothingForWhoLeft();
+    endsAll();
     forgetsKindsOfLines();
 }
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -38,7 +38,8 @@
         Leave how;
         std::string mark;
     };
-    explicit Leavers(Rig& r) : rig(r), before(r.gatherer->exchange().live()) {
+    explicit Leavers(Rig& r, std::optional<std::size_t> others = {})
+        : rig(r), before(others.value_or(r.gatherer->exchange().live())) {
         for (const bool search : {false, true})
             for (const Leave how : kLeaves) {
                 const std::string mark = "leaver" + std::to_string(all.size()) + "x";
@@ -232,6 +233,36 @@
     }
 }
 
+// A little room, and all that waits is given leave in one turn; what finds no room even so is asked about again.
+void claimedInOneTurn() {
+    RawHost host(16, 4096);
+    host.accept(false);
+    Rig rig({host.address()}, [](Config& c) {
+        oneHost(c);
+        for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000'000;
+        c.connections.calls = 1000;
+    });
+    std::vector<std::unique_ptr<Client>> clients;
+    for (std::size_t i = 0; i < 8; ++i) {
+        clients.push_back(std::make_unique<Client>(rig.io, rig.gatherer->endpoint()));
+        clients.back()->send(query("big" + std::to_string(i), {0}, 10'000'000, std::string(60'000, 'x')));
+        until(rig.io, [&] { return rig.gatherer->exchange().live() == i + 1 && rig.count(Counter::attemptsWritten) > 0; });
+    }
+    Leavers leavers(rig);
+    const std::size_t all = clients.size() + leavers.all.size();
+    CHECK(rig.count(Counter::attemptsSent) < clients.size());
+    std::string some(8192, '\0');
+    while (rig.count(Counter::attemptsSent) < all) host.peers[0]->socket.read_some(asio::buffer(some)), settle(rig.io);
+    CHECK(rig.count(Counter::attemptsWritten) < clients.size());
+    leavers.leaveAll();
+    leavers.noticed();
+    host.read(0);
+    Client after(rig.io, rig.gatherer->endpoint());
+    after.send(query("after", {0}, 10'000'000, "after"));
+    until(rig.io, [&] { return host.seen.find("after") != std::string::npos; });
+    CHECK(rig.count(Counter::attemptsWritten) == clients.size() + 1 && leavers.sentIn(host.seen) == 0);
+}
+
 // The host gives it back once the client has left: there is no further attempt.
 void furtherAttempts() {
     FrameHost host(Rig::loop());
@@ -308,6 +339,32 @@
     }
 }
 
+// A part was given up, and is out again on the same connection: what comes first is the earlier's end, not the later's.
+void lateAnswerMeetsTheNextAttempt() {
+    FrameHost host(Rig::loop());
+    std::vector<FrameHost::Part> held;
+    host.onPart = [&](const FrameHost::Part& p) { p.id == "t.0" ? held.push_back(p) : p.answer("done", "v"); };
+    Rig rig({host.address()}, [](Config& c) {
+        oneHost(c);
+        c.settings.parallelTries = false;
+        c.connections.calls = 32;
+    });
+    Client client(rig.io, rig.gatherer->endpoint()), other(rig.io, rig.gatherer->endpoint());
+    client.send(query("t", {0}));
+    std::size_t asked = 0;
+    until(rig.io, [&] {  // the connection is heard all the time
+        if (other.answers.size() == asked) other.send(query("o" + std::to_string(asked++), {1}));
+        return held.size() == 2;
+    });
+    CHECK(rig.count(Counter::attemptsTimedOut) == 1 && &held[0].peer == &held[1].peer);
+    held[0].answer("full", "");
+    until(rig.io, [&] { return rig.count(Counter::lateFrames) == 1; });
+    CHECK(rig.count(Counter::attemptsTurnedAway) == 0 && held.size() == 2);
+    held[1].answer("done", "v");
+    until(rig.io, [&] { return client.answers.size() == 1; });
+    CHECK(client.answers[0].status == 200 && rig.count(Counter::attemptsSent) == 2 + asked);
+}
+
 // The host's end stands in the socket when a part is written: it was never sent, so a class that may not be repeated goes on.
 void idleConnectionHasEnded() {
     for (int i = 0; i < 20; ++i) {
@@ -492,9 +549,11 @@
         {"waitsForAPlace", waitsForAPlace},
         {"handedBack", handedBack},
         {"standsBeforeAFullSocket", standsBeforeAFullSocket},
+        {"claimedInOneTurn", claimedInOneTurn},
         {"furtherAttempts", furtherAttempts},
         {"sendsFarAhead", sendsFarAhead},
         {"placesOfWhatWasGivenUp", placesOfWhatWasGivenUp},
+        {"lateAnswerMeetsTheNextAttempt", lateAnswerMeetsTheNextAttempt},
         {"idleConnectionHasEnded", idleConnectionHasEnded},
         {"lineAsSilenceEnds", lineAsSilenceEnds},
         {"movedAsItAsksAgain", movedAsItAsksAgain},
