Look whether a client has left right before its part goes out, however late the loop is

Seen by reading: a client's end was known one turn of the loop after its request at the soonest. Where both had come before the loop turned (the backlog, a late loop), or where what lets a part go stood before the end in the same turn, the part was sent, however long ago the client had left. Exchange::claim asked its own books alone, and so did what ends a cut frame or search. A request behind an answer that was being written was taken though the client's end had been seen (HttpConnection::onEnd passes it over while writing).

Change: a front hands the exchange a look at its client (HttpConnection::left, poll with POLLRDHUP and a peek). claim() and wanted() ask it before a part goes out, at most every 50 ms a query. Frames of given up parts are queued behind the calls claimed in the same turn.

--- a/src/back/frames.cpp
+++ b/src/back/frames.cpp
@@ -25,22 +25,29 @@
 void FrameConnection::fill() {
     // Not before all that has come is read: the bytes behind an answer may spoil the connection.
     if (state_ != State::open || writing_ || filling_ || parsing_) return;
-    if (hopeless()) return close(End::spoilt);
-    if (!waiting_.empty() && calls_.empty() && outgoing_.empty() && peerEnded()) return close(End::broken);
-    filling_ = true;  // claim() may come back here
-    for (const std::string& frame : std::exchange(more_, {})) {
-        filled_.push_back({outgoing_.size(), outgoing_.size() + frame.size(), 0, {}, false});
-        outgoing_ += frame;
+    filling_ = true;  // claim() and wanted() may come back here
+    const bool over = hopeless();
+    if (over || (!waiting_.empty() && calls_.empty() && outgoing_.empty() && peerEnded())) {
+        filling_ = false;
+        return close(over ? End::spoilt : End::broken);
     }
     while (!waiting_.empty() && calls_.size() < pool_.limits().calls) {
         std::vector<Attempt> parts = std::move(waiting_.front());
         waiting_.pop_front();
         claimCall(std::move(parts));
     }
+    for (const std::string& frame : std::exchange(more_, {})) {  // behind the calls, one of which may have been given up above
+        filled_.push_back({outgoing_.size(), outgoing_.size() + frame.size(), 0, {}, false});
+        outgoing_ += frame;
+    }
     filling_ = false;
-    if (outgoing_.empty()) return closeIfDone();
-    used();
-    writeSome();
+    if (!outgoing_.empty()) {
+        used();
+        writeSome();
+    }
+    if (state_ == State::closed) return;
+    if (!waiting_.empty() && clogged()) return shed();  // else they would wait for places that nobody gives back
+    if (outgoing_.empty()) closeIfDone();
 }
 
 void FrameConnection::claimCall(std::vector<Attempt> parts) {
@@ -74,7 +81,7 @@
         written += socket_.write_some(asio::buffer(outgoing_.data() + written, outgoing_.size() - written), error);
     settle(written);
     if (error && error != asio::error::would_block) return close(End::broken);
-    if (!error) return closeIfDone();
+    if (!error) return;
     writing_ = true;  // until there is room
     socket_.async_wait(tcp::socket::wait_write, [this, self = shared_from_this()](asio::error_code failed) {
         writing_ = false;
@@ -102,6 +109,7 @@
         } else {
             for (const Attempt& a : f.parts) out_.erase(partId(*a.request, a.slice));
             calls_.erase(f.call);
+            std::erase_if(givenUp_, [&](const auto& late) { return late.second == f.call; });  // in this very turn
             waiting_.push_front(std::move(f.parts));
         }
     }
@@ -274,18 +282,20 @@
     more_.push_back(std::move(frame));
     givenUp_.emplace(found->first, found->second.call);
     out_.erase(found);
-    retireIfClogged();
+    if (!filling_ && clogged()) shed();  // while filling: fill() itself looks, at its end
     if (state_ != State::closed) fill();
 }
 
 // Places that the host may still hold are no places: where they are the half, the connection takes nothing new, and once
 // nothing else is out it closes, which gives up what is left at the host.
-void FrameConnection::retireIfClogged() {
+bool FrameConnection::clogged() const {
     std::set<std::uint64_t> live;
     for (const auto& [id, part] : out_) live.insert(part.call);
-    if (2 * (calls_.size() - live.size()) < pool_.limits().calls) return;
+    return 2 * (calls_.size() - live.size()) >= pool_.limits().calls;
+}
+
+void FrameConnection::shed() {
     if (!std::exchange(retired_, true)) pool_.counters().add(Counter::connectionsClogged);
-    if (filling_) return;  // fill() sees to the rest
     if (out_.empty() && outgoing_.empty()) return close(End::spoilt);
     handBack();
     pool_.flush();
--- a/src/back/frames.hpp
+++ b/src/back/frames.hpp
@@ -34,7 +34,7 @@
         bool begun = false;  // some of it has gone
     };
     std::size_t callsOut() const override { return calls_.size(); }
-    bool partsOut() const override { return !out_.empty(); }
+    bool partsOut() const override { return filling_ || !out_.empty(); }  // filling: some are between the two lists
     void read() override;
     void fill() override;
     void askProbe() override;
@@ -52,7 +52,8 @@
     bool onResult(const Frame& frame);
     void free(std::uint64_t call);
     AttemptId release(OutParts::iterator part);
-    void retireIfClogged();
+    bool clogged() const;
+    void shed();
 
     bool filling_ = false, parsing_ = false;
     bool resting_ = false;  // the rest of a frame is waited for
--- a/src/back/search.cpp
+++ b/src/back/search.cpp
@@ -107,6 +107,7 @@
         if (failed) return close(End::broken);
         if (out_ && !pool_.exchange().wanted(*out_)) return close(End::spoilt);
         writeSome();
+        if (!writing_) fill();  // the answer may have come before the request had gone
     });
 }
 
--- a/src/back/search.hpp
+++ b/src/back/search.hpp
@@ -24,7 +24,7 @@
 
 private:
     std::size_t callsOut() const override { return out_ || probing_ ? 1 : 0; }
-    bool partsOut() const override { return callsOut() > 0; }
+    bool partsOut() const override { return filling_ || callsOut() > 0; }
     void read() override;
     void fill() override;
     void askProbe() override { ++probesWaiting_; }
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -8,6 +8,7 @@
 
 constexpr Millis kEndMargin = 30;  // the module ends what is not in by so long before its time
 constexpr Millis kIdRest = 3000;   // an id is new with every request: one used so lately is somebody else's
+constexpr Millis kLookAgain = 50;  // a client that has left is not served 300 ms later, however late the loop is
 constexpr double kShareSlack = 1e-4;  // sums of shares may fall so short, as the rules allow
 
 Counter counterOf(Outcome outcome) {
@@ -60,7 +61,7 @@
 
 // ---- client side
 
-Ticket Exchange::take(Request request, Done done) {
+Ticket Exchange::take(Request request, Done done, Left left) {
     counters_.add(Counter::queriesTaken);
     for (; !past_.empty() && past_.front().first <= clock_.now(); past_.pop_front())
         ids_.erase(past_.front().second);
@@ -85,6 +86,8 @@
     Live& live = queries_[id];
     live.request = std::make_shared<const Request>(std::move(request));
     live.done = std::move(done);
+    live.left = std::move(left);
+    live.lookedAt = clock_.now() - kLookAgain;
     live.place = std::move(place);
     const Request& r = *live.request;
     live.aimAt = r.expires;
@@ -173,12 +176,24 @@
     return queryOf_.contains(attempt.part) && up_.contains(out.server) && clock_.now() < out.until;
 }
 
-bool Exchange::wanted(AttemptId attempt) const {
+bool Exchange::wanted(AttemptId attempt) {
+    lookForLeaving(attempt.part);
     const auto found = out_.find(attempt);
     return found != out_.end() && live(attempt, found->second);
 }
 
+// Its connection tells of its end in the loop's next turn; what goes out in this one must not wait for that.
+void Exchange::lookForLeaving(RequestId part) {
+    const auto query = queryOf_.find(part);
+    if (query == queryOf_.end()) return;
+    Live& live = queries_.at(query->second);
+    if (!live.left || clock_.now() - live.lookedAt < kLookAgain) return;
+    live.lookedAt = clock_.now();
+    if (live.left()) gone(query->second);
+}
+
 bool Exchange::claim(AttemptId attempt) {
+    lookForLeaving(attempt.part);
     const auto found = out_.find(attempt);
     if (found == out_.end()) return false;  // cancelled, or timed out
     if (!live(attempt, found->second)) {
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -67,6 +67,8 @@
 
 using Ticket = RequestId;  // 0: none
 using Done = std::function<void(const Final&)>;
+// Whether the client's end has come and nobody has read it yet: it may stand behind other bytes, or the loop may be late.
+using Left = std::function<bool()>;
 
 // ---- towards track hosts
 
@@ -126,7 +128,8 @@
     void attach(Lookers& lookers) { lookers_ = &lookers; }
 
     // Client side. `done` is called exactly once, perhaps before this returns, unless gone() comes first.
-    Ticket take(Request request, Done done);
+    // `left` is asked before a part goes out, unless it was just now: what waited for long goes to nobody's client.
+    Ticket take(Request request, Done done, Left left = {});
     void gone(Ticket ticket);
 
     // A request of a class that was turned down before it became a query: its place, if the class is known.
@@ -143,8 +146,8 @@
     // it is over for the server side.
     // What was claimed and could not be written is claimed again.
     bool claim(AttemptId attempt);
-    // Whether it would still be given leave by claim(); changes nothing.
-    bool wanted(AttemptId attempt) const;
+    // Whether it would still be given leave by claim(): asked before the rest of what was cut goes out.
+    bool wanted(AttemptId attempt);
     void written(AttemptId attempt);  // its last byte
     void ended(AttemptId attempt, Outcome outcome, std::string_view value = {}, Load load = {});
     void probed(const std::string& server, Outcome outcome, Millis took, Load load = {});
@@ -174,6 +177,8 @@
         std::shared_ptr<const Request> request;
         std::vector<LivePart> parts;
         Done done;
+        Left left;
+        Millis lookedAt = 0;  // when `left` was asked
         Figures::Held place;
         Millis aimAt = 0;  // its class's aim, or its end where that comes first
         bool sent = false;  // a part of it was written whole
@@ -201,6 +206,7 @@
     Final::Why whyEnded(RequestId query) const;
     LivePart* partOf(RequestId part);
     bool live(AttemptId attempt, const Out& out) const;
+    void lookForLeaving(RequestId part);
     void conclude(OutMap::iterator out, Outcome outcome, Load load);
     const firkeel::ClassSettings* classOf(const std::string& name) const;
     RequestId nextId();
--- a/src/front/opensearch.cpp
+++ b/src/front/opensearch.cpp
@@ -60,7 +60,7 @@
     }
 }
 
-Ticket OpenSearch::begin(const Search& s, Done done) {
+Ticket OpenSearch::begin(const Search& s, const Connection& connection, Done done) {
     const auto klass = std::find_if(exchange_.settings().classes.begin(), exchange_.settings().classes.end(),
                                     [&](const auto& c) { return c.name == s.klass; });
     const Millis deadline = fromNanos(klass->deadline);
@@ -72,7 +72,7 @@
     r.expires = clock_.now() + (s.timeout > 0 ? std::min(s.timeout, deadline) : deadline);
     for (const int slice : s.slices) r.parts.push_back({slice, 1.0 / static_cast<double>(s.slices.size())});
     r.text = s.text;
-    return exchange_.take(std::move(r), std::move(done));
+    return exchange_.take(std::move(r), std::move(done), [connection] { return connection->left(); });
 }
 
 // By the figures a search that was not answered whole has failed, unless it was refused.
@@ -85,7 +85,7 @@
 
 void OpenSearch::one(Search search, const Connection& connection) {
     const Millis began = clock_.now();
-    const Ticket ticket = begin(search, [this, search, connection, began](const Final& final) {
+    const Ticket ticket = begin(search, connection, [this, search, connection, began](const Final& final) {
         if (final.kind != Final::Kind::answered || !final.whole)
             return refuse(connection, errorOf(final), final);
         try {
@@ -105,7 +105,7 @@
     multi->began = clock_.now();
     for (std::size_t i = 0; i < searches.size(); ++i) {
         const Search search = searches[i];
-        multi->tickets.push_back(begin(search, [this, search, multi, connection, i](const Final& final) {
+        multi->tickets.push_back(begin(search, connection, [this, search, multi, connection, i](const Final& final) {
             multi->handedOver.push_back(final.handedOver());
             try {
                 if (final.kind != Final::Kind::answered || !final.whole) throw errorOf(final);
--- a/src/front/opensearch.hpp
+++ b/src/front/opensearch.hpp
@@ -19,7 +19,7 @@
 private:
     using Connection = std::shared_ptr<net::HttpConnection>;
     struct Multi;
-    Ticket begin(const Search& search, Done done);
+    Ticket begin(const Search& search, const Connection& connection, Done done);
     void one(Search search, const Connection& connection);
     void many(std::vector<Search> searches, const Connection& connection);
     void refuse(const Connection& connection, const SearchError& error, const Final& final);
--- a/src/front/platform.cpp
+++ b/src/front/platform.cpp
@@ -171,7 +171,7 @@
         const bool inUse = final.why == Final::Why::duplicateId;
         connection->respond(inUse ? 400 : 500, kText, inUse ? "X-Trace-Id is in use\n" : "failed\n", {},
                             final.handedOver());
-    });
+    }, [connection] { return connection->left(); });
     if (ticket != 0) connection->whenGone([this, ticket] { exchange_.gone(ticket); });
 }
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -1,5 +1,8 @@
 #include "net/server.hpp"
 
+#include <poll.h>
+
+#include <algorithm>
 #include <array>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
@@ -67,7 +70,9 @@
         static std::array<char, 256 * 1024> sink;
         socket_.receive(asio::buffer(sink), MSG_TRUNC, error);
     } else {
-        const std::size_t got = socket_.read_some(buffer_.prepare(state_ == State::reading ? kReadSize : kReadAhead), error);
+        const std::size_t ahead = std::min(kReadAhead, kMostAhead + kReadSize - std::min(buffer_.size(), kMostAhead));
+        const std::size_t room = state_ == State::reading ? kReadSize : ahead;
+        const std::size_t got = socket_.read_some(buffer_.prepare(room), error);
         if (!error) {
             receivedAt_ = server_.clock_.now();
             buffer_.commit(got);
@@ -125,7 +130,8 @@
                           if (self->state_ == State::closed) return;
                           if (error) return self->close();
                           if (self->handedOver_) std::exchange(self->handedOver_, nullptr)();
-                          if (!self->keepAlive_) return self->linger();
+                          // Far ahead: what came while it was written is not whole any more.
+                          if (!self->keepAlive_ || self->farAhead_) return self->linger();
                           self->state_ = State::reading;
                           self->since_ = self->server_.clock_.now();
                           self->reader_.next();
@@ -156,6 +162,17 @@
     return socket_.available(error) > 0 && !error;
 }
 
+bool HttpConnection::left() {
+    if (state_ == State::closed) return true;
+    pollfd look{socket_.native_handle(), POLLIN | POLLRDHUP, 0};
+    if (::poll(&look, 1, 0) <= 0) return false;
+    if ((look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return true;
+    char byte = 0;
+    asio::error_code error;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 // Whether it has had its time, whatever it is about. Who is owed an answer never has.
 bool HttpConnection::late(Millis now) const {
     switch (state_) {
@@ -285,11 +302,13 @@
         for (const auto& c : late) {
             if (c->state_ != HttpConnection::State::reading) {
                 c->close();
+            } else if (c->unread() && (c->idle() || now - c->partialSince_ < 2 * kPartialMessage)) {
+                continue;  // this side may be the late one: what has come is read first
             } else if (!c->idle()) {  // half a message: its client hears why
                 c->state_ = HttpConnection::State::handling;
                 c->keepAlive_ = false;
                 c->respond(408, "text/plain", "the request did not come whole in time\n");
-            } else if (!c->unread()) {
+            } else {
                 c->close();
             }
         }
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -33,6 +33,8 @@
     void whenGone(std::function<void()> gone) {
         if (waiting()) gone_ = std::move(gone);
     }
+    // Whether the client's end has come, perhaps behind bytes that were not read. A look at the socket, for who waits.
+    bool left();
     bool idle() const { return state_ == State::reading && buffer_.size() == 0; }
     bool waiting() const { return state_ == State::handling; }
     void close();
