Ask discovery's agent again within 0.9 s while it says nothing

Seen by reading: 1 s for the dial, 1 s more for the answer's beginning and a pause of 0.25 to 0.5 s. An agent that is back after an outage tells what it has at once, and work may go to a draining host for 1 s only.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -41,7 +41,6 @@
     c->socket.async_connect(agent_, [this, c](asio::error_code error) {
         if (c->dead) return;
         if (error) return broken(c, error.message());
-        expectWithin(times_.connect);
         ask(c);
     });
 }
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -17,8 +17,10 @@
 
 struct WatchTimes {
     Millis silence = 3000;  // a watch without any line for longer is dead: an empty one comes every 2 s
-    Millis connect = 1000;  // the agent is on the own machine: until the connection is up, and until its answer begins
-    Millis again = 250;     // between two tries, and up to as much more by chance, so that gatherers don't ask in step
+    // The agent is on the own machine: from the dial until its answer begins. It may be silent and then back, and what it has
+    // counts as told at once, while work may go to a draining host for 1 s at most: connect + 2 again stay below that.
+    Millis connect = 500;
+    Millis again = 200;     // between two tries, and up to as much more by chance, so that gatherers don't ask in step
     Millis againBad = 2000; // at most between two tries where what comes can't be used, time after time
     std::uint64_t seed = 1;
 };
