Force clients that leave unread, late loops, cut searches, copies and far senders on sockets

Sound as it was, forced: copiesAndAttemptsAfterATimeOut on sockets (before: the exchange alone), searchCutAsItsClientLeaves, waitsForAPlaceAtASearchHost.

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -1,5 +1,7 @@
 // What comes between two lines: a client's leaving, a host's end, a late timer or answer, a signal's last moment. Each crossing is
 // forced on real sockets, and each test asserts that it took place.
+#include <deque>
+#include <numeric>
 #include <optional>
 
 #include "check.hpp"
@@ -37,19 +39,25 @@
         std::unique_ptr<Client> client;
         Leave how;
         std::string mark;
+        bool search;
     };
-    explicit Leavers(Rig& r, std::optional<std::size_t> others = {})
-        : rig(r), before(others.value_or(r.gatherer->exchange().live())) {
+    explicit Leavers(Rig& r) : Leavers(r, {}) {
+        sendAll();
+        until(rig.io, [&] { return rig.gatherer->exchange().live() == before + all.size(); });
+    }
+    Leavers(Rig& r, std::optional<std::pair<bool, Leave>> one) : rig(r), before(r.gatherer->exchange().live()) {
         for (const bool search : {false, true})
             for (const Leave how : kLeaves) {
-                const std::string mark = "leaver" + std::to_string(all.size()) + "x";
+                if (one && *one != std::pair(search, how)) continue;
                 const auto& to = search ? rig.gatherer->searchEndpoint() : rig.gatherer->endpoint();
-                all.push_back({std::make_unique<Client>(rig.io, to), how, mark});
-                all.back().client->send(search ? post("/pallets/_search?preference=_shards:0", "Content-Type: application/json\r\n",
-                                                      R"({"query":{"term":{"n":")" + mark + R"("}}})")
-                                               : query(mark, {0}, 10'000'000, mark));
+                all.push_back({std::make_unique<Client>(rig.io, to), how, "leaver" + std::to_string(all.size()) + "x", search});
             }
-        until(rig.io, [&] { return rig.gatherer->exchange().live() == before + all.size(); });
+    }
+    void sendAll() {
+        for (One& one : all)
+            one.client->send(one.search ? post("/pallets/_search?preference=_shards:0", "Content-Type: application/json\r\n",
+                                               R"({"query":{"term":{"n":")" + one.mark + R"("}}})")
+                                        : query(one.mark, {0}, 10'000'000, one.mark));
     }
     void leaveAll() {
         for (One& one : all) leave(rig, *one.client, one.how);
@@ -99,6 +107,13 @@
     std::string seen;
 };
 
+struct HoldingHost : FrameHost {  // answers nothing by itself
+    HoldingHost() : FrameHost(Rig::loop()) {
+        onPart = [this](const Part& p) { held.push_back(p); };
+    }
+    std::vector<Part> held;
+};
+
 std::string all(const std::vector<std::string>& frames, char letter = 'S') {
     std::string text;
     for (const std::string& f : frames)
@@ -141,9 +156,8 @@
 }
 
 void waitsForAPlace() {
-    FrameHost host(Rig::loop());
-    std::vector<FrameHost::Part> held;
-    host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+    HoldingHost host;
+    auto& held = host.held;
     Rig rig({host.address()}, [](Config& c) {
         oneHost(c);
         c.connections.calls = 1;
@@ -161,6 +175,33 @@
     CHECK(held[1].id == "after.0" && leavers.sentIn(all(host.got)) == 0);
 }
 
+// The same towards a host of the query API, which has one search at a time on a connection.
+void waitsForAPlaceAtASearchHost() {
+    HttpHost host(Rig::loop());
+    std::string seen;
+    std::vector<HttpHost::Ask> held;
+    host.onAsk = [&](const HttpHost::Ask& ask) {
+        seen += ask.body;
+        held.push_back(ask);
+    };
+    Rig rig({host.address()}, [](Config& c) {
+        oneHost(c);
+        c.searchTrackHosts = true;
+        c.connections.calls = 1;
+    });
+    Client first(rig.io, rig.gatherer->endpoint()), after(rig.io, rig.gatherer->endpoint());
+    first.send(query("first", {0}));
+    until(rig.io, [&] { return held.size() == 1; });
+    Leavers leavers(rig);
+    CHECK(rig.count(Counter::attemptsSent) == 1);
+    leavers.leaveAll();
+    leavers.noticed();
+    held[0].answer(200, R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})");
+    after.send(query("after", {0}, 3000, "after"));
+    until(rig.io, [&] { return held.size() == 2; });
+    CHECK(held[1].body == "after" && first.answers.size() == 1 && leavers.sentIn(seen) == 0 && host.peers.size() == 1);
+}
+
 // The connection under those that wait is lost, as they leave or after it: what waited there goes to a further one.
 void handedBack() {
     for (const bool atOnce : {true, false}) {
@@ -263,11 +304,137 @@
     CHECK(rig.count(Counter::attemptsWritten) == clients.size() + 1 && leavers.sentIn(host.seen) == 0);
 }
 
+// ---- the loop is late: the client's end stands unread in its socket when its turn comes
+
+// All has come before the loop turns once: the request, and its client's end. Accepted by then, or in the backlog.
+void leftBeforeItWasRead() {
+    for (const bool accepted : {true, false}) {
+        HoldingHost host;
+        Rig rig({host.address()}, oneHost);
+        Leavers leavers(rig, {});
+        for (auto& one : leavers.all)
+            if (one.how == Leave::whilePaused) one.how = Leave::behindBytes;  // nothing is in hand that could pause its reading
+        if (accepted) until(rig.io, [&] { return rig.gatherer->clients() == leavers.all.size(); });
+        leavers.sendAll();
+        leavers.leaveAll();
+        settle(rig.io);
+        const auto taken = rig.count(Counter::queriesTaken);  // a reset may take the request with it
+        CHECK(taken >= leavers.all.size() - 2 && rig.count(Counter::goneBeforeSent) == taken);
+        CHECK(rig.gatherer->clients() == 0 && rig.gatherer->exchange().live() == 0);
+        Client after(rig.io, rig.gatherer->endpoint());
+        after.send(query("after", {0}));
+        until(rig.io, [&] { return host.held.size() == 1; });
+        CHECK(rig.count(Counter::attemptsSent) == 1 && leavers.sentIn(all(host.got)) == 0);
+    }
+}
+
+// A further request stands behind the one whose answer goes out, and its client's end behind that.
+void leftBehindItsAnswer() {
+    HoldingHost host;
+    Rig rig({host.address()}, oneHost);
+    Client client(rig.io, rig.gatherer->endpoint());
+    client.send(query("t1", {0}));
+    until(rig.io, [&] { return host.held.size() == 1; });
+    client.send(query("t2", {0}));
+    settle(rig.io);
+    host.held[0].answer("done", "v");  // first, so that it is handled first
+    client.peer->close();
+    settle(rig.io);
+    CHECK(rig.count(Counter::answeredWhole) == 1 && rig.count(Counter::queriesTaken) == 2);
+    CHECK(rig.count(Counter::goneBeforeSent) == 1 && host.held.size() == 1 && rig.count(Counter::attemptsSent) == 1);
+}
+
+// What lets a waiting part go comes first, its client's end right behind it, and the loop is 0.4 s late for both.
+void lateLoop(const std::string& way, bool search, Leave how) {
+    const bool cut = way == "behind a cut frame";
+    HoldingHost host, other;
+    RawHost raw(16, 4096);
+    raw.accept(false);
+    Rig rig(cut ? std::vector{raw.address()} : std::vector{host.address(), other.address()}, [&](Config& c) {
+        oneHost(c);
+        c.settings.cells = c.settings.span = cut || way == "place" ? 1 : 2;
+        for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000'000;
+        c.connections.calls = way == "place" ? 1 : 1000;
+        c.connections.sendBuffer = 4096;
+    });
+    Client first(rig.io, rig.gatherer->endpoint()), after(rig.io, rig.gatherer->endpoint());
+    if (cut || way == "place") {
+        first.send(query("first", {0}, 10'000'000, std::string(cut ? 60'000 : 1, 'x')));
+        until(rig.io, [&] { return cut ? rig.count(Counter::attemptsSent) == 1 : host.held.size() + other.held.size() == 1; });
+        settle(rig.io);
+    }
+    Leavers leavers(rig, std::pair(search, how));
+    leavers.sendAll();
+    const bool again = way == "further attempt";
+    until(rig.io, [&] {
+        if (again) return host.held.size() + other.held.size() == 1;
+        return rig.gatherer->exchange().live() == (cut || way == "place" ? 2 : 1);
+    });
+    const auto sent = rig.count(Counter::attemptsSent);
+    CHECK(sent == (way == "dial" ? 0 : 1) && rig.count(Counter::attemptsWritten) == (cut || way == "dial" ? 0 : 1));
+    auto& held = host.held.empty() ? other.held : host.held;
+    if (again || way == "place") held[0].answer(again ? "failed" : "done", "v");
+    if (cut) {
+        raw.peers[0]->socket.non_blocking(true);
+        std::string some(8192, '\0');
+        for (asio::error_code error; !error;) raw.peers[0]->socket.read_some(asio::buffer(some), error);
+    }
+    leavers.leaveAll();
+    rig.clock.set(rig.clock.now() + 400);
+    settle(rig.io);
+    CHECK(rig.count(again ? Counter::goneAfterSent : Counter::goneBeforeSent) == 1 && rig.count(Counter::attemptsSent) == sent);
+    if (again) CHECK(rig.count(Counter::attemptsError) == 1);
+    if (way == "place") CHECK(first.answers.size() == 1);
+    if (way == "dial") CHECK(rig.count(Counter::dials) == 1);
+    if (cut) raw.read(0);
+    after.send(query("after", {0}, 10'000'000, "after"));
+    until(rig.io, [&] { return (all(host.got) + all(other.got) + raw.seen).find("after") != std::string::npos; });
+    CHECK(leavers.sentIn(all(host.got) + all(other.got) + raw.seen) == (again ? 1 : 0));
+    CHECK(host.held.size() + other.held.size() == (cut ? 0 : way == "dial" ? 1 : 2));
+}
+
+void lateLoops() {
+    for (const char* way : {"dial", "place", "behind a cut frame", "further attempt"})
+        for (const bool search : {false, true})
+            for (const Leave how : {Leave::end, Leave::reset, Leave::behindBytes}) lateLoop(way, search, how);
+}
+
+// The same with its own frame or search, half of which is out: no byte more follows, and the connection ends.
+void lateLoopCutInTheMiddle() {
+    for (const bool search : {false, true})
+        for (const Leave how : {Leave::end, Leave::reset, Leave::behindBytes}) {
+            RawHost raw(16, 4096);
+            raw.accept(false);
+            Rig rig({raw.address()}, [&](Config& c) {
+                oneHost(c);
+                for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000'000;
+                c.searchTrackHosts = search;
+                c.connections.sendBuffer = 4096;
+            });
+            Client client(rig.io, rig.gatherer->endpoint());
+            client.send(query("cut", {0}, 10'000'000, std::string(60'000, 'x') + "end"));
+            until(rig.io, [&] { return rig.count(Counter::attemptsSent) == 1 && raw.peers.size() == 1; });
+            settle(rig.io);
+            CHECK(rig.count(Counter::attemptsWritten) == 0);
+            raw.peers[0]->socket.non_blocking(true);  // all that has gone is read: there is room for more
+            std::string some(8192, '\0');
+            std::size_t got = 0;
+            for (asio::error_code error; !error;) got += raw.peers[0]->socket.read_some(asio::buffer(some), error);
+            CHECK(got > 0 && got < 60'000);
+            leave(rig, client, how);
+            rig.clock.set(rig.clock.now() + 400);
+            settle(rig.io);
+            CHECK(rig.count(Counter::goneBeforeSent) == 1 && rig.count(Counter::attemptsWritten) == 0);
+            raw.read(0);
+            until(rig.io, [&] { return raw.peers[0]->ended; });
+            CHECK(raw.seen.empty());
+        }
+}
+
 // The host gives it back once the client has left: there is no further attempt.
 void furtherAttempts() {
-    FrameHost host(Rig::loop());
-    std::vector<FrameHost::Part> held;
-    host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+    HoldingHost host;
+    auto& held = host.held;
     Rig rig({host.address()}, [](Config& c) {
         oneHost(c);
         c.connections.calls = 32;
@@ -285,11 +452,52 @@
     CHECK(held.back().id == "after.0");
 }
 
+// Hosts that keep what they have: who stays gets a second copy, or a further attempt once the first is given up; who left doesn't.
+void copiesAndAttemptsAfterATimeOut() {
+    for (const bool copies : {true, false}) {
+        FrameHost a(Rig::loop()), b(Rig::loop());
+        std::vector<std::string> held;
+        std::deque<std::pair<Millis, FrameHost::Part>> due;
+        Rig rig({a.address(), b.address()}, [&](Config& c) {
+            searchFront(c);
+            c.settings.parallelTries = copies;
+        });
+        rig.clock.set(rig.clock.now());
+        a.onPart = b.onPart = [&](const FrameHost::Part& p) {
+            p.id[0] == 'o' ? due.push_back({rig.clock.now() + 30, p}) : held.push_back(p.id + p.text);
+        };
+        Client stays(rig.io, rig.gatherer->endpoint()), other(rig.io, rig.gatherer->endpoint());
+        std::size_t asked = 0;
+        const auto passUntil = [&](auto done) {  // a millisecond a turn; the hosts are heard all the time
+            for (int i = 0; !done(); ++i) {
+                CHECK(i < 5000);
+                if (other.answers.size() == asked) other.send(query("o" + std::to_string(asked++), {static_cast<int>(asked % 4)}));
+                rig.clock.set(rig.clock.now() + 1);
+                rig.gatherer->exchange().tick();
+                settle(rig.io);
+                for (; !due.empty() && due.front().first <= rig.clock.now(); due.pop_front()) due.front().second.answer("done", "v");
+                settle(rig.io);
+            }
+        };
+        passUntil([&] { return asked == 20; });
+        Leavers leavers(rig);
+        stays.send(query("stay", {0}));
+        until(rig.io, [&] { return held.size() == leavers.all.size() + 1; });
+        leavers.before += 1;
+        leavers.leaveAll();
+        leavers.noticed(Counter::goneAfterSent);
+        passUntil([&] { return held.size() == leavers.all.size() + 2; });
+        CHECK(held.back().starts_with("stay.0") && rig.count(Counter::attemptsTimedOut) == (copies ? 0 : 1));
+        passUntil([&] { return stays.answers.size() == 1; });  // what they would have had, they would have had before
+        CHECK(std::count_if(held.begin(), held.end(), [](const std::string& h) { return !h.starts_with("stay"); }) ==
+              static_cast<std::ptrdiff_t>(leavers.all.size()));
+    }
+}
+
 // Far more ahead than is kept costs its sender its connection, after its answer.
 void sendsFarAhead() {
-    FrameHost host(Rig::loop());
-    std::vector<FrameHost::Part> held;
-    host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+    HoldingHost host;
+    auto& held = host.held;
     Rig rig({host.address()}, oneHost);
     Client client(rig.io, rig.gatherer->endpoint());
     client.send(query("t", {0}));
@@ -301,14 +509,131 @@
     CHECK(client.answers.size() == 1 && client.answers[0].status == 200 && !client.answers[0].keepAlive);
 }
 
+// The same while its answer goes out: what came then is not whole, and is no request.
+void sendsFarAheadOfItsAnswersEnd() {
+    FrameHost host(Rig::loop());
+    std::vector<FrameHost::Part> held;
+    host.onPart = [&](const FrameHost::Part& p) { p.id.starts_with("t.") ? held.push_back(p) : p.answer("done", "v"); };
+    Rig rig({host.address()}, [](Config& c) {
+        oneHost(c);
+        c.settings.shards = 64;
+        c.connections.calls = 100;
+    });
+    {
+        Client warm(rig.io, rig.gatherer->endpoint());  // so that a query of many parts is let in
+        for (int i = 0; i < 50; ++i) CHECK(warm.ask(query("w" + std::to_string(i), {0})).status == 200);
+    }
+    tcp::socket client(rig.io, kAnyPort.protocol());
+    client.set_option(asio::socket_base::receive_buffer_size(4096));
+    client.connect(rig.gatherer->endpoint());
+    const auto ahead = [&](const std::string& text) {
+        asio::write(client, asio::buffer(text));
+        settle(rig.io);
+    };
+    std::vector<int> slices(64);  // more than the system's buffers take
+    std::iota(slices.begin(), slices.end(), 0);
+    ahead(query("t", slices));
+    until(rig.io, [&] { return held.size() == slices.size(); });
+    for (const auto& p : held) p.answer("done", std::string(120'000, 'v')), settle(rig.io);
+    until(rig.io, [&] { return rig.count(Counter::answeredWhole) == 51; });
+    settle(rig.io);
+    CHECK(rig.gatherer->clients() == 1 && rig.count(Counter::clientsFarAhead) == 0);
+    for (int i = 0; i < 30; ++i) ahead(query("u" + std::to_string(i), {0}, 3000, std::string(20'000, 'x')));
+    CHECK(rig.count(Counter::clientsFarAhead) == 1);
+    client.non_blocking(true);
+    std::string answers, some(65536, '\0');
+    for (asio::error_code error; error != asio::error::eof;) {
+        answers.append(some, 0, client.read_some(asio::buffer(some), error));
+        CHECK(!error || error == asio::error::would_block || error == asio::error::eof);
+        settle(rig.io);
+    }
+    CHECK(answers.starts_with("HTTP/1.1 200") && answers.find("HTTP/1.1", 1) == std::string::npos && answers.ends_with("\"whole\":true}"));
+    CHECK(rig.count(Counter::queriesTaken) == 51);
+}
+
+// A request's rest stands in its socket when the time for it ends: this side is the late one.
+void restComesAsItsTimeEnds() {
+    HoldingHost host;
+    Rig rig({host.address()}, oneHost);
+    Client client(rig.io, rig.gatherer->endpoint());
+    const std::string text = query("t", {0}, 10'000'000, std::string(20'000, 'x'));  // more than one look brings
+    client.send(text.substr(0, 100));
+    settle(rig.io);
+    rig.clock.set(rig.clock.now() + 2100);
+    const auto began = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - began < std::chrono::milliseconds(300));  // the look at all connections is due
+    client.send(text.substr(100));
+    until(rig.io, [&] { return host.held.size() == 1 || !client.answers.empty(); });
+    CHECK(client.answers.empty());
+    // But a rest that never ends has its end.
+    Client endless(rig.io, rig.gatherer->endpoint());
+    endless.send("POST /pallet-lookup/k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    settle(rig.io);
+    rig.clock.set(rig.clock.now() + 4100);
+    until(rig.io, [&] {
+        if (endless.answers.empty()) endless.send("1;" + std::string(5000, 'x') + "\r\nx\r\n");
+        return !endless.answers.empty();
+    });
+    CHECK(endless.answers[0].status == 408);
+}
+
+// ---- hosts of the query API
+
+struct SearchRig {
+    explicit SearchRig()
+        : host(16, 4096), rig({host.address()}, [](Config& c) {
+              oneHost(c);
+              c.searchTrackHosts = true;
+              c.connections.calls = 1;
+              c.connections.sendBuffer = 4096;
+              for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000'000;
+          }) {
+        host.accept(false);
+    }
+    RawHost host;
+    Rig rig;
+};
+
+// The answer comes before its request has gone: the next one waits for that, and no longer.
+void searchAnsweredBeforeItHasGone() {
+    SearchRig s;
+    Client client(s.rig.io, s.rig.gatherer->endpoint()), after(s.rig.io, s.rig.gatherer->endpoint());
+    client.send(query("t", {0}, 10'000'000, std::string(60'000, 'x') + "end"));
+    until(s.rig.io, [&] { return s.rig.count(Counter::attemptsSent) == 1 && s.host.peers.size() == 1; });
+    after.send(query("after", {0}, 10'000'000, "after"));
+    until(s.rig.io, [&] { return s.rig.gatherer->exchange().live() == 2; });
+    s.host.peers[0]->send(net::response(200, "application/json", R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})", true));
+    until(s.rig.io, [&] { return client.answers.size() == 1; });
+    CHECK(client.answers[0].status == 200 && s.rig.count(Counter::attemptsWritten) == 0 && s.rig.count(Counter::attemptsSent) == 1);
+    s.host.read(0);
+    until(s.rig.io, [&] { return s.host.seen.find("after") != std::string::npos; });
+    CHECK(s.host.seen.find("end") != std::string::npos && s.host.peers.size() == 1);
+}
+
+// Half of a search is out when its client leaves: it is not ended, and its connection goes.
+void searchCutAsItsClientLeaves() {
+    for (const Leave how : kLeaves) {
+        SearchRig s;
+        Client client(s.rig.io, s.rig.gatherer->endpoint());
+        client.send(query("t", {0}, 10'000'000, std::string(60'000, 'x') + "end"));
+        until(s.rig.io, [&] { return s.rig.count(Counter::attemptsSent) == 1 && s.host.peers.size() == 1; });
+        settle(s.rig.io);
+        leave(s.rig, client, how);
+        until(s.rig.io, [&] { return s.rig.count(Counter::goneBeforeSent) == 1; });
+        CHECK(s.rig.count(Counter::attemptsWritten) == 0);
+        s.host.read(0);
+        until(s.rig.io, [&] { return s.host.peers[0]->ended; });
+        CHECK(s.host.seen.find("xxx") != std::string::npos && s.host.seen.find("end") == std::string::npos);
+    }
+}
+
 // ---- places and answers
 
 // A host that goes on with what was given up reads nothing beyond the calls of a connection: a part behind it would be sent later.
 void placesOfWhatWasGivenUp() {
     for (const std::size_t calls : {1U, 4U}) {
-        FrameHost host(Rig::loop());
-        std::vector<FrameHost::Part> held;
-        host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+        HoldingHost host;
+        auto& held = host.held;
         Rig rig({host.address()}, [&](Config& c) {
             c.settings.cells = c.settings.span = 1;
             c.connections.calls = calls;
@@ -477,8 +802,11 @@
     CHECK(endless.lists.empty());
 }
 
-// An agent that accepts and says nothing is asked again well before the silence of a watch that was heard.
+// An agent that accepts and says nothing is asked again well before the silence of a watch that was heard, and before work may
+// no longer go to a host whose drain it would tell.
 void agentThatSaysNothing() {
+    constexpr discovery::WatchTimes times;
+    CHECK(times.connect + 2 * times.again < 1000);
     Watched w({20'000, 40, 1});
     until(w.io, [&] { return w.agent.targets.size() == 3; });
     CHECK(w.counters.get(Counter::watchesBroken) >= 2);
@@ -494,9 +822,8 @@
 // SIGKILL comes 3.7 s after SIGTERM at the soonest, however long the deadlines are: what is left by then has its answer.
 void answersBeforeTheKill() {
     for (const bool unsafe : {false, true}) {
-        FrameHost host(Rig::loop());
-        std::vector<FrameHost::Part> held;
-        host.onPart = [&](const FrameHost::Part& p) { held.push_back(p); };
+        HoldingHost host;
+        auto& held = host.held;
         Rig rig({host.address()}, [&](Config& c) {
             longClass(c);
             if (unsafe) c.settings.classes[0].effect = firkeel::Effect::unsafe;
@@ -547,11 +874,21 @@
     const std::pair<const char*, void (*)()> tests[] = {
         {"waitsForADial", waitsForADial},
         {"waitsForAPlace", waitsForAPlace},
+        {"waitsForAPlaceAtASearchHost", waitsForAPlaceAtASearchHost},
         {"handedBack", handedBack},
         {"standsBeforeAFullSocket", standsBeforeAFullSocket},
         {"claimedInOneTurn", claimedInOneTurn},
+        {"leftBeforeItWasRead", leftBeforeItWasRead},
+        {"leftBehindItsAnswer", leftBehindItsAnswer},
+        {"lateLoops", lateLoops},
+        {"lateLoopCutInTheMiddle", lateLoopCutInTheMiddle},
         {"furtherAttempts", furtherAttempts},
+        {"copiesAndAttemptsAfterATimeOut", copiesAndAttemptsAfterATimeOut},
         {"sendsFarAhead", sendsFarAhead},
+        {"sendsFarAheadOfItsAnswersEnd", sendsFarAheadOfItsAnswersEnd},
+        {"restComesAsItsTimeEnds", restComesAsItsTimeEnds},
+        {"searchAnsweredBeforeItHasGone", searchAnsweredBeforeItHasGone},
+        {"searchCutAsItsClientLeaves", searchCutAsItsClientLeaves},
         {"placesOfWhatWasGivenUp", placesOfWhatWasGivenUp},
         {"lateAnswerMeetsTheNextAttempt", lateAnswerMeetsTheNextAttempt},
         {"idleConnectionHasEnded", idleConnectionHasEnded},
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -43,8 +43,8 @@
 void movesToAnotherDiscovery(const std::string& program) {
     asio::io_context& io = Rig::loop();
     HttpHost first(io), second(io);
-    char path[] = "beechpoint-config-XXXXXX";
-    CHECK(::close(::mkstemp(path)) == 0);
+    std::string path = program + "-config-XXXXXX";  // in the build folder, wherever the test is started
+    CHECK(::close(::mkstemp(path.data())) == 0);
     writeFile(path, configuration(first));
     Process process(program, path);
     until(io, [&] { return first.targets.size() == 1; });
@@ -80,7 +80,7 @@
     until(io, [&] { return process.ended(); });
     CHECK(WIFEXITED(process.status) && WEXITSTATUS(process.status) == 0);
     CHECK(second.targets.size() == 2 && third.targets.size() == 1);
-    ::unlink(path);
+    ::unlink(path.c_str());
 }
 
 }  // namespace
