Force SIGTERM round another's record and an operator's call; a stopped process changes no file

This one takes newcomers until the record says so and closes its listener then, the clock standing still. - SIGTERM while an operator's call waits for the lock on the file of hosts taken out: the process had stopped, and the call, tried again every 10 ms, could still write the file (BanFile::attempt) where the loop turned once more. In service the loop ends with the process, so nothing was seen. BanFile::stop ends such calls now; the test failed without that line.

SIGTERM in the file's write itself is ruled out: one turn of the loop writes it, and the signal is a later turn's.

--- a/src/ops/ban_file.cpp
+++ b/src/ops/ban_file.cpp
@@ -83,7 +83,10 @@
     look();
 }
 
-void BanFile::stop() { timer_.cancel(); }
+void BanFile::stop() {
+    timer_.cancel();
+    alive_.reset();  // a call that waits for the lock changes nothing any more
+}
 
 void BanFile::look() {
     timer_.expires_after(kLookEvery);
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -1,4 +1,8 @@
 // The operators' parts on real sockets: one test for each promise.
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <asio/post.hpp>
 #include <cstdlib>
@@ -259,6 +263,66 @@
     CHECK(taken(4) == 2);
 }
 
+// A file of the folder that another process of this gatherer holds locked.
+struct Held {
+    Held(const std::string& path, const std::string& text) : fd(::open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600)) {
+        CHECK(fd >= 0 && ::flock(fd, LOCK_EX | LOCK_NB) == 0);
+        write(text);
+    }
+    ~Held() { ::close(fd); }
+    Held(const Held&) = delete;
+    void write(const std::string& text) {
+        CHECK(::ftruncate(fd, 0) == 0 && ::pwrite(fd, text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
+    }
+    int fd;
+};
+
+// SIGTERM comes after the other process listens and before its record says so: this one takes newcomers until it does.
+void stopsBetweenAnothersReadinessAndItsRecord() {
+    Folder folder;
+    Staff old([&](Config& c) { c.stateFolder = folder.path; });
+    asio::io_context& io = old.rig.io;
+    Held record(folder.path + "/beechpoint-n0.other.process", R"({"started":1e15,"state":0})");
+    until(io, [&] { return old.rig.gatherer->limitsShare() == 0.5; });
+    old.rig.clock.set(old.rig.clock.now());  // half a second never passes: only the record can close the listener
+    const tcp::endpoint at = old.rig.gatherer->endpoint();
+    bool ended = false;
+    old.rig.gatherer->stop([&] { ended = true; });
+    {
+        Client client(io, at);
+        const Answer answer = client.ask(query("t", {0}));
+        CHECK(answer.status == 200 && !answer.keepAlive && !ended && old.up() == 503);
+    }
+    record.write(R"({"started":1e15,"state":1})");
+    until(io, [&] { return ended; });
+    tcp::socket late(io);
+    asio::error_code refused;
+    late.connect(at, refused);
+    CHECK(refused == asio::error::connection_refused);
+}
+
+// The process ends while a call waits for the lock on the file: nothing is changed, then or later.
+void stopsWhileACallWaitsForTheLock() {
+    Folder folder;
+    Held record(folder.path + "/beechpoint-n0.other.process", R"({"started":1e15,"state":1})");
+    auto old = std::make_unique<Staff>([&](Config& c) { c.stateFolder = folder.path; });
+    asio::io_context& io = Rig::loop();
+    auto lock = std::make_unique<Held>(folder.file() + ".lock", "");
+    Client caller(io, old->rig.gatherer->doorEndpoint());
+    caller.send(put("/ops/track-hosts/down/h0"));
+    bool ended = false;
+    asio::steady_timer soon(io, std::chrono::milliseconds(30)), later(io, std::chrono::milliseconds(100));
+    soon.async_wait([&](asio::error_code) { old->rig.gatherer->stop([&] { ended = true; }); });
+    until(io, [&] { return ended && caller.peer->ended; });
+    CHECK(caller.answers.empty());
+    lock.reset();  // now it could be had
+    old.reset();
+    bool passed = false;
+    later.async_wait([&](asio::error_code) { passed = true; });
+    until(io, [&] { return passed; });
+    CHECK(!std::filesystem::exists(folder.file()));
+}
+
 void aCallThatCantBeStoredChangesNothing() {
     Staff staff([](Config& c) { c.stateFolder = "no-such-folder"; });
     CHECK(staff.call(put("/ops/track-hosts/down/h0")).status == 503 && staff.stat("hosts_down") == 0);
@@ -291,6 +355,8 @@
     figuresAreWhatPeersSaw();
     everyRequestIsAnsweredOverAnUpgrade();
     twoProcessesShareTheOpenCap();
+    stopsBetweenAnothersReadinessAndItsRecord();
+    stopsWhileACallWaitsForTheLock();
     aCallThatCantBeStoredChangesNothing();
     damagedFilesAreIgnored();
 }
