Send a call on the first connection with room, and dial beside a late dial

Cause: Pool::pick binds a call to one connection. Where that is being dialled and the handshake is late (a third of them there, up to 1.5 s), the call waits for it and ends with its time as noConnection, an attempt spent and the host blamed, while another connection to the same host is up and free or a second handshake would end in 5 ms. One call a connection and hosts that close idle ones early make it the usual case. Ruled out: decisions (attempts by host looked even), clients that leave (200 of 1,277), the host's idle limit (0 requests written to those).

Change: a connection with room takes what waits on its host's others (HostConnection::takeOver, at each fill). A dial that is late by a quarter of its time, with calls waiting, to a host that took a connection in the last 5 s, gets one beside it (Pool::dialBeside): one spare at a time, within the limits of connections.

Tests: waitsForADialAsAPlaceComesFree and dialsBesideALateDial, hosts of both wires; each seen to fail with its lines out.

--- a/src/back/pool.cpp
+++ b/src/back/pool.cpp
@@ -18,6 +18,10 @@
 constexpr double kQuietMeans = 5;
 constexpr double kMeanStep = 0.02;  // of the running mean: some 50 answers
 constexpr int kMostQuiet = 3;  // of a host: then it is the host that is silent, and more dials tell nothing
+// A handshake may get lost while the host is well. Where calls wait for one for longer than this share of its time, and the host
+// took another connection just before, a second one is made beside it; whichever comes up takes the calls.
+constexpr double kDialBeside = 0.25;
+constexpr Millis kUpLately = 5000;
 constexpr double kProbeDials = 2;  // a probe's time, in dial time-outs: it may need a dial first
 
 }  // namespace
@@ -125,11 +129,27 @@
     }
     if (best && best->load() < limits_.calls && (!best->quiet() || quiet >= kMostQuiet)) return best;
     if (host.connections.size() >= limits_.perHost || !makeRoom()) return best;
-    best = make_(*this, server);
-    host.connections.push_back(best);
+    return dial(server, host);
+}
+
+Pool::Connection Pool::dial(const std::string& server, Host& host) {
+    const Connection made = make_(*this, server);
+    host.connections.push_back(made);
     ++connections_;
-    best->dial(*host.endpoint);
-    return best;
+    made->dial(*host.endpoint);
+    return made;
+}
+
+// One beside all that are late: it takes over what waits on any of them.
+void Pool::dialBeside(const std::string& server) {
+    const auto found = hosts_.find(server);
+    if (found == hosts_.end() || !found->second.endpoint) return;
+    Host& host = found->second;
+    if (clock_.now() - host.upAt > kUpLately || host.connections.size() >= limits_.perHost) return;
+    const auto spare = [](const Connection& c) { return c->state_ == HostConnection::State::dialing && c->waiting_.empty(); };
+    if (std::any_of(host.connections.begin(), host.connections.end(), spare) || !makeRoom()) return;
+    counters_.add(Counter::dialsBeside);
+    dial(server, host);
 }
 
 // At the limit of descriptors the connection that has been idle longest makes room.
@@ -199,14 +219,8 @@
 void HostConnection::dial(const tcp::endpoint& to) {
     pool_.counters().add(Counter::dials);
     const auto self = shared_from_this();
-    timer_.expires_after(micros(pool_.limits().dialTimeout));
-    timer_.async_wait([self](asio::error_code error) {
-        if (error || self->state_ != State::dialing) return;
-        self->pool_.counters().add(Counter::dialsFailed);
-        self->pool_.log().seldom("dial " + self->server_, "host {} did not take a connection in time",
-                                 field("host", self->server_));
-        self->close(End::broken);
-    });
+    awaitDial(kDialBeside);
+
     socket_.async_connect(to, [self](asio::error_code error) {
         if (self->state_ != State::dialing) return;
         self->timer_.cancel();
@@ -221,12 +235,31 @@
         self->socket_.set_option(asio::socket_base::send_buffer_size(self->pool_.limits().sendBuffer), ignored);
         self->socket_.non_blocking(true, ignored);  // writes and looks must not hold up the loop
         self->state_ = State::open;
+        if (const auto host = self->pool_.hosts_.find(self->server_); host != self->pool_.hosts_.end())
+            host->second.upAt = self->pool_.clock().now();
         self->used();
         self->read();
         self->fill();
     });
 }
 
+// Up to that share of a dial's time.
+void HostConnection::awaitDial(double share) {
+    timer_.expires_after(micros((share < 1 ? share : 1 - kDialBeside) * pool_.limits().dialTimeout));
+    timer_.async_wait([self = shared_from_this(), share](asio::error_code error) {
+        if (error || self->state_ != State::dialing) return;
+        if (share < 1) {
+            self->awaitDial(1);
+            if (!self->waiting_.empty()) self->pool_.dialBeside(self->server_);
+            return;
+        }
+        self->pool_.counters().add(Counter::dialsFailed);
+        self->pool_.log().seldom("dial " + self->server_, "host {} did not take a connection in time",
+                                 field("host", self->server_));
+        self->close(End::broken);
+    });
+}
+
 void HostConnection::heard() { heard_ = pool_.clock().now(); }
 
 std::optional<Millis> HostConnection::quietSince() const {
@@ -306,6 +339,19 @@
         for (const Attempt& a : call) pool_.send(a);
 }
 
+void HostConnection::takeOver() {
+    if (!open() || !usable() || quiet()) return;
+    const auto host = pool_.hosts_.find(server_);
+    if (host == pool_.hosts_.end()) return;
+    for (const Pool::Connection& other : host->second.connections)
+        while (other.get() != this && !other->retired_ && !other->waiting_.empty() && load() < pool_.limits().calls) {
+            for (const Attempt& a : other->waiting_.front()) pool_.at_[a.id] = weak_from_this();
+            waiting_.push_back(std::move(other->waiting_.front()));
+            other->waiting_.pop_front();
+            pool_.counters().add(Counter::callsTakenOver);
+        }
+}
+
 void HostConnection::close(End end) {
     if (state_ == State::closed) return;
     const bool dialing = state_ == State::dialing;
--- a/src/back/pool.hpp
+++ b/src/back/pool.hpp
@@ -40,6 +40,8 @@
 
 // One connection. Calls wait in it unread until it is up and has room.
 class HostConnection : public std::enable_shared_from_this<HostConnection> {
+    friend class Pool;
+
 public:
     HostConnection(Pool& pool, std::string server);
     virtual ~HostConnection() = default;
@@ -88,6 +90,8 @@
     bool peerEnded();
     void closeIfDone();
     void handBack();  // what waits here goes to another connection
+    // There is room and nothing waits here: takes what waits on the host's other connections, for a dial or a place.
+    void takeOver();
 
     Pool& pool_;
     std::string server_;
@@ -104,6 +108,8 @@
         std::shared_ptr<asio::steady_timer> timer;
         bool over = false;
     };
+    void awaitDial(double share);
+
     asio::steady_timer timer_;
     std::deque<std::shared_ptr<ProbeOut>> probes_;
     Millis lastUse_ = 0, heard_ = 0;
@@ -140,9 +146,12 @@
     struct Host {
         std::optional<asio::ip::tcp::endpoint> endpoint;
         bool listed = true;
+        Millis upAt = -1e300;  // when a connection came up last
         std::vector<Connection> connections;
     };
     Connection pick(const std::string& server, Host& host);
+    Connection dial(const std::string& server, Host& host);
+    void dialBeside(const std::string& server);
     bool makeRoom();
     void sweep();
 
--- a/src/back/search.cpp
+++ b/src/back/search.cpp
@@ -60,6 +60,7 @@
 
 void SearchConnection::fill() {
     if (state_ != State::open || filling_ || callsOut() > 0 || writing_) return;
+    if (waiting_.empty()) takeOver();
     if (!waiting_.empty() && peerEnded()) return close(End::broken);
     filling_ = true;  // claim() may come back here
     while (!out_ && !waiting_.empty()) {
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -56,6 +56,8 @@
     connectionsClogged,
     clientsFarAhead,
     configsUnreadable,
+    callsTakenOver,
+    dialsBeside,
     count
 };
 
@@ -107,6 +109,8 @@
     "connectionsClogged",
     "clientsFarAhead",
     "configsUnreadable",
+    "callsTakenOver",
+    "dialsBeside",
 };
 
 class Counters {
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -88,14 +88,20 @@
         for (const PeerPtr& peer : peers) peer->close();
     }
     std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
-    void accept(bool reads) {
-        acceptor.async_accept([this, reads](asio::error_code error, tcp::socket socket) {
+    void accept(bool reads, bool again = true) {
+        acceptor.async_accept([this, reads, again](asio::error_code error, tcp::socket socket) {
             if (error) return;
             peers.push_back(std::make_shared<Peer>(std::move(socket)));
             if (reads) read(peers.size() - 1);
-            accept(reads);
+            if (again) accept(reads);
         });
     }
+    void fill() {  // its backlog, so that the next handshake doesn't end
+        for (int i = 0; i < 4; ++i) {
+            filling.emplace_back(acceptor.get_executor(), kAnyPort.protocol());
+            filling.back().async_connect(acceptor.local_endpoint(), [](asio::error_code) {});
+        }
+    }
     void read(std::size_t i) {
         peers[i]->read([this, raw = peers[i].get()] {
             seen += raw->in.view();
@@ -104,6 +110,7 @@
     }
     tcp::acceptor acceptor;
     std::vector<PeerPtr> peers;
+    std::vector<tcp::socket> filling;
     std::string seen;
 };
 
@@ -132,11 +139,7 @@
 void waitsForADial() {
     asio::io_context& io = Rig::loop();
     RawHost host(0);
-    std::vector<tcp::socket> fill;  // so that the next handshake doesn't end
-    for (int i = 0; i < 4; ++i) {
-        fill.emplace_back(io, kAnyPort.protocol());
-        fill.back().async_connect(host.acceptor.local_endpoint(), [](asio::error_code) {});
-    }
+    host.fill();
     settle(io);
     Rig rig({host.address()}, [](Config& c) {
         oneHost(c);
@@ -664,6 +667,65 @@
     }
 }
 
+// A host with one call a connection, of either wire: one connection holds a part, and the next handshake doesn't end.
+struct LateDial {
+    LateDial(bool searchHost, Millis dialTimeout)
+        : search(searchHost), rig({host.address()}, [&](Config& c) {
+              oneHost(c);
+              c.searchTrackHosts = search;
+              c.connections.perHost = search ? 4 : 8;
+              c.connections.calls = search ? 4 : 1;
+              c.connections.dialTimeout = dialTimeout;
+          }) {
+        host.accept(true, false);
+        first.send(query("first", {0}, 3000, "first"));
+        until(rig.io, [&] { return host.seen.find("first") != std::string::npos; });
+        host.fill();
+        settle(rig.io);
+        next.send(query("next", {0}, 3000, "next"));
+        until(rig.io, [&] { return rig.count(Counter::dials) == 2; });
+        CHECK(rig.count(Counter::attemptsSent) == 1);
+    }
+    void answer(std::size_t peer, const std::string& id) {
+        std::string frame;
+        back::writeFrame(frame, 'R', id + " done 1 -\nv");
+        host.peers[peer]->send(search ? net::response(200, "application/json", kFound, true) : frame);
+    }
+    static constexpr const char* kFound = R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})";
+    bool search;
+    RawHost host{0};
+    Rig rig;
+    Client first{rig.io, rig.gatherer->endpoint()}, next{rig.io, rig.gatherer->endpoint()};
+};
+
+// A part waits for a dial when a place comes free on another connection: it goes there.
+void waitsForADialAsAPlaceComesFree() {
+    for (const bool search : {false, true}) {
+        LateDial late(search, 15'000);
+        late.answer(0, "first.0");
+        until(late.rig.io, [&] { return late.host.seen.find("next") != std::string::npos; });
+        CHECK(late.rig.count(Counter::callsTakenOver) == 1 && late.rig.count(Counter::dials) == 2);
+        late.answer(0, "next.0");
+        until(late.rig.io, [&] { return late.next.answers.size() == 1; });
+        CHECK(late.next.answers[0].status == 200 && late.host.peers.size() == 1);
+    }
+}
+
+// A handshake got lost, and its host is well: a second dial beside it brings the part there before the first has failed.
+void dialsBesideALateDial() {
+    for (const bool search : {false, true}) {
+        LateDial late(search, 800);  // the system tries a lost handshake again after 1 s
+        late.host.accept(true);
+        until(late.rig.io, [&] { return late.host.seen.find("next") != std::string::npos; });
+        CHECK(late.rig.count(Counter::dialsBeside) == 1 && late.rig.count(Counter::dialsFailed) == 0);
+        CHECK(late.rig.count(Counter::dials) == 3 && late.rig.count(Counter::attemptsSent) == 2);
+        late.answer(late.host.peers.size() - 1, "next.0");
+        until(late.rig.io, [&] { return late.next.answers.size() == 1; });
+        CHECK(late.next.answers[0].status == 200 && late.first.answers.empty());
+        CHECK(late.rig.count(Counter::attemptsNoConnection) == 0);
+    }
+}
+
 // A part was given up, and is out again on the same connection: what comes first is the earlier's end, not the later's.
 void lateAnswerMeetsTheNextAttempt() {
     FrameHost host(Rig::loop());
@@ -890,6 +952,8 @@
         {"searchAnsweredBeforeItHasGone", searchAnsweredBeforeItHasGone},
         {"searchCutAsItsClientLeaves", searchCutAsItsClientLeaves},
         {"placesOfWhatWasGivenUp", placesOfWhatWasGivenUp},
+        {"waitsForADialAsAPlaceComesFree", waitsForADialAsAPlaceComesFree},
+        {"dialsBesideALateDial", dialsBesideALateDial},
         {"lateAnswerMeetsTheNextAttempt", lateAnswerMeetsTheNextAttempt},
         {"idleConnectionHasEnded", idleConnectionHasEnded},
         {"lineAsSilenceEnds", lineAsSilenceEnds},
