--- a/src/back/pool.cpp
+++ b/src/back/pool.cpp
@@ -250,7 +250,7 @@
         if (error || self->state_ != State::dialing) return;
         if (share < 1) {
             self->awaitDial(1);
-            if (!self->waiting_.empty()) self->pool_.dialBeside(self->server_);
+            if (self->awaited()) self->pool_.dialBeside(self->server_);
             return;
         }
         self->pool_.counters().add(Counter::dialsFailed);
@@ -260,6 +260,15 @@
     });
 }
 
+// Whether anybody still wants what waits here. Of a copy: to be asked may bring and take calls.
+bool HostConnection::awaited() {
+    if (retired_) return false;
+    std::vector<AttemptId> ids;
+    for (const auto& call : waiting_)
+        for (const Attempt& a : call) ids.push_back(a.id);
+    return std::any_of(ids.begin(), ids.end(), [this](AttemptId id) { return pool_.exchange().wanted(id); });
+}
+
 void HostConnection::heard() { heard_ = pool_.clock().now(); }
 
 std::optional<Millis> HostConnection::quietSince() const {
--- a/src/back/pool.hpp
+++ b/src/back/pool.hpp
@@ -109,6 +109,7 @@
         bool over = false;
     };
     void awaitDial(double share);
+    bool awaited();
 
     asio::steady_timer timer_;
     std::deque<std::shared_ptr<ProbeOut>> probes_;
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -724,6 +724,13 @@
         CHECK(late.next.answers[0].status == 200 && late.first.answers.empty());
         CHECK(late.rig.count(Counter::attemptsNoConnection) == 0);
     }
+    for (const bool gone : {true, false}) {  // but none that nobody waits for, and none to a host that drains
+        LateDial late(false, 800);
+        if (gone) late.next.peer->close();
+        else late.rig.gatherer->exchange().list({firkeel::ListKind::changes, {host("h0", late.host.address(), 0, firkeel::ServerState::draining)}});
+        until(late.rig.io, [&] { return late.rig.count(Counter::dialsFailed) == 1; });
+        CHECK(late.rig.count(Counter::dials) == 2 && late.rig.count(Counter::dialsBeside) == 0);
+    }
 }
 
 // A part was given up, and is out again on the same connection: what comes first is the earlier's end, not the later's.
