--- a/src/back/pool.cpp
+++ b/src/back/pool.cpp
@@ -220,7 +220,6 @@
     pool_.counters().add(Counter::dials);
     const auto self = shared_from_this();
     awaitDial(kDialBeside);
-
     socket_.async_connect(to, [self](asio::error_code error) {
         if (self->state_ != State::dialing) return;
         self->timer_.cancel();
