Force leaving behind an answer and in a cut frame or search by each way on both fronts

Cells of the table that were by one front or by end only: leftBehindItsAnswer by end, reset and end behind bytes; lateLoopCutInTheMiddle and cutAsItsClientLeaves towards hosts of both wires from both fronts, the latter by each way of leaving. Replaces searchCutAsItsClientLeaves, whose cases are among these.

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -33,6 +33,14 @@
     c.search = Config::Search{kAnyPort, {{"pallets", "pallet-lookup"}}};
 }
 
+// A query of one slice that carries the mark, on either front.
+std::string asks(bool search, const std::string& mark) {
+    return search ? post("/pallets/_search?preference=_shards:0", "Content-Type: application/json\r\n",
+                         R"({"query":{"term":{"n":")" + mark + R"("}}})")
+                  : query(mark.size() < 40 ? mark : "long", {0}, 10'000'000, mark);
+}
+const tcp::endpoint to(Rig& rig, bool search) { return search ? rig.gatherer->searchEndpoint() : rig.gatherer->endpoint(); }
+
 // One client for each way of leaving on each front; each one's query carries a mark that no other has.
 struct Leavers {
     struct One {
@@ -49,15 +57,11 @@
         for (const bool search : {false, true})
             for (const Leave how : kLeaves) {
                 if (one && *one != std::pair(search, how)) continue;
-                const auto& to = search ? rig.gatherer->searchEndpoint() : rig.gatherer->endpoint();
-                all.push_back({std::make_unique<Client>(rig.io, to), how, "leaver" + std::to_string(all.size()) + "x", search});
+                all.push_back({std::make_unique<Client>(rig.io, to(rig, search)), how, "leaver" + std::to_string(all.size()) + "x", search});
             }
     }
     void sendAll() {
-        for (One& one : all)
-            one.client->send(one.search ? post("/pallets/_search?preference=_shards:0", "Content-Type: application/json\r\n",
-                                               R"({"query":{"term":{"n":")" + one.mark + R"("}}})")
-                                        : query(one.mark, {0}, 10'000'000, one.mark));
+        for (One& one : all) one.client->send(asks(one.search, one.mark));
     }
     void leaveAll() {
         for (One& one : all) leave(rig, *one.client, one.how);
@@ -333,18 +337,23 @@
 
 // A further request stands behind the one whose answer goes out, and its client's end behind that.
 void leftBehindItsAnswer() {
-    HoldingHost host;
-    Rig rig({host.address()}, oneHost);
-    Client client(rig.io, rig.gatherer->endpoint());
-    client.send(query("t1", {0}));
-    until(rig.io, [&] { return host.held.size() == 1; });
-    client.send(query("t2", {0}));
-    settle(rig.io);
-    host.held[0].answer("done", "v");  // first, so that it is handled first
-    client.peer->close();
-    settle(rig.io);
-    CHECK(rig.count(Counter::answeredWhole) == 1 && rig.count(Counter::queriesTaken) == 2);
-    CHECK(rig.count(Counter::goneBeforeSent) == 1 && host.held.size() == 1 && rig.count(Counter::attemptsSent) == 1);
+    for (const bool search : {false, true})
+        for (const Leave how : {Leave::end, Leave::reset, Leave::behindBytes}) {
+            HoldingHost host;
+            Rig rig({host.address()}, oneHost);
+            Client client(rig.io, to(rig, search));
+            client.send(asks(search, "t1"));
+            until(rig.io, [&] { return host.held.size() == 1; });
+            client.send(asks(search, "t2"));
+            settle(rig.io);
+            host.held[0].answer("done", R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})");  // handled first
+            leave(rig, client, how);
+            settle(rig.io);
+            CHECK(rig.count(Counter::answeredWhole) == 1 && host.held.size() == 1 && rig.count(Counter::attemptsSent) == 1);
+            // A reset ends the answer as well, and nothing behind it is taken.
+            const auto taken = rig.count(Counter::queriesTaken);
+            CHECK((how == Leave::reset || taken == 2) && rig.count(Counter::goneBeforeSent) == taken - 1);
+        }
 }
 
 // What lets a waiting part go comes first, its client's end right behind it, and the loop is 0.4 s late for both.
@@ -404,7 +413,7 @@
 
 // The same with its own frame or search, half of which is out: no byte more follows, and the connection ends.
 void lateLoopCutInTheMiddle() {
-    for (const bool search : {false, true})
+    for (const auto& [search, front] : {std::pair{false, false}, {false, true}, {true, false}, {true, true}})
         for (const Leave how : {Leave::end, Leave::reset, Leave::behindBytes}) {
             RawHost raw(16, 4096);
             raw.accept(false);
@@ -414,8 +423,8 @@
                 c.searchTrackHosts = search;
                 c.connections.sendBuffer = 4096;
             });
-            Client client(rig.io, rig.gatherer->endpoint());
-            client.send(query("cut", {0}, 10'000'000, std::string(60'000, 'x') + "end"));
+            Client client(rig.io, to(rig, front));
+            client.send(asks(front, std::string(60'000, 'x') + "end"));
             until(rig.io, [&] { return rig.count(Counter::attemptsSent) == 1 && raw.peers.size() == 1; });
             settle(rig.io);
             CHECK(rig.count(Counter::attemptsWritten) == 0);
@@ -582,11 +591,11 @@
 
 // ---- hosts of the query API
 
-struct SearchRig {
-    explicit SearchRig()
-        : host(16, 4096), rig({host.address()}, [](Config& c) {
+struct CutRig {
+    explicit CutRig(bool searchHost)
+        : host(16, 4096), rig({host.address()}, [&](Config& c) {
               oneHost(c);
-              c.searchTrackHosts = true;
+              c.searchTrackHosts = searchHost;
               c.connections.calls = 1;
               c.connections.sendBuffer = 4096;
               for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000'000;
@@ -599,7 +608,7 @@
 
 // The answer comes before its request has gone: the next one waits for that, and no longer.
 void searchAnsweredBeforeItHasGone() {
-    SearchRig s;
+    CutRig s(true);
     Client client(s.rig.io, s.rig.gatherer->endpoint()), after(s.rig.io, s.rig.gatherer->endpoint());
     client.send(query("t", {0}, 10'000'000, std::string(60'000, 'x') + "end"));
     until(s.rig.io, [&] { return s.rig.count(Counter::attemptsSent) == 1 && s.host.peers.size() == 1; });
@@ -613,21 +622,22 @@
     CHECK(s.host.seen.find("end") != std::string::npos && s.host.peers.size() == 1);
 }
 
-// Half of a search is out when its client leaves: it is not ended, and its connection goes.
-void searchCutAsItsClientLeaves() {
-    for (const Leave how : kLeaves) {
-        SearchRig s;
-        Client client(s.rig.io, s.rig.gatherer->endpoint());
-        client.send(query("t", {0}, 10'000'000, std::string(60'000, 'x') + "end"));
-        until(s.rig.io, [&] { return s.rig.count(Counter::attemptsSent) == 1 && s.host.peers.size() == 1; });
-        settle(s.rig.io);
-        leave(s.rig, client, how);
-        until(s.rig.io, [&] { return s.rig.count(Counter::goneBeforeSent) == 1; });
-        CHECK(s.rig.count(Counter::attemptsWritten) == 0);
-        s.host.read(0);
-        until(s.rig.io, [&] { return s.host.peers[0]->ended; });
-        CHECK(s.host.seen.find("xxx") != std::string::npos && s.host.seen.find("end") == std::string::npos);
-    }
+// Half of a frame or a search is out when its client leaves: it is not ended, and its connection goes.
+void cutAsItsClientLeaves() {
+    for (const auto& [search, front] : {std::pair{false, false}, {false, true}, {true, false}, {true, true}})
+        for (const Leave how : kLeaves) {
+            CutRig s(search);
+            Client client(s.rig.io, to(s.rig, front));
+            client.send(asks(front, std::string(60'000, 'x') + "end"));
+            until(s.rig.io, [&] { return s.rig.count(Counter::attemptsSent) == 1 && s.host.peers.size() == 1; });
+            settle(s.rig.io);
+            leave(s.rig, client, how);
+            until(s.rig.io, [&] { return s.rig.count(Counter::goneBeforeSent) == 1; });
+            CHECK(s.rig.count(Counter::attemptsWritten) == 0);
+            s.host.read(0);
+            until(s.rig.io, [&] { return s.host.peers[0]->ended; });
+            CHECK(s.host.seen.find("xxx") != std::string::npos && s.host.seen.find("end") == std::string::npos);
+        }
 }
 
 // ---- places and answers
@@ -957,7 +967,7 @@
         {"sendsFarAheadOfItsAnswersEnd", sendsFarAheadOfItsAnswersEnd},
         {"restComesAsItsTimeEnds", restComesAsItsTimeEnds},
         {"searchAnsweredBeforeItHasGone", searchAnsweredBeforeItHasGone},
-        {"searchCutAsItsClientLeaves", searchCutAsItsClientLeaves},
+        {"cutAsItsClientLeaves", cutAsItsClientLeaves},
         {"placesOfWhatWasGivenUp", placesOfWhatWasGivenUp},
         {"waitsForADialAsAPlaceComesFree", waitsForADialAsAPlaceComesFree},
         {"dialsBesideALateDial", dialsBesideALateDial},
