See that the lock is tried for in its test, and share the set-up of cut parts

The test of a call that waits for a lock stopped the process 30 ms after the call was sent, whether or not it had been tried: now inotify tells. Cut frames and searches share one rig; a pool's friend and a condition that stood twice are out. No change in behaviour.

--- a/src/back/frames.cpp
+++ b/src/back/frames.cpp
@@ -25,7 +25,7 @@
 void FrameConnection::fill() {
     // Not before all that has come is read: the bytes behind an answer may spoil the connection.
     if (state_ != State::open || writing_ || filling_ || parsing_) return;
-    if (waiting_.empty() && calls_.size() < pool_.limits().calls) takeOver();
+    if (waiting_.empty()) takeOver();
     filling_ = true;  // claim() and wanted() may come back here
     const bool over = hopeless();
     if (over || (!waiting_.empty() && calls_.empty() && outgoing_.empty() && peerEnded())) {
--- a/src/back/pool.cpp
+++ b/src/back/pool.cpp
@@ -146,7 +146,7 @@
     if (found == hosts_.end() || !found->second.endpoint) return;
     Host& host = found->second;
     if (clock_.now() - host.upAt > kUpLately || host.connections.size() >= limits_.perHost) return;
-    const auto spare = [](const Connection& c) { return c->state_ == HostConnection::State::dialing && c->waiting_.empty(); };
+    const auto spare = [](const Connection& c) { return c->spare(); };
     if (std::any_of(host.connections.begin(), host.connections.end(), spare) || !makeRoom()) return;
     counters_.add(Counter::dialsBeside);
     dial(server, host);
--- a/src/back/pool.hpp
+++ b/src/back/pool.hpp
@@ -40,8 +40,6 @@
 
 // One connection. Calls wait in it unread until it is up and has room.
 class HostConnection : public std::enable_shared_from_this<HostConnection> {
-    friend class Pool;
-
 public:
     HostConnection(Pool& pool, std::string server);
     virtual ~HostConnection() = default;
@@ -58,6 +56,7 @@
 
     bool open() const { return state_ == State::open && !retired_; }
     bool usable() const { return state_ != State::closed && !retired_ && !suspect_; }
+    bool spare() const { return state_ == State::dialing && waiting_.empty(); }  // on its way, for nobody yet
     std::size_t load() const { return callsOut() + waiting_.size(); }
     bool idle() const { return !partsOut() && waiting_.empty() && probes_.empty() && !writing_; }
     Millis idleSince() const { return lastUse_; }
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -33,13 +33,16 @@
     c.search = Config::Search{kAnyPort, {{"pallets", "pallet-lookup"}}};
 }
 
+// What a sound host of the query API says.
+constexpr const char* kFound = R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})";
+
 // A query of one slice that carries the mark, on either front.
 std::string asks(bool search, const std::string& mark) {
     return search ? post("/pallets/_search?preference=_shards:0", "Content-Type: application/json\r\n",
                          R"({"query":{"term":{"n":")" + mark + R"("}}})")
                   : query(mark.size() < 40 ? mark : "long", {0}, 10'000'000, mark);
 }
-const tcp::endpoint to(Rig& rig, bool search) { return search ? rig.gatherer->searchEndpoint() : rig.gatherer->endpoint(); }
+tcp::endpoint to(Rig& rig, bool search) { return search ? rig.gatherer->searchEndpoint() : rig.gatherer->endpoint(); }
 
 // One client for each way of leaving on each front; each one's query carries a mark that no other has.
 struct Leavers {
@@ -106,6 +109,13 @@
             filling.back().async_connect(acceptor.local_endpoint(), [](asio::error_code) {});
         }
     }
+    std::size_t readAllNow() {  // of the first one, without a turn of the loop
+        std::string some(8192, '\0');
+        std::size_t got = 0;
+        peers[0]->socket.non_blocking(true);
+        for (asio::error_code error; !error;) got += peers[0]->socket.read_some(asio::buffer(some), error);
+        return got;
+    }
     void read(std::size_t i) {
         peers[i]->read([this, raw = peers[i].get()] {
             seen += raw->in.view();
@@ -138,6 +148,27 @@
     searchFront(c);
 }
 
+// A host that doesn't read, of either wire, behind small buffers: a large part is cut.
+struct CutRig {
+    explicit CutRig(bool searchHost)
+        : host(16, 4096), rig({host.address()}, [&](Config& c) {
+              oneHost(c);
+              c.searchTrackHosts = searchHost;
+              c.connections.calls = 1;
+              c.connections.sendBuffer = 4096;
+              for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000'000;
+          }) {
+        host.accept(false);
+    }
+    void untilCut() {
+        until(rig.io, [&] { return rig.count(Counter::attemptsSent) == 1 && host.peers.size() == 1; });
+        settle(rig.io);
+        CHECK(rig.count(Counter::attemptsWritten) == 0);
+    }
+    RawHost host;
+    Rig rig;
+};
+
 // ---- the client has left: not sent, by whatever way
 
 void waitsForADial() {
@@ -203,7 +234,7 @@
     CHECK(rig.count(Counter::attemptsSent) == 1);
     leavers.leaveAll();
     leavers.noticed();
-    held[0].answer(200, R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})");
+    held[0].answer(200, kFound);
     after.send(query("after", {0}, 3000, "after"));
     until(rig.io, [&] { return held.size() == 2; });
     CHECK(held[1].body == "after" && first.answers.size() == 1 && leavers.sentIn(seen) == 0 && host.peers.size() == 1);
@@ -346,7 +377,7 @@
             until(rig.io, [&] { return host.held.size() == 1; });
             client.send(asks(search, "t2"));
             settle(rig.io);
-            host.held[0].answer("done", R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})");  // handled first
+            host.held[0].answer("done", kFound);  // handled first
             leave(rig, client, how);
             settle(rig.io);
             CHECK(rig.count(Counter::answeredWhole) == 1 && host.held.size() == 1 && rig.count(Counter::attemptsSent) == 1);
@@ -386,11 +417,7 @@
     CHECK(sent == (way == "dial" ? 0 : 1) && rig.count(Counter::attemptsWritten) == (cut || way == "dial" ? 0 : 1));
     auto& held = host.held.empty() ? other.held : host.held;
     if (again || way == "place") held[0].answer(again ? "failed" : "done", "v");
-    if (cut) {
-        raw.peers[0]->socket.non_blocking(true);
-        std::string some(8192, '\0');
-        for (asio::error_code error; !error;) raw.peers[0]->socket.read_some(asio::buffer(some), error);
-    }
+    if (cut) CHECK(raw.readAllNow() > 0);
     leavers.leaveAll();
     rig.clock.set(rig.clock.now() + 400);
     settle(rig.io);
@@ -415,31 +442,19 @@
 void lateLoopCutInTheMiddle() {
     for (const auto& [search, front] : {std::pair{false, false}, {false, true}, {true, false}, {true, true}})
         for (const Leave how : {Leave::end, Leave::reset, Leave::behindBytes}) {
-            RawHost raw(16, 4096);
-            raw.accept(false);
-            Rig rig({raw.address()}, [&](Config& c) {
-                oneHost(c);
-                for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000'000;
-                c.searchTrackHosts = search;
-                c.connections.sendBuffer = 4096;
-            });
-            Client client(rig.io, to(rig, front));
+            CutRig s(search);
+            Client client(s.rig.io, to(s.rig, front));
             client.send(asks(front, std::string(60'000, 'x') + "end"));
-            until(rig.io, [&] { return rig.count(Counter::attemptsSent) == 1 && raw.peers.size() == 1; });
-            settle(rig.io);
-            CHECK(rig.count(Counter::attemptsWritten) == 0);
-            raw.peers[0]->socket.non_blocking(true);  // all that has gone is read: there is room for more
-            std::string some(8192, '\0');
-            std::size_t got = 0;
-            for (asio::error_code error; !error;) got += raw.peers[0]->socket.read_some(asio::buffer(some), error);
+            s.untilCut();
+            const std::size_t got = s.host.readAllNow();  // there is room for more
             CHECK(got > 0 && got < 60'000);
-            leave(rig, client, how);
-            rig.clock.set(rig.clock.now() + 400);
-            settle(rig.io);
-            CHECK(rig.count(Counter::goneBeforeSent) == 1 && rig.count(Counter::attemptsWritten) == 0);
-            raw.read(0);
-            until(rig.io, [&] { return raw.peers[0]->ended; });
-            CHECK(raw.seen.empty());
+            leave(s.rig, client, how);
+            s.rig.clock.set(s.rig.clock.now() + 400);
+            settle(s.rig.io);
+            CHECK(s.rig.count(Counter::goneBeforeSent) == 1 && s.rig.count(Counter::attemptsWritten) == 0);
+            s.host.read(0);
+            until(s.rig.io, [&] { return s.host.peers[0]->ended; });
+            CHECK(s.host.seen.empty());
         }
 }
 
@@ -589,32 +604,17 @@
     CHECK(endless.answers[0].status == 408);
 }
 
-// ---- hosts of the query API
-
-struct CutRig {
-    explicit CutRig(bool searchHost)
-        : host(16, 4096), rig({host.address()}, [&](Config& c) {
-              oneHost(c);
-              c.searchTrackHosts = searchHost;
-              c.connections.calls = 1;
-              c.connections.sendBuffer = 4096;
-              for (auto& k : c.settings.classes) k.aim = k.deadline = 10'000'000'000'000;
-          }) {
-        host.accept(false);
-    }
-    RawHost host;
-    Rig rig;
-};
+// ---- cut frames and searches
 
 // The answer comes before its request has gone: the next one waits for that, and no longer.
 void searchAnsweredBeforeItHasGone() {
     CutRig s(true);
     Client client(s.rig.io, s.rig.gatherer->endpoint()), after(s.rig.io, s.rig.gatherer->endpoint());
     client.send(query("t", {0}, 10'000'000, std::string(60'000, 'x') + "end"));
-    until(s.rig.io, [&] { return s.rig.count(Counter::attemptsSent) == 1 && s.host.peers.size() == 1; });
+    s.untilCut();
     after.send(query("after", {0}, 10'000'000, "after"));
     until(s.rig.io, [&] { return s.rig.gatherer->exchange().live() == 2; });
-    s.host.peers[0]->send(net::response(200, "application/json", R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})", true));
+    s.host.peers[0]->send(net::response(200, "application/json", kFound, true));
     until(s.rig.io, [&] { return client.answers.size() == 1; });
     CHECK(client.answers[0].status == 200 && s.rig.count(Counter::attemptsWritten) == 0 && s.rig.count(Counter::attemptsSent) == 1);
     s.host.read(0);
@@ -629,8 +629,7 @@
             CutRig s(search);
             Client client(s.rig.io, to(s.rig, front));
             client.send(asks(front, std::string(60'000, 'x') + "end"));
-            until(s.rig.io, [&] { return s.rig.count(Counter::attemptsSent) == 1 && s.host.peers.size() == 1; });
-            settle(s.rig.io);
+            s.untilCut();
             leave(s.rig, client, how);
             until(s.rig.io, [&] { return s.rig.count(Counter::goneBeforeSent) == 1; });
             CHECK(s.rig.count(Counter::attemptsWritten) == 0);
@@ -701,7 +700,6 @@
         back::writeFrame(frame, 'R', id + " done 1 -\nv");
         host.peers[peer]->send(search ? net::response(200, "application/json", kFound, true) : frame);
     }
-    static constexpr const char* kFound = R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})";
     bool search;
     RawHost host{0};
     Rig rig;
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -1,6 +1,7 @@
 // The operators' parts on real sockets: one test for each promise.
 #include <fcntl.h>
 #include <sys/file.h>
+#include <sys/inotify.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -308,16 +309,20 @@
     auto old = std::make_unique<Staff>([&](Config& c) { c.stateFolder = folder.path; });
     asio::io_context& io = Rig::loop();
     auto lock = std::make_unique<Held>(folder.file() + ".lock", "");
+    const int opened = ::inotify_init1(IN_NONBLOCK | IN_CLOEXEC);
+    CHECK(opened >= 0 && ::inotify_add_watch(opened, (folder.file() + ".lock").c_str(), IN_OPEN) >= 0);
     Client caller(io, old->rig.gatherer->doorEndpoint());
     caller.send(put("/ops/track-hosts/down/h0"));
-    bool ended = false;
-    asio::steady_timer soon(io, std::chrono::milliseconds(30)), later(io, std::chrono::milliseconds(100));
-    soon.async_wait([&](asio::error_code) { old->rig.gatherer->stop([&] { ended = true; }); });
+    char event[512];
+    until(io, [&] { return ::read(opened, event, sizeof event) > 0; });  // it has been tried for
+    ::close(opened);
+    bool ended = false, passed = false;
+    old->rig.gatherer->stop([&] { ended = true; });
     until(io, [&] { return ended && caller.peer->ended; });
     CHECK(caller.answers.empty());
     lock.reset();  // now it could be had
     old.reset();
-    bool passed = false;
+    asio::steady_timer later(io, std::chrono::milliseconds(50));  // behind the next try, which is due within 10 ms
     later.async_wait([&](asio::error_code) { passed = true; });
     until(io, [&] { return passed; });
     CHECK(!std::filesystem::exists(folder.file()));
