Keep the ports of ./try's gatherers reserved until they listen

Seen: group.try failed once in ./test beside the other tests: "a gatherer does not serve after 10 s", in its log "can't go on: bind: Address already in use" before the group's own line, so at the door or the front. It passed alone and in twelve runs beside other tests.

Cause: try_out's freePort gave back a TCP port that it had closed again, and the tests beside it ask for any port by the thousand. Probe: of 576,220 listeners on any port 4,948 got one of 60 ports freed so. Ruled out: outgoing connections, none of 175,247 got one.

Change: the port stays bound, not listened on, with its address to be shared, until the run ends. Probe: none of 581,212 listeners got one of 60 such ports, and a listener that names one gets it. The group's UDP ports are still freed and taken again: not seen to fail.

--- a/src/emulator/try_out.cpp
+++ b/src/emulator/try_out.cpp
@@ -86,11 +86,25 @@
     std::string name_;
 };
 
-int freePort(asio::io_context& io, bool udp) {
-    const auto any = asio::ip::address_v4::loopback();
-    return udp ? asio::ip::udp::socket(io, asio::ip::udp::endpoint(any, 0)).local_endpoint().port()
-               : tcp::acceptor(io, tcp::endpoint(any, 0)).local_endpoint().port();
+int freeUdpPort(asio::io_context& io) {
+    return asio::ip::udp::socket(io, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0)).local_endpoint().port();
 }
+// Ports that gatherers are about to listen on. Bound here and not listened on, they are given to nobody who asks for any port
+// meanwhile; who names one and asks to share its address, as a gatherer's listeners do, still gets it.
+class Reserved {
+public:
+    explicit Reserved(asio::io_context& io) : io_(io) {}
+    int port() {
+        tcp::socket& held = held_.emplace_back(io_, tcp::v4());
+        held.set_option(asio::socket_base::reuse_address(true));
+        held.bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        return held.local_endpoint().port();
+    }
+
+private:
+    asio::io_context& io_;
+    std::vector<tcp::socket> held_;
+};
 // One call on a connection of its own; empty: nobody answered.
 std::string call(asio::io_context& io, int port, const std::string& request) {
     tcp::socket socket(io);
@@ -136,13 +150,14 @@
 
     Json members, duties = {"looker-on", "planner"};
     for (int g = 0; g < kTryGatherers; ++g)
-        members[fmt::format("g{}", g)] = fmt::format("127.0.0.1:{}", freePort(calls, true));
+        members[fmt::format("g{}", g)] = fmt::format("127.0.0.1:{}", freeUdpPort(calls));
+    Reserved reserved(calls);
     std::vector<int> front, door;
     std::vector<std::unique_ptr<RealProcess>> gatherers;
     for (int g = 0; g < kTryGatherers; ++g) {
         const std::string name = fmt::format("g{}", g), base = folder + "/" + name;
         std::filesystem::create_directories(base);
-        front.push_back(freePort(calls, false)), door.push_back(freePort(calls, false));
+        front.push_back(reserved.port()), door.push_back(reserved.port());
         const Json config = {
             {"name", name},
             {"listen", fmt::format("127.0.0.1:{}", front.back())},
