Headers of settings, configuration and routing

List order of items is kept by an order number in each value; a list of names under one key was ruled out, since each added route would send it whole to every gateway.

--- /dev/null
+++ b/src/configuration/configuration.hpp
@@ -0,0 +1,87 @@
+// The operator's configuration as typed items, and the rules on one item. An item is kept as the JSON that was
+// sent (compact), so that members unknown here survive; the structs are what this program understands of it.
+// Numbers may be whole or fractional; null and missing members leave the default.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/result.hpp"
+
+namespace beechpoint::configuration {
+
+enum class RouteType { idempotent, nonIdempotent, streaming };
+
+struct WeightedBackend {
+    std::string backend;  // name of a service
+    double weight = 0;
+    bool operator==(const WeightedBackend&) const = default;
+};
+
+struct Route {
+    std::string name;
+    std::string hostname;
+    std::string pathPrefix;                     // begins and ends with a slash
+    RouteType type = RouteType::nonIdempotent;  // also for types that are not known: the careful reading
+    double timeoutMs = 0;                       // 0: not stated
+    double targetLatencyMs = 0;                 // 0: not stated
+    int priorityClass = 0;                      // 0 is the most urgent
+    std::string backend;                        // empty when the split counts
+    std::vector<WeightedBackend> trafficSplit;  // counts before `backend` when it is not empty
+    int maxAttempts = 1;
+    bool sessionAffinity = false;
+    bool resumable = false;
+    double gapAimMs = 0;                      // longest pause between events in time; 0: not stated
+    std::vector<std::string> allowedRegions;  // empty: all
+    bool operator==(const Route&) const = default;
+
+    // A repeat does no harm: idempotent, or a stream that may be taken up elsewhere.
+    bool repeatable() const {
+        return type == RouteType::idempotent || (type == RouteType::streaming && resumable);
+    }
+};
+
+struct ModelName {
+    std::string name;
+    bool operator==(const ModelName&) const = default;
+};
+
+struct InferenceEngine {
+    double capacity = 0;
+    double cacheTokens = 0;
+    double kvTokenBytes = 0;
+    double bandwidthMbps = 0;
+    double stride = 1;  // tokens in one event of a stream
+    std::vector<ModelName> models;
+    bool operator==(const InferenceEngine&) const = default;
+};
+
+struct Service {
+    std::string name;
+    std::string healthCheckPath = "/health";
+    double maxConnections = 0;  // of one host, from all callers; 0: not stated
+    std::string protocol;
+    double warmupS = 0;
+    double warmupPerS = 0;
+    std::optional<InferenceEngine> inferenceEngine;
+    bool operator==(const Service&) const = default;
+};
+
+struct Limits {
+    double maxHeaderBytes = 16384;
+    double maxBodyBytes = 4194304;
+    double headerTimeoutMs = 3000;
+    double idleTimeoutMs = 15000;
+    bool operator==(const Limits&) const = default;
+};
+
+// One item from its JSON text. Errors are ErrorKind::invalid with a JSON pointer into the item as place. Rules
+// between items (services that are named, host and prefix shared) are not looked at.
+Result<Route> parseRoute(std::string_view json);
+Result<Service> parseService(std::string_view json);
+Result<Limits> parseLimits(std::string_view json);
+
+}  // namespace beechpoint::configuration
--- /dev/null
+++ b/src/configuration/stored_item.hpp
@@ -0,0 +1,32 @@
+// How one named item of the configuration is kept in the replicated table: "ORDER JSON". ORDER is a decimal
+// number that rises along the operator's list, with gaps, so that a change of one item changes one value.
+//
+// Keys, besides those in core/replicated_table.hpp:
+//   member/NAME   a member of the configuration that is not known here, as sent
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace beechpoint::configuration {
+
+inline constexpr std::string_view kVersionKey = "meta/version";
+inline constexpr std::string_view kRoutePrefix = "route/";
+inline constexpr std::string_view kServicePrefix = "service/";
+inline constexpr std::string_view kLimitsKey = "limits";
+inline constexpr std::string_view kEvacuatedPrefix = "evacuated/";
+inline constexpr std::string_view kTakenPrefix = "taken/";
+inline constexpr std::string_view kMemberPrefix = "member/";
+
+struct StoredItem {
+    std::uint64_t order = 0;
+    std::string_view json;  // into the value that was parsed
+};
+
+// Nothing when the value is not of this form.
+std::optional<StoredItem> parseStoredItem(std::string_view value);
+std::string formatStoredItem(std::uint64_t order, std::string_view json);
+
+}  // namespace beechpoint::configuration
