--- /dev/null
+++ b/src/dispatch/messages.hpp
@@ -0,0 +1,232 @@
+// What a gateway's dispatcher is told (events) and what it tells its driver to do (actions). Plain values; times are
+// Millis of the program's monotonic clock, durations Millis as well.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/clock.hpp"
+
+namespace beechpoint::dispatch {
+
+using RequestId = std::uint64_t;  // the driver's, never used twice
+
+enum class RequestType { idempotent, nonIdempotent, streaming };
+
+struct WeightedService {
+    std::string name;
+    double weight = 1;
+};
+
+// A part of a prompt. Parts are shared between requests; the last one is the request's own or its session's.
+struct PromptPart {
+    std::string id;
+    std::uint32_t tokens = 0;
+};
+
+// ---- events
+
+struct RequestArrived {
+    RequestId id = 0;
+    std::string attemptId;  // the client's X-Attempt-Id, for the log
+    std::string route;
+    std::vector<WeightedService> services;  // the route's traffic split; one is drawn for each request
+    RequestType type = RequestType::nonIdempotent;
+    Millis timeout = 0;     // of the route
+    Millis aim = 0;         // to the answer, or to a stream's first event
+    Millis gapAim = 0;      // longest pause between a stream's events that keeps it in time
+    Millis deadline = 0;    // what is left from now: the smaller one of the client's and the route's
+    int priorityClass = 0;  // 0 is the most urgent
+    int maxAttempts = 1;    // most hosts that this try may be sent to
+    bool resumable = false;
+    std::vector<PromptPart> prompt;
+    std::uint32_t promptTokens = 0;  // in all; 0: the sum of the parts
+    std::uint32_t outTokens = 0;     // the most to be sent out
+    std::uint64_t bodyBytes = 0;     // of the request; 0: guessed from the tokens
+    // Regions whose hosts may serve it (of route and tenant, both binding): nothing is any, an empty list none.
+    std::optional<std::vector<std::string>> allowedRegions;
+};
+
+// An attempt's answer has begun and checks so far (id, framing). `notExecuted`: X-Not-Executed or status 421.
+struct AttemptHead {
+    RequestId id = 0;
+    int attempt = 0;
+    int status = 0;
+    bool notExecuted = false;
+    bool sealed = true;                      // a 2xx without X-Server-Seal is no success
+    std::optional<std::uint64_t> bodyBytes;  // Content-Length, where there is one
+};
+
+// The first event of a stream, or the first byte of another answer's body. Told once an attempt.
+struct AttemptFirstByte {
+    RequestId id = 0;
+    int attempt = 0;
+};
+
+enum class Outcome {
+    served,             // the whole answer came, whatever its status but for notExecuted
+    hostError,          // the host answered with a failure of its own (5xx); it ran
+    notExecuted,        // X-Not-Executed or 421: never ran
+    notConnected,       // no connection, or nothing of the request was written: never ran
+    noCapacity,         // the driver had no connection to give within its limits: never ran
+    resetBeforeAnswer,  // sent, then reset or closed before any head: may have run
+    broken,             // the answer began and ended early
+    malformed,          // bytes that are no answer
+    foreign,            // an answer with another attempt's id
+    timedOut,           // `within` passed; may have run
+    cancelled           // by Cancel; may have run
+};
+
+// Exactly one for each Send, also after the request's end and after Cancel.
+struct AttemptEnded {
+    RequestId id = 0;
+    int attempt = 0;
+    Outcome outcome = Outcome::served;
+    std::string lastEventId;  // of a stream: the last event that was passed on whole; empty: none
+    Millis warmupLeft = 0;    // X-Warmup-Remaining, where the answer carried one
+};
+
+struct ClientGone {
+    RequestId id = 0;
+};
+
+enum class HostState { serving, draining };
+
+struct Host {
+    std::string instanceId;
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::string region;  // empty: unknown, which no allowed region is
+    int capacity = 1;
+    HostState state = HostState::serving;
+    Millis warmupLeft = 0;
+    std::optional<Millis> remaining;  // announced time until it is gone
+};
+
+// The whole list, each time. A list that could not be read is not told.
+struct Hosts {
+    std::vector<Host> hosts;
+};
+
+struct Service {
+    std::string name;
+    double warmupS = 0;
+    double warmupPerS = 0;  // requests a second that a cold host bears; 0: no bound
+    int maxConnections = 0;
+    bool engine = false;  // a model host: prompts are read, and parts of them kept
+    std::uint64_t cacheTokens = 0;
+};
+
+// All services of the configuration in force.
+struct Services {
+    std::vector<Service> services;
+};
+
+// All zones that are evacuated.
+struct Evacuated {
+    std::vector<std::string> zones;
+};
+
+// How many gateways share the budgets: the largest number live in the last retry window. Unknown: no share of what
+// all have together. `rank`: this one's place among the names of the live ones in order, or -1.
+struct Fleet {
+    int liveGateways = 1;
+    bool known = false;
+    int rank = -1;
+};
+
+// A host said that it is cold (X-Warmup-Remaining, or a health answer).
+struct WarmupSeen {
+    std::string instanceId;
+    Millis left = 0;
+};
+
+// The end of a Probe: a GET of the service's health path. Healthy only with 200 and this instance's X-Instance-Id.
+struct ProbeEnded {
+    std::string instanceId;
+    bool healthy = false;
+    Millis warmupLeft = 0;
+};
+
+struct Tick {};
+
+using Event = std::variant<RequestArrived, AttemptHead, AttemptFirstByte, AttemptEnded, ClientGone, Hosts,
+                           Services, Evacuated, Fleet, WarmupSeen, ProbeEnded, Tick>;
+
+// ---- actions
+
+// Sends the request to a host, with X-Target-Instance. What comes of it is kept (head, and body up to kHeldBytes)
+// until Relay, Cancel or the end.
+struct Send {
+    RequestId id = 0;
+    int attempt = 0;  // numbered from 0 in a request
+    std::string instanceId;
+    std::string address;
+    std::string service;
+    Millis within = 0;    // X-Deadline-Remaining, and the attempt's time-out
+    int priority = 5;     // the Priority header, for model hosts
+    bool engine = false;  // whether the Priority header is wanted
+    // Takes a relayed stream up again: events go on behind `lastEventId` (empty: from the first, without the header)
+    // in the answer that the client has already; the new head is not passed on.
+    bool resume = false;
+    std::string lastEventId;
+};
+
+// Ends an attempt that is still out; its AttemptEnded (cancelled) follows.
+struct Cancel {
+    RequestId id = 0;
+    int attempt = 0;
+};
+
+// This attempt's answer is the client's: all that came and will come of it. It may follow the attempt's end, in the
+// same batch of actions. After a resuming Send it stands for going on in the open answer.
+struct Relay {
+    RequestId id = 0;
+    int attempt = 0;
+};
+
+// Final: it has not run and never will. `retryAfter` 0: no advice.
+struct Refuse {
+    RequestId id = 0;
+    int status = 503;
+    Millis retryAfter = 0;
+};
+
+// Final, without a promise: 502 or 504.
+struct Fail {
+    RequestId id = 0;
+    int status = 502;
+};
+
+// Final: the relayed answer can't go on and is ended so that it looks broken.
+struct BreakOff {
+    RequestId id = 0;
+};
+
+// Asks a host's health; one ProbeEnded is owed within a second.
+struct Probe {
+    std::string instanceId;
+    std::string address;
+    std::string service;
+};
+
+// A Tick is wanted at this time; replaces the one asked for before.
+struct SetTimer {
+    Millis at = 0;
+};
+
+struct Log {
+    std::string kind;  // stable words, one of few
+    std::string text;
+};
+
+using Action = std::variant<Send, Cancel, Relay, Refuse, Fail, BreakOff, Probe, SetTimer, Log>;
+
+// An answer of a repeatable request that is no stream is relayed once it is whole, if its length is at most this.
+inline constexpr std::uint64_t kHeldBytes = 65536;
+
+}  // namespace beechpoint::dispatch
