--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "net/buffer.hpp"
+#include "net/framing.hpp"
 
 namespace beechpoint::net {
 
@@ -25,6 +26,7 @@
     std::vector<std::pair<std::string_view, std::string_view>> headers;
     std::string_view body;
     bool keepAlive = false;
+    int minorVersion = 1;  // of HTTP/1.x
 
     std::string_view path() const { return target.substr(0, target.find('?')); }
     std::string_view query() const {
@@ -49,11 +51,18 @@
     HttpReader(const HttpReader&) = delete;
     HttpReader& operator=(const HttpReader&) = delete;
 
+    // The most bytes of a head and of a body, from now on.
+    void limits(std::size_t maxHead, std::size_t maxBody);
+    // Reads requests by net/framing.hpp from now on: nothing ambiguous is taken, trailers are dropped, and a body that
+    // comes in chunks takes no more room than its bytes. Not while a message is in hand.
+    void strict();
     State parse();          // reads on through what the buffer holds
     State finish();         // the peer ended the connection: completes an answer that lasts until then
     HttpMessage message();  // after complete
     void next();            // gives up the message's bytes and begins another
     bool inHead() const { return !headDone_; }
+    // In a body whose client waits for "100 Continue" and has sent nothing of it yet. Strict reading only.
+    bool awaitsContinue() const;
     int status() const { return headDone_ ? static_cast<int>(parser_.status_code) : 0; }
 
 private:
@@ -67,17 +76,25 @@
     int onBody(const char* at, std::size_t size);
     std::string_view view(const Slice& s) { return {buffer_.data() + s.at, s.size}; }
     State result(std::size_t used);
+    State parseStrict();
+    State parseStrictHead();
+    State parseStrictBody();
 
     Buffer& buffer_;
     OnBody handOn_;
     Kind kind_;
-    std::size_t maxBody_;
+    std::size_t maxHead_ = kMaxHead, maxBody_;
     http_parser parser_{};
     http_parser_settings settings_{};
     std::size_t parsed_ = 0;
     bool headDone_ = false, complete_ = false, tooLarge_ = false, lastWasValue_ = false, keepAlive_ = false;
     Slice target_, body_;
     std::vector<std::pair<Slice, Slice>> headers_;
+    // Of the strict reading.
+    bool strict_ = false, expectsContinue_ = false;
+    Slice method_;
+    int minorVersion_ = 1;
+    BodyDecoder decoder_;
 };
 
 std::string_view reasonOf(int status);
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -5,9 +5,11 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,6 +21,25 @@
 
 class HttpServer;
 
+// What a server's clients may send, and how long they may take. The defaults are those of the gatherer.
+struct HttpLimits {
+    std::size_t head = kMaxHead;  // bytes; more is answered 431
+    std::size_t body = kMaxBody;  // bytes without the transfer coding; more is answered 413
+    Millis silent = 2000;         // from connecting to the first byte; then the connection is closed
+    Millis partialHead = 2000;    // from the first byte of a message to the end of its head; then 408
+    // Between bytes of a body; then 408. 0: the whole message has `partialHead`.
+    Millis bodyPause = 0;
+    Millis idle = 10'000;      // between requests
+    Millis writePause = 5000;  // for a client that does not read its answer
+    std::size_t streamQueue =
+        1024 * 1024;            // bytes of a streamed answer that wait for a slow client; more aborts it
+    bool announceIdle = false;  // Keep-Alive: timeout=N on answers that keep the connection
+    // The strict reading of net/framing.hpp for new connections: nothing ambiguous is taken, 100-continue is answered,
+    // HEAD, 204 and 304 are answered without a body, and a request that came behind the one in hand is served before
+    // its connection is closed.
+    bool strict = false;
+};
+
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
     HttpConnection(HttpServer& server, asio::ip::tcp::socket socket);
@@ -29,10 +50,30 @@
     // `handedOver` is called once its last byte is; dropped uncalled where the client has gone.
     void respond(int status, std::string_view type, std::string_view body, std::string_view extra = {},
                  std::function<void()> handedOver = {});
-    // Called once if the client leaves before the answer is given.
+    // A streamed answer to the request in hand: its head now, its body as it comes. `headers` holds whole lines, each
+    // ended by CRLF, none of them about framing or the connection. Without a length the body goes in chunks (to an HTTP/1.0
+    // client to the end of the connection). False: the client has gone, or an answer has begun.
+    bool beginStream(int status, std::string_view headers, std::optional<std::uint64_t> contentLength);
+    // Sends body bytes at once; what a slow client does not take waits here. Returns the bytes that wait, those of
+    // earlier calls included. More than HttpLimits::streamQueue of them, or more than the length announced, aborts the
+    // answer (whenGone is called). Ignored while no streamed answer is open.
+    std::size_t writeSome(std::string_view bytes);
+    // The body is whole. Short of the length announced, the answer is aborted instead. `handedOver` as for respond().
+    void endStream(std::function<void()> handedOver = {});
+    // Ends the answer so that the client sees it is not whole: what waits is still sent, then the connection is closed
+    // without a last chunk, or reset where the close would look like the end.
+    void abortStream();
+    bool streaming() const { return state_ == State::streaming; }
+    // Bytes of the streamed answer that wait for the client.
+    std::size_t queued() const { return out_.size() - outSent_ + pending_.size(); }
+    // Called once, when nothing waits for the client any more (not within this call).
+    void whenDrained(std::function<void()> drained);
+    // Called once if the client leaves, or its connection is aborted from within, before the answer is whole.
     void whenGone(std::function<void()> gone) {
-        if (waiting()) gone_ = std::move(gone);
+        if (waiting() || streaming()) gone_ = std::move(gone);
     }
+    // Closes at once, visibly: a client that waits for an answer sees a reset.
+    void reset();
     // Whether the client's end has come, perhaps behind bytes that were not read. A look at the socket, for who waits.
     bool left();
     bool idle() const { return state_ == State::reading && buffer_.size() == 0; }
@@ -41,13 +82,27 @@
 
 private:
     friend class HttpServer;
-    enum class State { reading, handling, writing, lingering, closed };
+    enum class State { reading, handling, streaming, writing, lingering, closed };
+    enum class StreamEnd { open, whole, broken };
     void read();
     void onReadable();
     void onEnd();
     void parse();
     void write();
+    void afterAnswer();
     void linger();
+    void takeMessage(const HttpMessage& message);
+    void refuse(int status, std::string_view text);
+    void sayContinue();
+    void decideKeepAlive();
+    std::string connectionLines() const;
+    void sendStream(std::string_view framed);
+    void writeStream();
+    void onStreamWritten(asio::error_code error, std::size_t sent);
+    void finishStream();
+    void handDrained();
+    std::size_t mostAhead() const;
+    std::size_t readRoom() const;
     bool late(Millis now) const;
     bool unread() const;  // more has come than was read
 
@@ -58,10 +113,20 @@
     State state_ = State::reading;
     bool readOut_ = false;  // a read is under way
     bool keepAlive_ = true;
-    bool farAhead_ = false;  // it sent more ahead than is kept: its connection ends with the answer
-    bool broken_ = false;  // it may still be sending what was not taken
+    bool farAhead_ = false;   // it sent more ahead than is kept: its connection ends with the answer
+    bool broken_ = false;     // it may still be sending what was not taken
+    bool noBody_ = false;     // the request in hand is a HEAD
+    bool oldClient_ = false;  // HTTP/1.0: no chunks
+    bool continueSaid_ = false;
     std::string out_;
-    std::function<void()> gone_, handedOver_;
+    // Of a streamed answer.
+    std::string pending_;      // behind out_, of which a write is under way
+    std::size_t outSent_ = 0;  // bytes of out_ that the system has
+    bool writeOut_ = false;
+    bool chunked_ = false, bodyless_ = false;
+    std::optional<std::uint64_t> lengthLeft_;
+    StreamEnd streamEnd_ = StreamEnd::open;
+    std::function<void()> gone_, handedOver_, drained_;
     bool asked_ = false;       // at least one whole message has come
     Millis since_ = 0;         // of the state it is in; until a whole message has come, of its connecting
     Millis partialSince_ = 0;  // of the first byte of a message that is not whole; 0: none
@@ -81,6 +146,9 @@
     // dealt out among both.
     void listen(const asio::ip::tcp::endpoint& at, bool shared = false);
     asio::ip::tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+    // From now on, for open connections too (`strict` only for new ones).
+    void limits(const HttpLimits& limits) { limits_ = limits; }
+    const HttpLimits& limits() const { return limits_; }
     // While closing, every answer ends its connection.
     void closing(bool closing) { closing_ = closing; }
     // Takes what has connected so far and accepts nothing more.
@@ -111,6 +179,7 @@
     Logger& log_;
     std::size_t max_;
     Handler handler_;
+    HttpLimits limits_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer timer_, timerAccept_;
     std::size_t askers_ = 0;  // connections on which a whole message has come
