Leases, the platform's host list and what gateways and control say to each other

Cause: gateways and control need a common vocabulary, a count of live gateways and the host list. Ruled out: a list re-sent at each reading (bytes between zones are priced). Change: lease table, rendezvous duties, list reader and poller, poll and share messages with their codec.

--- /dev/null
+++ b/src/control/messages.hpp
@@ -0,0 +1,73 @@
+// What is said to a control member over rpc, by gateways and by the other members. Plain structs; codec.hpp writes and reads them.
+// Every request is one envelope: the kind in the first byte, then the message as msgpack.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "core/replicated_table.hpp"
+#include "instances/host_list.hpp"
+#include "leases/lease_table.hpp"
+
+namespace beechpoint::control {
+
+enum class RequestKind : std::uint8_t {
+    poll = 1,     // PollRequest -> PollReply
+    replica = 2,  // replica messages -> empty; what the protocol answers comes as messages of its own
+    share = 3,    // Share -> empty
+};
+
+// A gateway asks what is new and thereby renews its lease. It is answered at once where something is, or after `waitMs`.
+struct PollRequest {
+    leases::Gateway
+        gateway;        // name, session, place, front address, ready, draining, own load by host (optional)
+    Position position;  // of the table held; {0, 0}: none
+    instances::HostListVersion hostList;  // held; {0, 0, 0}: none
+    Millis waitMs = 0;                    // at most; the member bounds it by kMaxPollWait
+    bool wantsLoad = false;               // send the other gateways' load by host
+};
+
+inline constexpr Millis kMaxPollWait = 2000;
+
+enum class PollStatus : std::uint8_t {
+    ok = 0,
+    notFresh =
+        1,  // this member can't vouch that it holds the newest table: ask another; nothing else is filled in
+    full = 2,  // no place for another gateway's lease
+};
+
+// The platform's list with the age of its reading at the time of the answer; the receiver subtracts it from its own clock.
+struct SharedHostList {
+    instances::HostListVersion version;
+    Millis readAge = 0;  // Host times are counted from then
+    std::vector<instances::Host> hosts;
+};
+
+struct PollReply {
+    PollStatus status = PollStatus::ok;
+    std::optional<TableUpdate> table;            // where newer than the position held
+    std::optional<SharedHostList> hostList;      // where another than the one held
+    instances::HostListVersion hostListVersion;  // the member's
+    std::optional<Millis> hostListAge;          // since it was last read or confirmed; nothing: no list known
+    std::optional<std::uint32_t> liveGateways;  // nothing: not known at the moment (keep the last)
+    std::optional<std::uint32_t> largestLive;   // within the retry window
+    std::vector<std::string> members;  // internal addresses (IP:PORT) of the control members, this one first
+    std::vector<leases::InstanceLoad> othersLoad;  // where asked for
+    Millis leaseMs = 0;                            // counted by the gateway from when it sent the poll
+};
+
+// What one control member tells the others every half second: its own grants, and the host list that it holds or reads.
+struct Share {
+    std::string member;
+    std::uint64_t session = 0;
+    std::uint64_t epoch = 0;
+    std::vector<leases::SharedLease> leases;
+    instances::HostListVersion hostListVersion;
+    std::optional<Millis> hostListAge;
+    std::optional<SharedHostList> hostList;  // by its reader, where the receiver may not have it yet
+};
+
+}  // namespace beechpoint::control
--- /dev/null
+++ b/src/instances/list_reader.hpp
@@ -0,0 +1,92 @@
+// Reads the platform's list again and again: which call is due, and what list follows from the answers. Free of I/O.
+//
+// States:   idle --start--> waiting --due--> calling --page--> calling | waiting
+//           calling --failure or 429--> waiting (after a back-off); any --stop--> idle
+// An answer in another state than calling is ignored: it belongs to a call that was given up.
+//
+// A reading of several pages may be torn, as hosts come and go between its pages: an id seen twice shows it and the reading begins
+// again, a few times at most. A host that is missing stays on the list until the next complete reading confirms that it is gone.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "core/splitmix.hpp"
+#include "instances/host_list.hpp"
+#include "instances/page.hpp"
+
+namespace beechpoint::instances {
+
+class ListReader {
+public:
+    struct Settings {
+        Millis period = 750;         // from the begin of a reading to the next
+        Millis periodPerPage = 150;  // at least so much for each page: long lists are read less often
+        Millis callTimeout = 1000;   // for one page
+        Millis backoffFirst = 500;   // after a failure; doubles with each further one, with jitter
+        Millis backoffMost = 4000;
+        Millis timeTolerance = 1000;  // the list lags: warm-up ends that differ by less are the same
+        std::size_t maxHosts = 20'000;
+        int maxPages = 400;
+        int maxRestarts = 2;  // of a torn reading; then it is used, and takes nobody out
+    };
+    struct Call {
+        std::string target;  // path and query
+        Millis deadline = 0;
+    };
+    enum class Outcome { nothing, confirmed, changed, failed };
+
+    ListReader(Settings settings, std::uint64_t seed, std::uint64_t readerId);
+
+    // Begins to read under that fence, numbering on from `lastNumber`; a list that is held already, of any
+    // reader, is where it starts from and keeps its version as long as the readings say the same.
+    void start(Millis now, std::uint64_t fence, std::uint64_t lastNumber,
+               std::shared_ptr<const HostList> held);
+    void stop();
+    bool running() const { return state_ != State::idle; }
+    std::uint64_t fence() const { return fence_; }
+    // Numbers given from now on are above this one.
+    void raiseNumber(std::uint64_t number);
+
+    // When due() has to be asked next; nothing while idle or calling.
+    std::optional<Millis> nextAt() const;
+    // The call to make now. One is outstanding at a time.
+    std::optional<Call> due(Millis now);
+    Outcome onAnswer(Millis now, int status, std::string_view body);
+    Outcome onFailure(Millis now);  // no answer, or none in time
+
+    const std::shared_ptr<const HostList>& list() const { return list_; }  // null: none yet
+    Millis confirmedAt() const { return confirmedAt_; }  // when the last complete reading began
+    int failures() const { return failures_; }           // since the last complete reading
+
+private:
+    enum class State { idle, waiting, calling };
+    void beginReading();
+    Outcome takePage(Millis now, Page page);
+    Outcome finish(Millis now);
+    Outcome restart(Millis now);
+    std::set<std::string> keepMissing();
+    std::vector<Host> takeHosts();
+
+    Settings settings_;
+    SplitMix random_;
+    std::uint64_t readerId_;
+    State state_ = State::idle;
+    std::uint64_t fence_ = 0, number_ = 0;
+    Millis nextAt_ = 0;
+    Millis beganAt_ = 0;  // of the reading under way
+    std::map<std::string, Host> hosts_;
+    std::string pageToken_;
+    int pages_ = 0, restarts_ = 0, failures_ = 0;
+    bool whole_ = true;                    // nothing seen so far says that entries are missing
+    std::set<std::string> missingBefore_;  // absent from the last complete reading, still on the list
+    std::shared_ptr<const HostList> list_;
+    Millis confirmedAt_ = 0;
+};
+
+}  // namespace beechpoint::instances
--- /dev/null
+++ b/src/instances/page.hpp
@@ -0,0 +1,26 @@
+// Reads one page of the platform's `GET /instances`. Fields not known are ignored.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/result.hpp"
+#include "instances/host_list.hpp"
+
+namespace beechpoint::instances {
+
+struct Page {
+    std::vector<Host> hosts;
+    std::optional<std::string> nextPageToken;  // nothing on the last page
+    std::size_t unreadable =
+        0;  // entries left out: without an id, service or address, or with a field of another type
+};
+
+inline constexpr std::size_t kMaxHostsPerPage = 10'000;
+
+// Error (invalid): not an object with a list `instances`, or more hosts than kMaxHostsPerPage.
+Result<Page> parsePage(std::string_view json);
+
+}  // namespace beechpoint::instances
--- /dev/null
+++ b/src/leases/duty.cpp
@@ -0,0 +1,34 @@
+#include "leases/duty.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace beechpoint::leases {
+
+std::uint64_t rendezvousWeight(std::string_view duty, std::string_view member) {
+    const std::uint64_t seed = XXH64(duty.data(), duty.size(), 0);
+    return XXH64(member.data(), member.size(), seed);
+}
+
+std::vector<std::string> rendezvousOrder(std::string_view duty, std::vector<std::string> members) {
+    const auto before = [duty](const std::string& one, const std::string& other) {
+        const std::uint64_t weightOfOne = rendezvousWeight(duty, one);
+        const std::uint64_t weightOfOther = rendezvousWeight(duty, other);
+        if (weightOfOne != weightOfOther) return weightOfOne > weightOfOther;
+        return one < other;
+    };
+    std::sort(members.begin(), members.end(), before);
+    return members;
+}
+
+std::size_t rendezvousRank(std::string_view duty, const std::vector<std::string>& members,
+                           std::string_view member) {
+    const std::vector<std::string> order = rendezvousOrder(duty, members);
+    const auto place = std::find(order.begin(), order.end(), member);
+    return static_cast<std::size_t>(place - order.begin());
+}
+
+}  // namespace beechpoint::leases
--- /dev/null
+++ b/src/leases/lease_table.cpp
@@ -0,0 +1,116 @@
+#include "leases/lease_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace beechpoint::leases {
+
+LeaseTable::LeaseTable(Settings settings, Millis now)
+    : settings_(settings), wholeSince_(now), lookedAt_(now) {}
+
+bool LeaseTable::renew(Millis now, Gateway gateway) {
+    look(now);
+    const bool taken = put(now, std::move(gateway), now, true);
+    note(now);
+    return taken;
+}
+
+void LeaseTable::merge(Millis now, const std::vector<SharedLease>& leases) {
+    look(now);
+    for (const SharedLease& shared : leases) {
+        const Millis age = std::max(0.0, shared.age);
+        if (age < settings_.leaseMs) put(now, shared.gateway, now - age, false);
+    }
+    note(now);
+}
+
+bool LeaseTable::put(Millis now, Gateway gateway, Millis grantedAt, bool here) {
+    auto found = leases_.find(gateway.name);
+    if (found == leases_.end()) {
+        if (leases_.size() >= settings_.maxGateways) {
+            refused_++;
+            return false;
+        }
+        found = leases_.emplace(gateway.name, Lease{}).first;
+    } else if (runs(found->second, now) && grantedAt < found->second.grantedAt) {
+        return true;  // a younger grant is known, of this or of a later session
+    }
+    Lease& lease = found->second;
+    lease.gateway = std::move(gateway);
+    lease.grantedAt = grantedAt;
+    lease.grantedHere = here;
+    lease.toShare = here;
+    return true;
+}
+
+std::vector<SharedLease> LeaseTable::takeGranted(Millis now, bool all) {
+    std::vector<SharedLease> granted;
+    for (auto& [name, lease] : leases_) {
+        if (!lease.grantedHere || !runs(lease, now)) continue;
+        if (!lease.toShare && !all) continue;
+        granted.push_back({lease.gateway, now - lease.grantedAt});
+        lease.toShare = false;
+    }
+    return granted;
+}
+
+void LeaseTable::look(Millis now) {
+    if (now - lookedAt_ > settings_.lateWakeMs) wholeSince_ = now;
+    lookedAt_ = std::max(lookedAt_, now);
+    expire(now);
+    note(now);
+}
+
+void LeaseTable::expire(Millis now) {
+    std::erase_if(leases_, [&](const auto& entry) { return !runs(entry.second, now); });
+}
+
+void LeaseTable::note(Millis now) {
+    const std::uint32_t live = countLive(now);
+    while (!counts_.empty() && counts_.back().live <= live) counts_.pop_back();
+    counts_.push_back({now, live});
+    while (now - counts_.front().until > settings_.windowMs) counts_.pop_front();
+}
+
+std::uint32_t LeaseTable::countLive(Millis now) const {
+    const auto isRunning = [&](const auto& entry) { return runs(entry.second, now); };
+    return static_cast<std::uint32_t>(std::count_if(leases_.begin(), leases_.end(), isRunning));
+}
+
+std::vector<Gateway> LeaseTable::live(Millis now) const {
+    std::vector<Gateway> gateways;
+    for (const auto& [name, lease] : leases_)
+        if (runs(lease, now)) gateways.push_back(lease.gateway);
+    return gateways;
+}
+
+bool LeaseTable::isLive(const std::string& name, Millis now) const {
+    const auto found = leases_.find(name);
+    return found != leases_.end() && runs(found->second, now);
+}
+
+std::optional<std::uint32_t> LeaseTable::count(Millis now) const {
+    if (!known(now)) return std::nullopt;
+    return countLive(now);
+}
+
+std::optional<std::uint32_t> LeaseTable::largestLive(Millis now) const {
+    if (!known(now)) return std::nullopt;
+    std::uint32_t largest = countLive(now);
+    for (const Count& count : counts_)
+        if (now - count.until <= settings_.windowMs) largest = std::max(largest, count.live);
+    return largest;
+}
+
+std::vector<InstanceLoad> LeaseTable::loadOfOthers(Millis now, const std::string& except) const {
+    std::map<std::string, std::uint32_t> sums;
+    for (const auto& [name, lease] : leases_) {
+        if (name == except || !runs(lease, now)) continue;
+        for (const InstanceLoad& load : lease.gateway.load) sums[load.instance] += load.inFlight;
+    }
+    std::vector<InstanceLoad> loads;
+    for (const auto& [instance, inFlight] : sums) loads.push_back({instance, inFlight});
+    return loads;
+}
+
+}  // namespace beechpoint::leases
--- /dev/null
+++ b/src/leases/lease_table.hpp
@@ -0,0 +1,105 @@
+// The gateways' leases as one control member knows them: a gateway's poll renews its lease at the member that it asks, and the
+// members tell each other what they granted. Free of I/O; every call brings the time (monotonic, milliseconds).
+//
+// A lease runs `leaseMs` from its grant, by the granter's clock; a member that hears of it counts from its age as told, so
+// it sees a lease end later by the delay of the message, never sooner. The count of live gateways is therefore rather too high
+// than too low, as those need who divide a budget by it.
+//
+// What is known is not whole in the first `leaseMs` after the start and after a wake from a freeze: count() says nothing then.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.hpp"
+
+namespace beechpoint::leases {
+
+struct InstanceLoad {
+    std::string instance;
+    std::uint32_t inFlight = 0;
+    bool operator==(const InstanceLoad&) const = default;
+};
+
+// What a gateway says of itself when it renews.
+struct Gateway {
+    std::string name;
+    std::uint64_t session = 0;  // drawn at each start of its process
+    std::string zone;
+    std::string region;
+    std::string frontAddress;  // IP:PORT for clients
+    bool ready = false;
+    bool draining = false;
+    std::vector<InstanceLoad> load;  // its own requests under way, by host; may be empty
+    bool operator==(const Gateway&) const = default;
+};
+
+// A lease as one member tells it to another.
+struct SharedLease {
+    Gateway gateway;
+    Millis age = 0;  // since it was granted
+};
+
+class LeaseTable {
+public:
+    struct Settings {
+        Millis leaseMs = 3000;
+        Millis windowMs = 10000;        // over which largestLive() looks back
+        Millis lateWakeMs = 1000;       // longer between two looks: the process did not run
+        std::size_t maxGateways = 256;  // beyond, a new name is refused and counted
+    };
+
+    LeaseTable(Settings settings, Millis now);
+
+    // A gateway asked this member. False where the table is full.
+    bool renew(Millis now, Gateway gateway);
+    // What another member granted. A grant older than the one known, of any session, changes nothing.
+    void merge(Millis now, const std::vector<SharedLease>& leases);
+    // The leases granted here since the last call of this; with `all`, every live one granted here.
+    std::vector<SharedLease> takeGranted(Millis now, bool all = false);
+    // To be called every few hundred ms: ends leases, notes the count, notices a late wake.
+    void look(Millis now);
+
+    std::vector<Gateway> live(Millis now) const;  // by name
+    bool isLive(const std::string& name, Millis now) const;
+    // How many gateways hold a lease; nothing while that is not known.
+    std::optional<std::uint32_t> count(Millis now) const;
+    // The largest count within the window; nothing while not known.
+    std::optional<std::uint32_t> largestLive(Millis now) const;
+    // Requests under way by host, summed over all live gateways but `except`.
+    std::vector<InstanceLoad> loadOfOthers(Millis now, const std::string& except) const;
+
+    std::size_t size() const { return leases_.size(); }
+    std::uint64_t refused() const { return refused_; }
+
+private:
+    struct Lease {
+        Gateway gateway;
+        Millis grantedAt = 0;
+        bool grantedHere = false;
+        bool toShare = false;
+    };
+    struct Count {
+        Millis until = 0;  // when it was last so
+        std::uint32_t live = 0;
+    };
+    bool runs(const Lease& lease, Millis now) const { return now - lease.grantedAt < settings_.leaseMs; }
+    bool known(Millis now) const { return now - wholeSince_ >= settings_.leaseMs; }
+    std::uint32_t countLive(Millis now) const;
+    void expire(Millis now);
+    void note(Millis now);
+    bool put(Millis now, Gateway gateway, Millis grantedAt, bool here);
+
+    Settings settings_;
+    std::map<std::string, Lease> leases_;
+    std::deque<Count> counts_;  // falling: each is the largest from then on
+    Millis wholeSince_;
+    Millis lookedAt_;
+    std::uint64_t refused_ = 0;
+};
+
+}  // namespace beechpoint::leases
--- /dev/null
+++ b/tests/instances/poller_test.cpp
@@ -0,0 +1,158 @@
+// The poller against a scripted platform on loopback.
+#include "instances/poller.hpp"
+
+#include <gtest/gtest.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <deque>
+
+#include "net/server.hpp"
+
+namespace beechpoint::instances {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Scripted {
+    int status = 200;
+    std::string body;
+    bool silent = false;
+};
+
+std::string entry(const std::string& id) {
+    return R"({"instance_id":")" + id + R"(","backend":"s","address":"10.0.0.1:80","state":"serving"})";
+}
+std::string page(const std::string& entries, const std::string& next = "null") {
+    return R"({"instances":[)" + entries + R"(],"next_page_token":)" + next + "}";
+}
+
+class PollerTest : public ::testing::Test {
+protected:
+    PollerTest()
+        : logger(clock, logging::Format::text, -1),
+          platform(io, clock, logger, 16, [this](const net::HttpMessage& message, const auto& connection) {
+              targets.emplace_back(message.target);
+              if (script.empty()) return connection->respond(503, "text/plain", "no more in the script");
+              const Scripted next = script.front();
+              script.pop_front();
+              if (next.silent) return waiting.push_back(connection);
+              connection->respond(next.status, "application/json", next.body);
+          }) {
+        platform.listen({asio::ip::address_v4::loopback(), 0});
+        settings.address = "127.0.0.1:" + std::to_string(platform.endpoint().port());
+        settings.reader.period = 5;
+        settings.reader.periodPerPage = 0;
+        settings.reader.backoffFirst = 5;
+        settings.reader.callTimeout = 100;
+    }
+
+    void makePoller() {
+        poller = std::make_unique<Poller>(io, clock, logger, settings, 1, 42,
+                                          [this](const auto& list, Millis, bool changed) {
+                                              lists.push_back(list);
+                                              changes += changed ? 1 : 0;
+                                          });
+        poller->start(1, 0, nullptr);
+    }
+
+    template <class Condition>
+    bool runUntil(Condition condition) {
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (!condition() && std::chrono::steady_clock::now() < end) io.run_one_for(50ms);
+        return condition();
+    }
+
+    Clock clock;
+    Logger logger;
+    asio::io_context io;
+    net::HttpServer platform;
+    std::deque<Scripted> script;
+    std::vector<std::string> targets;
+    std::vector<std::shared_ptr<net::HttpConnection>> waiting;
+    Poller::Settings settings;
+    std::unique_ptr<Poller> poller;
+    std::vector<std::shared_ptr<const HostList>> lists;
+    int changes = 0;
+};
+
+TEST_F(PollerTest, ReadsPagesOverOneConnectionAgainAndAgain) {
+    script = {{200, page(entry("a"), "\"p-1\"")},
+              {200, page(entry("b"))},
+              {200, page(entry("a"), "\"p-1\"")},
+              {200, page(entry("b"))}};
+    makePoller();
+    ASSERT_TRUE(runUntil([&] { return lists.size() >= 2; }));
+    EXPECT_EQ(changes, 1);
+    EXPECT_EQ(lists.back()->hosts.size(), 2u);
+    ASSERT_GE(targets.size(), 4u);
+    EXPECT_EQ(targets[0], "/instances");
+    EXPECT_EQ(targets[1], "/instances?page_token=p-1");
+    EXPECT_EQ(platform.connections(), 1u);
+}
+
+TEST_F(PollerTest, GoesOnAfterRefusalsSilenceAndBrokenPages) {
+    script = {{200, page(entry("a"))},
+              {429, ""},
+              {200, "{\"instances\":"},
+              {200, "", true},
+              {200, page(entry("a") + "," + entry("b"))}};
+    makePoller();
+    ASSERT_TRUE(runUntil([&] { return lists.size() >= 2; }));
+    EXPECT_EQ(changes, 2);
+    EXPECT_EQ(lists.back()->hosts.size(), 2u);
+}
+
+TEST_F(PollerTest, AClosedConnectionIsOpenedAnew) {
+    script = {{200, page(entry("a"))}};
+    makePoller();
+    ASSERT_TRUE(runUntil([&] { return lists.size() >= 1; }));
+    platform.closeAll();
+    for (int number = 0; number < 5; number++) script.push_back({200, page(entry("a"))});
+    ASSERT_TRUE(runUntil([&] { return lists.size() >= 2; }));
+    EXPECT_EQ(changes, 1);
+}
+
+TEST_F(PollerTest, APlatformThatIsAwayTakesNobodyOut) {
+    script = {{200, page(entry("a"))}};
+    makePoller();
+    ASSERT_TRUE(runUntil([&] { return lists.size() >= 1; }));
+    platform.stopAccepting();
+    platform.closeAll();
+    ASSERT_TRUE(runUntil([&] { return poller->failures() >= 3; }));
+    EXPECT_EQ(lists.back()->hosts.size(), 1u);
+    EXPECT_TRUE(poller->running());
+}
+
+TEST_F(PollerTest, StoppedItCallsNoMoreAndStartsAgain) {
+    script = {{200, page(entry("a"))}, {200, page(entry("a"))}};
+    makePoller();
+    ASSERT_TRUE(runUntil([&] { return lists.size() >= 1; }));
+    poller->stop();
+    const auto calls = poller->calls();
+    io.poll();
+    EXPECT_EQ(poller->calls(), calls);
+    EXPECT_FALSE(poller->running());
+    poller->start(2, 1, lists.back());
+    ASSERT_TRUE(runUntil([&] { return lists.size() >= 2; }));
+}
+
+TEST_F(PollerTest, AnAddressThatIsNoneFailsEachCall) {
+    settings.address = "nowhere";
+    makePoller();
+    ASSERT_TRUE(runUntil([&] { return poller->failures() >= 2; }));
+    EXPECT_TRUE(lists.empty());
+}
+
+TEST_F(PollerTest, DestroyedInTheMiddleOfACallItIsSilent) {
+    script = {{200, "", true}};
+    makePoller();
+    ASSERT_TRUE(runUntil([&] { return waiting.size() == 1; }));
+    poller.reset();
+    io.poll();
+    EXPECT_TRUE(lists.empty());
+}
+
+}  // namespace
+}  // namespace beechpoint::instances
--- /dev/null
+++ b/tests/leases/duty_test.cpp
@@ -0,0 +1,66 @@
+#include "leases/duty.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace beechpoint::leases {
+namespace {
+
+std::vector<std::string> members(int count) {
+    std::vector<std::string> names;
+    for (int number = 1; number <= count; number++) names.push_back("core-" + std::to_string(number));
+    return names;
+}
+
+std::string dutyOf(int number) { return "duty-" + std::to_string(number); }
+
+TEST(Duty, AMemberThatLeavesMovesOnlyItsOwnDuties) {
+    const auto all = members(5);
+    auto rest = all;
+    rest.erase(rest.begin() + 2);
+    int moved = 0;
+    for (int number = 0; number < 1000; number++) {
+        const auto order = rendezvousOrder(dutyOf(number), all);
+        const auto later = rendezvousOrder(dutyOf(number), rest);
+        if (order.front() == "core-3") {
+            moved++;
+            EXPECT_EQ(later.front(), order[1]);
+        } else {
+            EXPECT_EQ(later.front(), order.front());
+        }
+    }
+    EXPECT_GT(moved, 100);
+    EXPECT_LT(moved, 300);
+}
+
+TEST(Duty, TheOrderOfTheMembersDoesNotCount) {
+    auto forward = members(4);
+    auto backward = forward;
+    std::reverse(backward.begin(), backward.end());
+    EXPECT_EQ(rendezvousOrder("hosts", forward), rendezvousOrder("hosts", backward));
+}
+
+TEST(Duty, DutiesAreSpreadEvenly) {
+    std::map<std::string, int> held;
+    for (int number = 0; number < 3000; number++) held[rendezvousOrder(dutyOf(number), members(3)).front()]++;
+    for (const auto& [member, count] : held) EXPECT_NEAR(count, 1000, 150) << member;
+}
+
+TEST(Duty, RankTellsThePlaceInTheOrder) {
+    const auto all = members(3);
+    const auto order = rendezvousOrder("hosts", all);
+    for (std::size_t rank = 0; rank < order.size(); rank++)
+        EXPECT_EQ(rendezvousRank("hosts", all, order[rank]), rank);
+    EXPECT_EQ(rendezvousRank("hosts", all, "core-9"), all.size());
+}
+
+TEST(Duty, WeightsAreTheSameOnEveryBuild) {
+    EXPECT_EQ(rendezvousWeight("hosts", "core-1"), rendezvousWeight("hosts", "core-1"));
+    EXPECT_NE(rendezvousWeight("hosts", "core-1"), rendezvousWeight("hosts", "core-2"));
+    EXPECT_NE(rendezvousWeight("hosts", "core-1"), rendezvousWeight("other", "core-1"));
+}
+
+}  // namespace
+}  // namespace beechpoint::leases
--- /dev/null
+++ b/tests/leases/lease_table_test.cpp
@@ -0,0 +1,151 @@
+#include "leases/lease_table.hpp"
+
+#include <gtest/gtest.h>
+
+namespace beechpoint::leases {
+namespace {
+
+constexpr Millis kStart = 1000;
+
+LeaseTable::Settings settings() {
+    LeaseTable::Settings settings;
+    settings.leaseMs = 3000;
+    settings.windowMs = 10000;
+    settings.lateWakeMs = 1000;
+    settings.maxGateways = 4;
+    return settings;
+}
+
+Gateway gateway(const std::string& name, std::uint64_t session = 1) {
+    Gateway gateway;
+    gateway.name = name;
+    gateway.session = session;
+    gateway.ready = true;
+    return gateway;
+}
+
+// Looks often, as the driver does, so that no late wake is seen.
+void run(LeaseTable& table, Millis from, Millis to) {
+    for (Millis now = from; now <= to; now += 250) table.look(now);
+}
+
+TEST(LeaseTable, EndsALeaseThatIsNotRenewed) {
+    LeaseTable table(settings(), kStart);
+    EXPECT_TRUE(table.renew(kStart, gateway("g1")));
+    EXPECT_TRUE(table.renew(kStart, gateway("g2")));
+    run(table, kStart, kStart + 2000);
+    EXPECT_TRUE(table.renew(kStart + 2000, gateway("g2")));
+    run(table, kStart + 2000, kStart + 2999);
+    EXPECT_TRUE(table.isLive("g1", kStart + 2999));
+    EXPECT_FALSE(table.isLive("g1", kStart + 3000));
+    run(table, kStart + 3000, kStart + 4000);
+    EXPECT_EQ(table.size(), 1u);
+    ASSERT_EQ(table.live(kStart + 4000).size(), 1u);
+    EXPECT_EQ(table.live(kStart + 4000).front().name, "g2");
+}
+
+TEST(LeaseTable, KnowsNoCountUntilEveryLiveGatewayMustHaveAsked) {
+    LeaseTable table(settings(), kStart);
+    table.renew(kStart, gateway("g1"));
+    run(table, kStart, kStart + 2900);
+    EXPECT_FALSE(table.count(kStart + 2900).has_value());
+    EXPECT_FALSE(table.largestLive(kStart + 2900).has_value());
+    table.renew(kStart + 2900, gateway("g1"));
+    EXPECT_EQ(table.count(kStart + 3000), 1u);
+}
+
+TEST(LeaseTable, KnowsNoCountAfterALateWake) {
+    LeaseTable table(settings(), kStart);
+    run(table, kStart, kStart + 4000);
+    table.renew(kStart + 4000, gateway("g1"));
+    ASSERT_EQ(table.count(kStart + 4000), 1u);
+    // The process does not run for eight seconds: its own lease book is old, not the gateways gone.
+    const Millis woken = kStart + 12000;
+    table.look(woken);
+    EXPECT_FALSE(table.count(woken).has_value());
+    run(table, woken, woken + 2000);
+    table.renew(woken + 2000, gateway("g1"));
+    run(table, woken + 2000, woken + 3000);
+    EXPECT_EQ(table.count(woken + 3000), 1u);
+}
+
+TEST(LeaseTable, RemembersTheLargestCountOfTheWindow) {
+    LeaseTable table(settings(), kStart);
+    for (const char* name : {"g1", "g2", "g3"}) table.renew(kStart, gateway(name));
+    for (Millis now = kStart; now <= kStart + 12000; now += 250) table.renew(now, gateway("g1"));
+    // g2 and g3 lived until 3,000 after the start: they count until 13,000 after it.
+    EXPECT_EQ(table.count(kStart + 12000), 1u);
+    EXPECT_EQ(table.largestLive(kStart + 12000), 3u);
+    for (Millis now = kStart + 12250; now <= kStart + 13250; now += 250) table.renew(now, gateway("g1"));
+    EXPECT_EQ(table.largestLive(kStart + 13250), 1u);
+}
+
+TEST(LeaseTable, MergesWhatOthersGrantedByItsAge) {
+    LeaseTable table(settings(), kStart);
+    table.merge(kStart, {{gateway("g1"), 1000}, {gateway("g2"), 3000}});
+    EXPECT_TRUE(table.isLive("g1", kStart + 1999));
+    EXPECT_FALSE(table.isLive("g1", kStart + 2000));
+    EXPECT_FALSE(table.isLive("g2", kStart));
+}
+
+TEST(LeaseTable, AnOlderGrantOfAnEarlierSessionChangesNothing) {
+    LeaseTable table(settings(), kStart);
+    Gateway restarted = gateway("g1", 2);
+    restarted.ready = false;
+    table.renew(kStart + 500, restarted);
+    table.merge(kStart + 600, {{gateway("g1", 1), 400}});
+    ASSERT_EQ(table.live(kStart + 600).size(), 1u);
+    EXPECT_EQ(table.live(kStart + 600).front().session, 2u);
+    table.merge(kStart + 700, {{gateway("g1", 3), 50}});
+    EXPECT_EQ(table.live(kStart + 700).front().session, 3u);
+    EXPECT_EQ(table.size(), 1u);
+}
+
+TEST(LeaseTable, SharesEachOwnGrantOnce) {
+    LeaseTable table(settings(), kStart);
+    table.renew(kStart, gateway("g1"));
+    table.merge(kStart, {{gateway("g2"), 10}});
+    const auto first = table.takeGranted(kStart + 100);
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_EQ(first.front().gateway.name, "g1");
+    EXPECT_EQ(first.front().age, 100);
+    EXPECT_TRUE(table.takeGranted(kStart + 200).empty());
+    EXPECT_EQ(table.takeGranted(kStart + 200, true).size(), 1u);
+    table.renew(kStart + 300, gateway("g1"));
+    EXPECT_EQ(table.takeGranted(kStart + 300).size(), 1u);
+}
+
+TEST(LeaseTable, AGrantTakenOverByAnotherMemberIsNoLongerShared) {
+    LeaseTable table(settings(), kStart);
+    table.renew(kStart, gateway("g1"));
+    table.merge(kStart + 500, {{gateway("g1"), 0}});
+    EXPECT_TRUE(table.takeGranted(kStart + 600, true).empty());
+}
+
+TEST(LeaseTable, RefusesGatewaysBeyondItsBoundAndRenewsTheRest) {
+    LeaseTable table(settings(), kStart);
+    for (const char* name : {"g1", "g2", "g3", "g4"}) EXPECT_TRUE(table.renew(kStart, gateway(name)));
+    EXPECT_FALSE(table.renew(kStart, gateway("g5")));
+    table.merge(kStart, {{gateway("g6"), 0}});
+    EXPECT_EQ(table.refused(), 2u);
+    EXPECT_EQ(table.size(), 4u);
+    EXPECT_TRUE(table.renew(kStart + 100, gateway("g4")));
+    run(table, kStart + 100, kStart + 3050);
+    EXPECT_TRUE(table.renew(kStart + 3050, gateway("g5")));
+}
+
+TEST(LeaseTable, SumsTheLoadOfTheOthers) {
+    LeaseTable table(settings(), kStart);
+    Gateway one = gateway("g1"), two = gateway("g2"), three = gateway("g3");
+    one.load = {{"i-1", 5}, {"i-2", 1}};
+    two.load = {{"i-1", 7}};
+    three.load = {{"i-3", 9}};
+    table.renew(kStart, one);
+    table.merge(kStart, {{two, 0}});
+    table.renew(kStart, three);
+    const std::vector<InstanceLoad> expected{{"i-1", 12}, {"i-2", 1}};
+    EXPECT_EQ(table.loadOfOthers(kStart, "g3"), expected);
+}
+
+}  // namespace
+}  // namespace beechpoint::leases
