Replica: public headers, agreement and failure detector

The agreed view and the chain of docs/serving.md as one state machine; headers first, for those that build on them.

--- /dev/null
+++ b/src/replica/messages.hpp
@@ -0,0 +1,117 @@
+// Messages between replicas. All are one-way, may be lost, doubled, delayed and reordered.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "core/replicated_table.hpp"
+#include "replica/view.hpp"
+
+namespace beechpoint::replica {
+
+// Asks for the receiver's status; also tells that the sender is there.
+struct Heartbeat {
+    std::uint64_t sequence = 0;  // of the sender's rounds
+    Millis sentAt = 0;           // by the sender's clock; echoed
+};
+
+// What a process says of itself. Other processes are named by their internal addresses.
+struct Status {
+    bool sealed = false;   // has promised for the next epoch
+    bool settled = false;  // knows that all members of the epoch hold its starting state
+    bool diskFailing = false;
+    std::uint64_t syncedEpoch = 0;
+    std::uint64_t chained = 0;  // items of the chain (opening, batches) stored in this epoch
+    Position committed;
+    std::vector<std::string> reached;  // answered lately
+    std::vector<std::string> unheard;  // members of the view that have not answered for the suspicion time
+    std::string stalledAt;             // member at which the sender's batch hangs; empty: none
+};
+
+struct HeartbeatReply {
+    std::uint64_t sequence = 0;        // echo
+    Millis sentAt = 0;                 // echo
+    std::uint64_t askedBySession = 0;  // echo: the session that asked
+    Status status;
+};
+
+// From a process that no view lists: asks to be taken in. Answered by Decided when a view is known.
+struct Join {};
+
+// Agreement on the view base.epoch + 1 among the members of `base` (among `founders` where base.epoch is 0).
+struct Prepare {
+    Ballot ballot;
+    View base;
+    std::vector<std::string> founders;  // control addresses, sorted
+    bool observed = false;              // the proposer saw the cause itself; else it has it from reports
+};
+
+struct Promise {
+    Ballot ballot;
+    std::uint64_t target = 0;  // epoch that is agreed on
+    Ballot accepted;
+    std::optional<View> value;
+    std::uint64_t syncedEpoch = 0;
+    Position position;  // with the pending batch
+    bool diskFailing = false;
+};
+
+// The receiver of Prepare or Accept has promised a higher ballot, or sees no cause (then `promised` is empty).
+struct Refuse {
+    Ballot ballot;  // refused
+    std::uint64_t target = 0;
+    Ballot promised;
+};
+
+struct Accept {
+    Ballot ballot;
+    View base;
+    std::vector<std::string> founders;
+    View value;
+};
+
+struct Accepted {
+    Ballot ballot;
+    std::uint64_t target = 0;
+};
+
+struct Decided {
+    View view;
+};
+
+// Down the chain, from head to tail. The opening is the first item of an epoch: whoever passes it on holds the
+// starting state on disk. Once it is acknowledged the starting state counts as committed.
+struct Propose {
+    bool opening = false;
+    Position previous;  // the state that the batch follows
+    Batch batch;        // opening: its position is the view's start
+};
+
+// Up the chain: everything up to `position` is committed.
+struct Commit {
+    Position position;
+};
+
+struct SyncRequest {
+    Position position;  // of the asker's table
+};
+
+struct SyncReply {
+    Position since;  // echo: what a delta builds on
+    TableUpdate update;
+};
+
+using Body = std::variant<Heartbeat, HeartbeatReply, Join, Prepare, Promise, Refuse, Accept, Accepted,
+                          Decided, Propose, Commit, SyncRequest, SyncReply>;
+
+struct Message {
+    Member from;
+    std::uint64_t epoch = 0;  // of the newest view that the sender knows
+    Body body;
+};
+
+}  // namespace beechpoint::replica
--- /dev/null
+++ b/src/replica/settings.hpp
@@ -0,0 +1,53 @@
+// What a replica is told at its start, and the times it works with (ms).
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "replica/view.hpp"
+
+namespace beechpoint::replica {
+
+inline constexpr Millis kHeartbeatEvery = 250;
+inline constexpr Millis kSuspectAfter = 1'000;  // a member that has not answered is left out
+inline constexpr Millis kReachableFor = 600;    // an answer proves a link for so long
+inline constexpr Millis kFreshFor = 600;        // an answer of a majority lets polls be answered for so long
+inline constexpr Millis kWakeGap = 500;         // no event for so long: the process was frozen
+inline constexpr Millis kProposalRankDelay = 300;  // between the members that may propose a view
+inline constexpr Millis kViewChangeEvery = 300;    // at most one view change in so long
+inline constexpr Millis kPromiseWait = 400;        // for the members beyond the majority
+inline constexpr Millis kFoundingWait = 1'000;     // for the seeds beyond the majority
+inline constexpr Millis kFoundingRankDelay = 700;
+inline constexpr Millis kProposalTimeout = 1'000;  // of each of the two rounds
+inline constexpr Millis kRetryLow = 200;           // messages are sent again after 200 to 400
+inline constexpr Millis kRetryHigh = 400;
+inline constexpr Millis kChainRetry = 250;
+inline constexpr Millis kStallAfter = 1'000;  // a batch that hangs: its member is left out
+inline constexpr Millis kOpeningStallAfter =
+    1'600;                                      // the same for the opening, which may wait for a whole table
+inline constexpr Millis kProbation = 500;       // a removed process must have answered for so long
+inline constexpr Millis kDiskStuckAfter = 700;  // a persist that takes longer counts as failing
+inline constexpr Millis kDiskProbeEvery = 500;
+inline constexpr Millis kJoinEvery = 250;
+inline constexpr Millis kJoinerForgottenAfter = 2'000;
+inline constexpr Millis kWriteTimeout = 4'000;
+inline constexpr Millis kReadTimeout = 1'500;
+inline constexpr Millis kReadRoundEvery = 10;  // heartbeat rounds for reads
+inline constexpr Millis kBusyTick = 50;
+
+inline constexpr std::size_t kHistoryBatches = 256;
+inline constexpr std::size_t kHistoryBytes = 1 << 20;
+inline constexpr std::size_t kMaxPeers = 24;
+inline constexpr std::size_t kMaxReads = 256;
+inline constexpr std::size_t kMaxPersists = 64;
+
+struct Settings {
+    Member self;                     // incarnation and session are drawn by the replica
+    std::vector<std::string> seeds;  // control addresses; their internal port is that of `self`
+    bool bootstrap = false;
+    Tolerance tolerance;
+};
+
+}  // namespace beechpoint::replica
--- /dev/null
+++ b/src/replica/view_agreement.cpp
@@ -0,0 +1,77 @@
+#include "replica/view_agreement.hpp"
+
+#include <utility>
+
+namespace beechpoint::replica {
+
+// Makes the vote one for `target`. Votes for earlier epochs have no use any more: their views are decided.
+bool Acceptor::open(std::uint64_t target) {
+    if (target < vote_.epoch) return false;
+    if (target > vote_.epoch) vote_ = Vote{target, {}, {}, std::nullopt};
+    return true;
+}
+
+bool Acceptor::promise(std::uint64_t target, const Ballot& ballot) {
+    if (ballot.round == 0 || !open(target) || ballot < vote_.promised) return false;
+    vote_.promised = ballot;
+    return true;
+}
+
+bool Acceptor::accept(std::uint64_t target, const Ballot& ballot, const View& value) {
+    if (value.epoch != target || !promise(target, ballot)) return false;
+    vote_.accepted = ballot;
+    vote_.value = value;
+    return true;
+}
+
+void Acceptor::decided(std::uint64_t epoch) {
+    if (vote_.epoch <= epoch) vote_ = Vote{};
+}
+
+void Proposer::begin(Millis now, std::uint64_t target, Ballot ballot, std::size_t majority) {
+    phase_ = Phase::preparing;
+    target_ = target;
+    ballot_ = std::move(ballot);
+    majority_ = majority;
+    since_ = now;
+    promises_.clear();
+    accepted_.clear();
+}
+
+bool Proposer::onPromise(const std::string& voter, const Member& from, const Promise& promise) {
+    if (phase_ != Phase::preparing || promise.target != target_ || promise.ballot != ballot_) return false;
+    promises_.insert_or_assign(voter, ReceivedPromise{from, promise});
+    return true;
+}
+
+bool Proposer::onAccepted(const std::string& voter, const Accepted& accepted) {
+    if (phase_ != Phase::accepting || accepted.target != target_ || accepted.ballot != ballot_) return false;
+    accepted_[voter] = true;
+    return true;
+}
+
+std::optional<View> Proposer::bound() const {
+    const Promise* highest = nullptr;
+    for (const auto& [voter, received] : promises_) {
+        if (!received.promise.value) continue;
+        if (!highest || highest->accepted < received.promise.accepted) highest = &received.promise;
+    }
+    return highest ? highest->value : std::nullopt;
+}
+
+void Proposer::propose(Millis now, View value) {
+    phase_ = Phase::accepting;
+    since_ = now;
+    value_ = std::move(value);
+}
+
+bool Proposer::hasMajority() const {
+    if (phase_ == Phase::idle) return false;
+    return (phase_ == Phase::preparing ? promises_.size() : accepted_.size()) >= majority_;
+}
+
+bool Proposer::answered(const std::string& voter) const {
+    return phase_ == Phase::preparing ? promises_.contains(voter) : accepted_.contains(voter);
+}
+
+}  // namespace beechpoint::replica
--- /dev/null
+++ b/src/replica/view_agreement.hpp
@@ -0,0 +1,79 @@
+// Single-decree Paxos on the next view: the durable half (acceptor) and the counting half (proposer). Neither sends.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "replica/messages.hpp"
+#include "replica/view.hpp"
+
+namespace beechpoint::replica {
+
+// Changes its vote at once; the caller answers only when the changed vote is durable.
+class Acceptor {
+public:
+    explicit Acceptor(Vote vote) : vote_(std::move(vote)) {}
+
+    // True if the vote now promises this ballot (also when it did so before).
+    bool promise(std::uint64_t target, const Ballot& ballot);
+    // True if the vote now holds this value under this ballot.
+    bool accept(std::uint64_t target, const Ballot& ballot, const View& value);
+    // A view of this epoch is decided: votes up to it have no further use.
+    void decided(std::uint64_t epoch);
+
+    const Vote& vote() const { return vote_; }
+    Ballot promisedFor(std::uint64_t target) const {
+        return vote_.epoch == target ? vote_.promised : Ballot{};
+    }
+    bool sealed(std::uint64_t epoch) const { return vote_.epoch == epoch + 1 && vote_.promised.round > 0; }
+
+private:
+    bool open(std::uint64_t target);
+
+    Vote vote_;
+};
+
+struct ReceivedPromise {
+    Member from;
+    Promise promise;
+};
+
+// idle -> preparing (begin) -> accepting (propose) -> idle (decided, stop)
+class Proposer {
+public:
+    enum class Phase { idle, preparing, accepting };
+
+    void begin(Millis now, std::uint64_t target, Ballot ballot, std::size_t majority);
+    void stop() { phase_ = Phase::idle; }
+    // Voters are named by a key that stands for one disk. False: not of the present ballot and phase.
+    bool onPromise(const std::string& voter, const Member& from, const Promise& promise);
+    bool onAccepted(const std::string& voter, const Accepted& accepted);
+    // The value that must be proposed, if one may have been chosen already.
+    std::optional<View> bound() const;
+    void propose(Millis now, View value);
+
+    Phase phase() const { return phase_; }
+    std::uint64_t target() const { return target_; }
+    const Ballot& ballot() const { return ballot_; }
+    const View& value() const { return value_; }
+    Millis since() const { return since_; }
+    bool hasMajority() const;
+    bool answered(const std::string& voter) const;
+    const std::map<std::string, ReceivedPromise>& promises() const { return promises_; }
+
+private:
+    Phase phase_ = Phase::idle;
+    std::uint64_t target_ = 0;
+    Ballot ballot_;
+    std::size_t majority_ = 0;
+    Millis since_ = 0;
+    View value_;
+    std::map<std::string, ReceivedPromise> promises_;
+    std::map<std::string, bool> accepted_;
+};
+
+}  // namespace beechpoint::replica
