--- /dev/null
+++ b/src/cli/system.cpp
@@ -0,0 +1,53 @@
+#include "cli/system.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "cli/cli.hpp"
+#include "control/control.hpp"
+#include "core/logger.hpp"
+#include "gateway/run.hpp"
+#include "settings/settings.hpp"
+
+namespace beechpoint::cli {
+
+namespace {
+
+int checkSettings(const std::string& path) {
+    const auto settings = settings::readSettings(path);
+    if (settings) {
+        std::cout << "the settings are sound: " << settings.value().nodeName << '\n';
+        return 0;
+    }
+    std::cerr << "beechpoint: " << settings.error().text() << '\n';
+    return 1;
+}
+
+}  // namespace
+
+SystemCommands::SystemCommands(CLI::App& app) {
+    const char* const named = std::getenv(settings::kSettingsVariable);
+    settingsPath_ = named ? named : "";
+    gateway_ = app.add_subcommand("gateway", "serves clients: routes requests to hosts, until SIGTERM");
+    control_ = app.add_subcommand("control", "keeps the configuration and knows the gateways, until SIGTERM");
+    checkSettings_ = app.add_subcommand("check-settings", "says all that is wrong with a process's settings");
+    for (CLI::App* command : {gateway_, control_, checkSettings_})
+        command->add_option("--settings", settingsPath_,
+                            "the settings file; $BEECHPOINT_NODE_FILE where absent");
+}
+
+bool SystemCommands::given() const { return *gateway_ || *control_ || *checkSettings_; }
+
+int SystemCommands::run(Clock& clock) {
+    std::signal(SIGPIPE, SIG_IGN);
+    if (settingsPath_.empty()) {
+        std::cerr << "beechpoint: name the settings by --settings or " << settings::kSettingsVariable << '\n';
+        return kUsage;
+    }
+    if (*checkSettings_) return checkSettings(settingsPath_);
+    Logger log(clock, logging::Format::json);
+    return *gateway_ ? gateway::run(settingsPath_, clock, log) : control::run(settingsPath_, clock, log);
+}
+
+}  // namespace beechpoint::cli
--- /dev/null
+++ b/src/cli/system.hpp
@@ -0,0 +1,25 @@
+// The sub-commands of the serving system: its two roles, and the client calls of its operators.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <string>
+
+#include "core/clock.hpp"
+
+namespace beechpoint::cli {
+
+// Adds the sub-commands to `app`, which must outlive this object.
+class SystemCommands {
+public:
+    explicit SystemCommands(CLI::App& app);
+    bool given() const;     // whether one of them was called
+    int run(Clock& clock);  // the exit status
+
+private:
+    CLI::App* gateway_;
+    CLI::App* control_;
+    CLI::App* checkSettings_;
+    std::string settingsPath_;
+};
+
+}  // namespace beechpoint::cli
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,83 +1,122 @@
+// The program's command line: one program, a role or a client call per sub-command.
+#include <CLI/CLI.hpp>
 #include <cstdlib>
-#include <cxxopts.hpp>
 #include <iostream>
+#include <memory>
 
 #include "cli/cli.hpp"
 
+#ifdef BEECHPOINT_SYSTEM
+#include "cli/system.hpp"
+#endif
+
 using namespace beechpoint;
 using cli::kUsage;
 
+namespace {
+
+struct Options {
+    std::string config, operatorFile, door, logFormat = "text";
+    std::vector<std::string> groupWords;
+};
+
+std::string environment(const char* name) {
+    const char* const value = std::getenv(name);
+    return value ? value : "";
+}
+
+std::string configPath(const Options& options) {
+    return options.config.empty() ? environment("NODE_CONFIG") : options.config;
+}
+
+Config readConfig(const Options& options, const Clock& clock) {
+    Config config = readConfigFile(configPath(options), clock);
+    const std::string door = environment("NODE_OPERATOR");
+    if (!door.empty()) readDoor(door, config);
+    return config;
+}
+
+int runGroup(const Options& options, const Clock& clock) {
+    std::string door = options.door.empty() ? environment("NODE_OPERATOR") : options.door;
+    if (door.empty()) {
+        const Config config = readConfig(options, clock);
+        if (config.door) door = fmt::format("{}:{}", config.door->address().to_string(), config.door->port());
+    }
+    return cli::group(options.groupWords, door);
+}
+
+int runGatherer(const Options& options, bool checkOnly, Clock& clock, Logger& log) {
+    Config config = readConfig(options, clock);
+    const std::string folder = environment("TMPDIR");
+    config.stateFolder = folder.empty() ? "/tmp" : folder;
+    if (!options.operatorFile.empty()) readOperatorFile(options.operatorFile, config);
+    if (!checkOnly) return cli::serve(config, configPath(options), clock, log);
+    std::cout << "the configuration is sound: " << config.settings.classes.size() << " classes, "
+              << config.known.list.entries.size() << " hosts known\n";
+    return 0;
+}
+
+void addGathererOptions(CLI::App& command, Options& options) {
+    command.add_option("-c,--config", options.config, "the configuration's file; $NODE_CONFIG where absent");
+    command.add_option("-o,--operator", options.operatorFile, "an operator's file: the query API, SNMP");
+    command.add_option("--log-format", options.logFormat, "text, or json: one object a line");
+}
+
+bool needsConfig(const Options& options) {
+    if (!configPath(options).empty()) return false;
+    std::cerr << "beechpoint: name a configuration by --config or NODE_CONFIG\n";
+    return true;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
     Clock clock;
-    auto log = std::make_unique<Logger>(clock);
+    Options options;
+    CLI::App app("Serves requests in front of hosts, and keeps the configuration of those that do",
+                 "beechpoint");
+    app.require_subcommand(1);
+    app.fallthrough();
+    addGathererOptions(app, options);
+    auto* const serve = app.add_subcommand("serve", "gathers answers of track hosts until SIGTERM");
+    auto* const check = app.add_subcommand("check-config", "says what is wrong with the configuration");
+    auto* const group = app.add_subcommand("group", "asks a running gatherer about its group");
+    group->add_option("words", options.groupWords, "show, found NUMBER, take DUTY, give DUTY [MEMBER]");
+    group->add_option("--door", options.door, "a running gatherer's operators' door, ADDRESS:PORT");
+    auto* const version = app.add_subcommand("version", "prints the version");
+#ifdef BEECHPOINT_SYSTEM
+    cli::SystemCommands system(app);
+#endif
     try {
-        cxxopts::Options options(
-            "beechpoint", "Gathers answers of track hosts: beechpoint serve|check-config|group|version\n");
-        options.add_options()("command", "serve, check-config, group (show, found, take, give) or version",
-                              cxxopts::value<std::string>())("words", "what the command asks for",
-                                                             cxxopts::value<std::vector<std::string>>())(
-            "door", "group: a running gatherer's operators' door", cxxopts::value<std::string>())(
-            "c,config", "the configuration's file; $NODE_CONFIG where absent", cxxopts::value<std::string>())(
-            "o,operator", "an operator's file: the query API, SNMP", cxxopts::value<std::string>())(
-            "log-format", "text, or json: one object a line",
-            cxxopts::value<std::string>()->default_value("text"))("h,help", "print this");
-        options.parse_positional({"command", "words"});
-        options.positional_help("COMMAND [WORDS]");
-        const auto given = options.parse(argc, argv);
-        if (given.count("help") || !given.count("command")) {
-            std::cout << options.help();
-            return given.count("help") ? 0 : kUsage;
-        }
-        const auto command = given["command"].as<std::string>();
-        if (command == "version") {
-            std::cout << "beechpoint " << BEECHPOINT_VERSION << '\n';
-            return 0;
-        }
-        const char* const opened = std::getenv("NODE_OPERATOR");
-        if (command == "group" && (given.count("door") || (opened && *opened)))
-            return cli::group(given.count("words") ? given["words"].as<std::vector<std::string>>()
-                                                   : std::vector<std::string>(),
-                              given.count("door") ? given["door"].as<std::string>() : opened);
-        if (command != "serve" && command != "check-config" && command != "group") {
-            std::cerr << "beechpoint: no such command: " << command << '\n';
-            return kUsage;
-        }
-        const auto format = given["log-format"].as<std::string>();
-        if (format != "text" && format != "json") {
-            std::cerr << "beechpoint: --log-format must be text or json\n";
-            return kUsage;
-        }
-        if (format == "json") log = std::make_unique<Logger>(clock, logging::Format::json);
-        const char* const named = std::getenv("NODE_CONFIG");
-        const std::string path = given.count("config") ? given["config"].as<std::string>()
-                                 : named               ? named
-                                                       : "";
-        if (path.empty()) {
-            std::cerr << "beechpoint: name a configuration by --config or NODE_CONFIG\n";
-            return kUsage;
-        }
-        Config config = readConfigFile(path, clock);
-        if (opened && *opened) readDoor(opened, config);
-        if (command == "group")
-            return cli::group(
-                given.count("words") ? given["words"].as<std::vector<std::string>>()
-                                     : std::vector<std::string>(),
-                config.door ? fmt::format("{}:{}", config.door->address().to_string(), config.door->port())
-                            : "");
-        const char* const folder = std::getenv("TMPDIR");
-        config.stateFolder = folder && *folder ? folder : "/tmp";
-        if (given.count("operator")) readOperatorFile(given["operator"].as<std::string>(), config);
-        if (command == "serve") return cli::serve(config, path, clock, *log);
-        std::cout << "the configuration is sound: " << config.settings.classes.size() << " classes, "
-                  << config.known.list.entries.size() << " hosts known\n";
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? 0 : kUsage;
+    }
+    if (*version) {
+        std::cout << "beechpoint " << BEECHPOINT_VERSION << '\n';
         return 0;
-    } catch (const cxxopts::exceptions::exception& e) {
-        std::cerr << "beechpoint: " << e.what() << '\n';
+    }
+    if (options.logFormat != "text" && options.logFormat != "json") {
+        std::cerr << "beechpoint: --log-format must be text or json\n";
         return kUsage;
-    } catch (const BadConfig& e) {
-        log->warn("bad configuration: {}", field("error", std::string_view(e.what())));
-    } catch (const std::exception& e) {
-        log->warn("can't go on: {}", field("error", std::string_view(e.what())));
+    }
+    const auto format = options.logFormat == "json" ? logging::Format::json : logging::Format::text;
+    Logger log(clock, format);
+    try {
+#ifdef BEECHPOINT_SYSTEM
+        if (system.given()) return system.run(clock);
+#endif
+        if (*group) {
+            const bool doorKnown = !options.door.empty() || !environment("NODE_OPERATOR").empty();
+            if (!doorKnown && needsConfig(options)) return kUsage;
+            return runGroup(options, clock);
+        }
+        if (needsConfig(options)) return kUsage;
+        return runGatherer(options, static_cast<bool>(*check) && !*serve, clock, log);
+    } catch (const BadConfig& error) {
+        log.warn("bad configuration: {}", field("error", std::string_view(error.what())));
+    } catch (const std::exception& error) {
+        log.warn("can't go on: {}", field("error", std::string_view(error.what())));
     }
     return 1;
 }
