Dispatcher of a gateway's requests, on the retry design's own pieces

src/policy holds mean, record, score and draw, width test and failure tree, free of the Coordinator's types. src/dispatch decides with them; budgets, cold hosts, placement and admission bound it.

--- /dev/null
+++ b/src/dispatch/cold_allowance.cpp
@@ -0,0 +1,45 @@
+#include "dispatch/cold_allowance.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace beechpoint::dispatch {
+
+namespace {
+
+constexpr double kUnknownPart = 1.5;  // gateways there may be for each one known
+constexpr double kRankLists = 3;      // lists of gateways in use at once, at most
+constexpr int kMostPerSpan = 256;
+
+}  // namespace
+
+ColdShare::ColdShare(double bound, int gateways, bool known, int rank) {
+    if (!known || bound < 1) return;
+    const double all = std::ceil(kUnknownPart * std::max(1, gateways));
+    perSpan_ = static_cast<int>(std::min<double>(std::floor(bound / all), kMostPerSpan));
+    if (perSpan_ == 0 && rank >= 0 && rank < std::floor(bound / kRankLists)) perSpan_ = 1;
+}
+
+void ColdLog::drop(Millis now) {
+    while (!sends_.empty() && sends_.front() <= now - ColdShare::kSpan) sends_.pop_front();
+}
+
+void ColdLog::sent(Millis now) {
+    drop(now);
+    if (sends_.size() >= kMost) sends_.pop_front();
+    sends_.push_back(now);
+}
+
+bool ColdLog::allows(Millis now, const ColdShare& share) {
+    drop(now);
+    return sends_.size() < static_cast<std::size_t>(share.perSpan());
+}
+
+Millis ColdLog::freeAt(Millis now, const ColdShare& share) {
+    if (allows(now, share)) return now;
+    const auto limit = static_cast<std::size_t>(share.perSpan());
+    if (limit == 0) return now + ColdShare::kSpan;
+    return sends_[sends_.size() - limit] + ColdShare::kSpan;
+}
+
+}  // namespace beechpoint::dispatch
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -49,6 +49,7 @@
 
     std::size_t live() const;         // requests held
     std::size_t attemptsOut() const;  // attempts whose end is owed
+    std::size_t hostsKept() const;    // places of the host table in use or spare
 
 private:
     class Impl;
--- /dev/null
+++ b/src/dispatch/host_table.cpp
@@ -0,0 +1,85 @@
+#include "dispatch/host_table.hpp"
+
+#include <algorithm>
+
+namespace beechpoint::dispatch {
+
+namespace {
+
+constexpr Millis kRemembered = 30000;  // a host that is not listed: a torn list is no new life
+
+}  // namespace
+
+void HostTable::update(const Hosts& list, Millis now) {
+    for (HostSlot& slot : slots_) slot.listed = false;
+    for (const Host& host : list.hosts) listHost(host, now);
+    byService_.clear();
+    for (int i = 0; i < static_cast<int>(slots_.size()); ++i) {
+        HostSlot& slot = at(i);
+        if (slot.listed)
+            byService_[slot.host.service].push_back(i);
+        else if (slot.goneAt == 0)
+            slot.goneAt = now;
+    }
+    listedOnce_ = true;
+}
+
+void HostTable::listHost(const Host& host, Millis now) {
+    const auto known = index_.find(host.instanceId);
+    const bool fresh = known == index_.end();
+    HostSlot& slot = at(fresh ? place(host.instanceId) : known->second);
+    const bool returned = !fresh && slot.goneAt > 0;
+    slot.host = host;
+    slot.listed = true;
+    slot.goneAt = 0;
+    if (host.warmupLeft > 0) slot.coldUntil = std::max(slot.coldUntil, now + host.warmupLeft);
+    if ((fresh && listedOnce_) || returned) slot.coldSince = now;
+}
+
+void HostTable::evacuate(const Evacuated& zones, Millis now) {
+    const std::set<std::string> next(zones.zones.begin(), zones.zones.end());
+    for (HostSlot& slot : slots_) {
+        const bool takenBack = evacuated_.contains(slot.host.zone) && !next.contains(slot.host.zone);
+        if (slot.listed && takenBack) slot.coldSince = now;
+    }
+    evacuated_ = next;
+}
+
+int HostTable::find(const std::string& instance) const {
+    const auto found = index_.find(instance);
+    return found == index_.end() ? -1 : found->second;
+}
+
+const std::vector<int>& HostTable::ofService(const std::string& service) const {
+    static const std::vector<int> none;
+    const auto found = byService_.find(service);
+    return found == byService_.end() ? none : found->second;
+}
+
+int HostTable::place(const std::string& instance) {
+    int index = static_cast<int>(slots_.size());
+    if (spare_.empty()) {
+        slots_.emplace_back();
+    } else {
+        index = spare_.back();
+        spare_.pop_back();
+    }
+    return index_[instance] = index;
+}
+
+void HostTable::prune(Millis now, Millis oldest) {
+    for (int i = 0; i < static_cast<int>(slots_.size()); ++i) {
+        HostSlot& slot = at(i);
+        std::erase_if(slot.records, [&](const auto& entry) {
+            const firkeel::policy::Record& record = entry.second;
+            return record.out.empty() && std::max(record.f.at, record.lastServed) < toNanos(oldest);
+        });
+        const bool gone = !slot.listed && slot.goneAt > 0 && now > slot.goneAt + kRemembered;
+        if (!gone || slot.out > 0 || slot.host.instanceId.empty()) continue;
+        index_.erase(slot.host.instanceId);
+        slot = HostSlot{};
+        spare_.push_back(i);
+    }
+}
+
+}  // namespace beechpoint::dispatch
--- /dev/null
+++ b/src/dispatch/host_table.hpp
@@ -0,0 +1,80 @@
+// The hosts that the platform lists, by place in a table, with what this gateway knows of each. Bounded: a host that is
+// no longer listed is forgotten once nothing is out there, and what is known of a route's requests once it is old.
+#pragma once
+
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "dispatch/cold_allowance.hpp"
+#include "dispatch/messages.hpp"
+#include "policy/record.hpp"
+
+namespace beechpoint::dispatch {
+
+using RouteId = int;
+
+struct HostSlot {
+    Host host;
+    bool listed = false;
+    std::unordered_map<RouteId, firkeel::policy::Record> records;
+    firkeel::policy::Mean ratio;  // times over the average host's, all routes
+    firkeel::policy::Mean failures{firkeel::policy::kFailMemoryS};  // all routes
+
+    int out = 0;               // attempts whose end is owed
+    int waiting = 0;           // of these, without a first event
+    double waitingTokens = 0;  // that they are expected to have to read
+
+    Millis fullUntil = 0;  // it said so
+    bool cut = false;      // a connection broke or could not be made, and no probe has passed since
+    bool down = false;     // could not be reached at all: cold once it can
+    bool probing = false;
+    Millis probeAt = 0;  // the next one, while cut
+    Millis probeGap = 0;
+
+    Millis coldUntil = 0;  // as told
+    Millis coldSince = 0;  // counts as cold for the service's warm-up from here; 0: doesn't
+    ColdLog sends;
+    Millis goneAt = 0;  // since when it is not listed
+
+    bool cold(Millis now, Millis warmup) const {
+        return now < coldUntil || (coldSince > 0 && now < coldSince + warmup);
+    }
+};
+
+class HostTable {
+public:
+    // Replaces the list. Hosts that come after the first list count as cold from now.
+    void update(const Hosts& list, Millis now);
+    // Replaces the evacuated zones. Hosts of a zone that is taken back count as cold from now.
+    void evacuate(const Evacuated& zones, Millis now);
+
+    HostSlot& at(int index) { return slots_[static_cast<std::size_t>(index)]; }
+    const HostSlot& at(int index) const { return slots_[static_cast<std::size_t>(index)]; }
+    int find(const std::string& instance) const;  // -1: not known
+    const std::vector<int>& ofService(
+        const std::string& service) const;  // listed ones, draining ones included
+    std::size_t size() const { return slots_.size(); }
+
+    // Whether new requests may go there at all: listed, serving, and in no evacuated zone.
+    bool serving(const HostSlot& slot) const {
+        return slot.listed && slot.host.state == HostState::serving && !evacuated_.contains(slot.host.zone);
+    }
+    // Forgets hosts that are gone and have nothing out, and records without use since `oldest`.
+    void prune(Millis now, Millis oldest);
+
+private:
+    int place(const std::string& instance);
+    void listHost(const Host& host, Millis now);
+
+    std::vector<HostSlot> slots_;
+    std::vector<int> spare_;
+    std::unordered_map<std::string, int> index_;
+    std::unordered_map<std::string, std::vector<int>> byService_;
+    std::set<std::string> evacuated_;
+    bool listedOnce_ = false;
+};
+
+}  // namespace beechpoint::dispatch
--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -150,6 +150,7 @@
     std::string instanceId;
     bool healthy = false;
     Millis warmupLeft = 0;
+    bool answered = false;  // an HTTP answer came from it, whatever it says
 };
 
 struct Tick {};
--- /dev/null
+++ b/src/dispatch/placement.cpp
@@ -0,0 +1,66 @@
+#include "dispatch/placement.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <string_view>
+
+namespace beechpoint::dispatch {
+
+namespace {
+
+constexpr double kLoadFactor = 1.25;  // of the mean, as in consistent hashing with bounded loads
+constexpr double kLoadFree = 3;       // and these on top: small numbers are chance
+
+constexpr std::uint64_t kFnvOffset = 0xCBF29CE484222325ULL;
+constexpr std::uint64_t kFnvPrime = 0x100000001B3ULL;
+
+std::uint64_t absorb(std::uint64_t hash, std::string_view text) {
+    for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * kFnvPrime;
+    return (hash ^ 0xFF) * kFnvPrime;  // an end mark: "ab","c" is not "a","bc"
+}
+
+// Finaliser of SplitMix64: FNV alone leaves the high bits of similar names alike.
+std::uint64_t finish(std::uint64_t z) {
+    z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9ULL;
+    z = (z ^ (z >> 27)) * 0x94D049BB133111EBULL;
+    return z ^ (z >> 31);
+}
+
+}  // namespace
+
+SharedPrefix sharedPrefix(const std::vector<PromptPart>& prompt) {
+    SharedPrefix shared{kFnvOffset, 0};
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        shared.key = absorb(shared.key, prompt[i].id);
+        shared.tokens += prompt[i].tokens;
+    }
+    return shared;
+}
+
+std::uint64_t rendezvousWeight(std::uint64_t key, const std::string& instance) {
+    return finish(finish(key) ^ absorb(kFnvOffset, instance));
+}
+
+std::vector<int> rendezvousRanks(std::uint64_t key, const std::vector<const std::string*>& instances) {
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    for (std::size_t i = 0; i < instances.size(); ++i)
+        order.emplace_back(rendezvousWeight(key, *instances[i]), i);
+    std::sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first > b.first : *instances[a.second] < *instances[b.second];
+    });
+    std::vector<int> ranks(instances.size());
+    for (std::size_t place = 0; place < order.size(); ++place)
+        ranks[order[place].second] = static_cast<int>(place);
+    return ranks;
+}
+
+double expectedMiss(int rank) {
+    constexpr double kSecond = 0.6, kThird = 0.8;
+    return rank == 0 ? 0 : rank == 1 ? kSecond : rank == 2 ? kThird : 1;
+}
+
+bool overloadedHome(int waiting, double meanWaiting) {
+    return waiting > kLoadFactor * meanWaiting + kLoadFree;
+}
+
+}  // namespace beechpoint::dispatch
--- /dev/null
+++ b/src/dispatch/predictor.hpp
@@ -0,0 +1,64 @@
+// The times t and failure shares f that the design's score is made of, learnt from this gateway's own attempts, and for
+// model hosts the time for reading what a prompt has that the host is not expected to hold.
+#pragma once
+
+#include <algorithm>
+#include <string>
+
+#include "core/clock.hpp"
+#include "dispatch/host_table.hpp"
+#include "dispatch/reading_rate.hpp"
+#include "policy/score.hpp"
+
+namespace beechpoint::dispatch {
+
+// What is known of a route's requests over all hosts. Times are normal ones: without queue and reading.
+struct RouteRecord {
+    RouteId id = 0;
+    firkeel::policy::Mean time{firkeel::policy::kWindowS};
+    Millis aim = 0;
+    Millis usedAt = 0;
+
+    static constexpr Millis kLeastAim = 10;
+    double gainTargetS() const { return firkeel::policy::kGainShare * std::max(aim, kLeastAim) * 1e-3; }
+    double timeS(Millis now) const { return time.value(toNanos(now), gainTargetS()); }
+};
+
+// What is common to the hosts of a service.
+struct ServiceLoad {
+    bool engine = false;
+    ReadingRate rate;
+    double usualWaiting = 0;  // own attempts per host without a first event, over the last seconds
+    int gateways = 1;
+};
+
+// An attempt as it was sent.
+struct Sent {
+    int host = 0;
+    std::string service;
+    std::string route;
+    Millis sentAt = 0;
+    double tokens = 0;       // to be read, as expected
+    int ahead = 0;           // own attempts without a first event then
+    double aheadTokens = 0;  // and what these were to read
+    bool waiting = true;     // for the first event
+};
+
+class Predictor {
+public:
+    // Seconds to the first event of a request of the route that has `tokens` to be read there.
+    static double timeS(const HostSlot& slot, const RouteRecord& route, const ServiceLoad& load,
+                        double tokens, Millis now);
+    static double failureShare(const HostSlot& slot, RouteId route, Millis now);
+
+    // An attempt went out: it is waiting there.
+    static void sent(HostSlot& slot, RouteId route, const Sent& attempt);
+    // It waits no longer: its first event came, or it ended.
+    static void waitingEnded(HostSlot& slot, RouteId route, Sent& attempt);
+    // It took `tookS` to its first event (or whole answer), or surely more (`atLeast`).
+    static void learnTime(HostSlot& slot, RouteRecord& route, ServiceLoad& load, const Sent& attempt,
+                          double tookS, bool atLeast, Millis now);
+    static void learnEnd(HostSlot& slot, RouteId route, bool served, Millis now);
+};
+
+}  // namespace beechpoint::dispatch
--- /dev/null
+++ b/src/dispatch/retry_budget.cpp
@@ -0,0 +1,30 @@
+#include "dispatch/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace beechpoint::dispatch {
+
+namespace {
+
+constexpr double kRatioPart = 0.5;   // see the header: two windows may stand for one
+constexpr double kSlackPart = 0.6;   // room for gateways that are not known of, or were restarted
+constexpr double kWindowPart = 1.1;  // sends are counted for longer: they arrive later than they are sent
+
+}  // namespace
+
+RetryBudget::RetryBudget(const RetryBounds& bounds)
+    : bounds_(bounds),
+      requests_(bounds.window, SlidingCount::Edge::lower),
+      further_(bounds.window * kWindowPart, SlidingCount::Edge::upper) {}
+
+void RetryBudget::fleet(int gateways, bool known) {
+    slackShare_ = known ? kSlackPart * bounds_.slack / std::max(1, gateways) : 0;
+}
+
+bool RetryBudget::allows(Millis now) {
+    const double requests = static_cast<double>(requests_.count(now));
+    const double further = static_cast<double>(further_.count(now));
+    return further + 1 <= kRatioPart * bounds_.ratio * requests + slackShare_;
+}
+
+}  // namespace beechpoint::dispatch
--- /dev/null
+++ b/src/dispatch/selection.cpp
@@ -0,0 +1,130 @@
+#include "dispatch/selection.hpp"
+
+#include <algorithm>
+
+#include "dispatch/placement.hpp"
+#include "dispatch/service_state.hpp"
+
+namespace beechpoint::dispatch {
+
+namespace policy = firkeel::policy;
+
+namespace {
+
+constexpr std::size_t kRegionalHosts = 3;  // fewer hosts of a region are no place for all its prefixes
+constexpr double kBytesPerToken = 3;       // of a prompt, roughly
+constexpr double kPerThousand = 1e-3, kPerMillion = 1e-6;
+
+bool regionAllowed(const Request& request, const std::string& region) {
+    const auto& regions = request.asked.allowedRegions;
+    if (!regions) return true;
+    return !region.empty() && std::find(regions->begin(), regions->end(), region) != regions->end();
+}
+
+}  // namespace
+
+std::vector<int> Selection::allowed(const Request& request) const {
+    std::vector<int> result;
+    for (const int i : hosts_.ofService(request.service)) {
+        const HostSlot& slot = hosts_.at(i);
+        if (hosts_.serving(slot) && regionAllowed(request, slot.host.region)) result.push_back(i);
+    }
+    return result;
+}
+
+double Selection::crossingScore(double price, Millis delay, double bytes, const Request& request) const {
+    return policy::kDropAbove * price * bytes * kPerMillion +
+           delay / (policy::kGainShare * std::max(1.0, request.asked.aim));
+}
+
+double Selection::crossingScore(const Request& request, const Host& host) const {
+    if (host.region != settings_.region)
+        return crossingScore(settings_.crossRegionCost, settings_.crossRegionDelay, request.bytes, request);
+    return host.zone == settings_.zone ? 0
+                                       : crossingScore(settings_.crossZoneCost, 0, request.bytes, request);
+}
+
+double Selection::readingScore(const Request& request, double miss) const {
+    return policy::kDropAbove * settings_.sharedReadCost * miss * request.shared.tokens * kPerThousand;
+}
+
+// Whether each region keeps its own copies of the prefix: where a crossing costs more than reading the prefix again.
+// Only what all requests of the prefix have in common counts, so that all gateways of the region come to the same result.
+bool Selection::regional(const Request& request, const std::vector<int>& hosts) const {
+    const double bytes = kBytesPerToken * request.shared.tokens;
+    const double crossing =
+        crossingScore(settings_.crossRegionCost, settings_.crossRegionDelay, bytes, request);
+    if (crossing <= readingScore(request, 1)) return false;
+    const auto own = std::count_if(hosts.begin(), hosts.end(),
+                                   [&](int i) { return hosts_.at(i).host.region == settings_.region; });
+    return static_cast<std::size_t>(own) >= kRegionalHosts;
+}
+
+std::vector<Selection::Option> Selection::placed(const Request& request,
+                                                 const std::vector<int>& hosts) const {
+    const bool ownRegion = regional(request, hosts);
+    std::vector<Option> result;
+    std::vector<std::size_t> places;  // in result, of those that may be the prefix's home
+    std::vector<const std::string*> names;
+    double waiting = 0;
+    for (const int i : hosts) {
+        const HostSlot& slot = hosts_.at(i);
+        result.push_back({i, 1});
+        waiting += slot.waiting;
+        if (ownRegion && slot.host.region != settings_.region) continue;
+        places.push_back(result.size() - 1);
+        names.push_back(&slot.host.instanceId);
+    }
+    const double mean = waiting / static_cast<double>(std::max<std::size_t>(1, hosts.size()));
+    const std::vector<int> ranks = rendezvousRanks(request.shared.key, names);
+    for (std::size_t n = 0; n < places.size(); ++n) {
+        Option& option = result[places[n]];
+        if (!overloadedHome(hosts_.at(option.host).waiting, mean)) option.miss = expectedMiss(ranks[n]);
+    }
+    return result;
+}
+
+std::vector<Selection::Option> Selection::options(const Request& request, const ServiceState& service) const {
+    const std::vector<int> hosts = allowed(request);
+    if (service.load.engine && request.shared.tokens > 0) return placed(request, hosts);
+    std::vector<Option> result;
+    for (const int i : hosts) result.push_back({i, 0});
+    return result;
+}
+
+bool Selection::takesNow(HostSlot& slot, const Request& request, const ServiceState& service,
+                         Millis now) const {
+    if (now < slot.fullUntil || request.outAt(slot.host.instanceId)) return false;
+    if (!service.coldBounded() || !slot.cold(now, service.warmup())) return true;
+    return slot.sends.allows(now, service.coldShare);
+}
+
+std::vector<policy::Scored> Selection::ranked(const Request& request, const RouteRecord& route,
+                                              ServiceState& service, Millis now) const {
+    std::vector<policy::Scored> all, sound;
+    const double own = request.promptTokens - request.shared.tokens;
+    for (const Option& option : options(request, service)) {
+        HostSlot& slot = hosts_.at(option.host);
+        if (slot.down || !takesNow(slot, request, service, now)) continue;
+        policy::Scored scored{option.host, 0, 0, 0};
+        const double tokens = own + option.miss * request.shared.tokens;
+        scored.t = Predictor::timeS(slot, route, service.load, tokens, now);
+        scored.f = Predictor::failureShare(slot, route.id, now);
+        scored.s = scored.t / route.gainTargetS() + policy::kDropAbove * scored.f;
+        scored.s += readingScore(request, option.miss) + crossingScore(request, slot.host);
+        all.push_back(scored);
+        if (!slot.cut) sound.push_back(scored);
+    }
+    std::vector<policy::Scored>& list = sound.empty() ? all : sound;
+    policy::sortByScore(list);
+    return list;
+}
+
+double Selection::tokensToRead(const Request& request, const ServiceState& service, int host) const {
+    const double own = request.promptTokens - request.shared.tokens;
+    for (const Option& option : options(request, service))
+        if (option.host == host) return own + option.miss * request.shared.tokens;
+    return own;
+}
+
+}  // namespace beechpoint::dispatch
