--- /dev/null
+++ b/tests/dispatch/cold_allowance_test.cpp
@@ -0,0 +1,68 @@
+#include "dispatch/cold_allowance.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "core/splitmix.hpp"
+
+namespace beechpoint::dispatch {
+namespace {
+
+TEST(ColdShare, IsNothingWithoutAFleet) {
+    EXPECT_EQ(ColdShare(20, 1, false, 0).perSpan(), 0);
+    EXPECT_EQ(ColdShare(0.5, 1, true, 0).perSpan(), 0);
+}
+
+TEST(ColdShare, IsAPartThatHoldsWithAThirdMoreGateways) {
+    EXPECT_EQ(ColdShare(20, 8, true, 0).perSpan(), 1);
+    EXPECT_EQ(ColdShare(20, 2, true, 0).perSpan(), 6);
+    EXPECT_EQ(ColdShare(20, 1, true, 0).perSpan(), 10);
+}
+
+TEST(ColdShare, OfMoreGatewaysThanRequestsOnlyTheFirstSend) {
+    EXPECT_EQ(ColdShare(20, 50, true, 5).perSpan(), 1);
+    EXPECT_EQ(ColdShare(20, 50, true, 6).perSpan(), 0);
+    EXPECT_EQ(ColdShare(20, 50, true, -1).perSpan(), 0);
+}
+
+TEST(ColdLog, FreesPlacesAsTheSpanPasses) {
+    const ColdShare share(20, 4, true, 0);
+    ASSERT_EQ(share.perSpan(), 3);
+    ColdLog log;
+    for (const Millis at : {0.0, 100.0, 200.0}) log.sent(at);
+    EXPECT_FALSE(log.allows(300, share));
+    EXPECT_EQ(log.freeAt(300, share), ColdShare::kSpan);
+    EXPECT_TRUE(log.allows(ColdShare::kSpan, share));
+}
+
+// Whatever the gateways want, and with a third more of them than are known, no second sees more than the bound.
+TEST(ColdAllowanceProperty, SumsOverGatewaysUnderTheBound) {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        SplitMix random(seed);
+        const int known = 1 + static_cast<int>(random.below(40));
+        const int real = known + known / 2;
+        const double bound = 1 + 30 * random();
+        std::vector<ColdLog> logs(static_cast<std::size_t>(real));
+        std::vector<Millis> sends;
+        for (Millis now = 0; now < 6000; now += 2) {
+            for (int gateway = 0; gateway < real; ++gateway) {
+                const ColdShare share(bound, known, true, gateway % known);
+                ColdLog& log = logs[static_cast<std::size_t>(gateway)];
+                if (random() > 0.05 || !log.allows(now, share)) continue;
+                log.sent(now);
+                sends.push_back(now + 250 * random());  // written a little later
+            }
+        }
+        std::sort(sends.begin(), sends.end());
+        for (std::size_t i = 0; i < sends.size(); ++i) {
+            const auto end = std::upper_bound(sends.begin(), sends.end(), sends[i] + 1000);
+            ASSERT_LE(static_cast<double>(end - sends.begin()) - static_cast<double>(i), bound)
+                << "seed " << seed;
+        }
+    }
+}
+
+}  // namespace
+}  // namespace beechpoint::dispatch
--- /dev/null
+++ b/tests/dispatch/random_test.cpp
@@ -0,0 +1,307 @@
+// Properties over random scenarios: several gateways, hosts that come, go, drain, turn cold, fail in every way.
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+
+#include "core/splitmix.hpp"
+#include "harness.hpp"
+
+namespace beechpoint::dispatch {
+namespace {
+
+constexpr double kWarmupPerS = 6, kOvershoot = 1.5, kWarmupSlack = 5, kWarmupS = 3;
+constexpr double kRatio = 0.2, kSlack = 40;
+constexpr Millis kWindow = 10000;
+
+struct Scenario {
+    struct Life {  // of a request
+        RequestArrived asked;
+        std::set<int> out;
+        int possiblyRun = 0;
+        bool open = false;
+        int relayed = -1;
+        bool over = false;
+        int sent = 0;
+    };
+    struct Pending {
+        Millis at = 0;
+        std::size_t gateway = 0;
+        RequestId id = 0;
+        int attempt = 0;
+        int step = 0;  // 0 head, 1 first byte, 2 end
+        Outcome outcome = Outcome::served;
+        bool operator<(const Pending& other) const { return at > other.at; }
+    };
+    struct Gateway {
+        std::unique_ptr<Dispatcher> dispatcher;
+        Millis timerAt = 0;
+    };
+
+    explicit Scenario(std::uint64_t seed) : random(seed) {
+        const int count = 1 + static_cast<int>(random.below(6));
+        Settings settings = testSettings();
+        settings.retryBudgetRatio = kRatio;
+        settings.retryBudgetSlack = kSlack;
+        settings.warmupOvershoot = kOvershoot;
+        settings.warmupSlack = kWarmupSlack;
+        for (int i = 0; i < count; ++i)
+            gateways.push_back(
+                {std::make_unique<Dispatcher>(settings, seed * 100 + static_cast<std::uint64_t>(i), now), 0});
+        for (int i = 0; i < 8; ++i) addHost();
+        for (std::size_t g = 0; g < gateways.size(); ++g) {
+            tell(g, Services{{serviceNamed("svc", kWarmupS, kWarmupPerS, seed % 2 == 0)}});
+            tell(g, Fleet{count, true, static_cast<int>(g)});
+            tell(g, Hosts{hosts});
+        }
+    }
+
+    void addHost() {
+        const std::string region = random() < 0.5 ? "north" : "south";
+        hosts.push_back(hostNamed("i-" + std::to_string(++lastHost), "svc", region,
+                                  region + "-" + std::to_string(random.below(2))));
+        hosts.back().capacity = 4;
+    }
+    void toAll(const Event& event) {
+        for (std::size_t g = 0; g < gateways.size(); ++g) tell(g, event);
+    }
+    void tell(std::size_t gateway, const Event& event) {
+        std::vector<Action> actions;
+        gateways[gateway].dispatcher->handle(now, event, actions);
+        for (const Action& action : actions) std::visit([&](const auto& one) { did(gateway, one); }, action);
+    }
+
+    Life& lifeOf(RequestId id) {
+        Life& life = lives.at(id);
+        EXPECT_FALSE(life.over) << "an action about a request that is over";
+        return life;
+    }
+    const Host* hostOf(const std::string& instance) const {
+        for (const Host& host : hosts)
+            if (host.instanceId == instance) return &host;
+        return nullptr;
+    }
+    void did(std::size_t gateway, const Send& send) {
+        Life& life = lifeOf(send.id);
+        const Host* host = hostOf(send.instanceId);
+        ASSERT_NE(host, nullptr) << "sent to a host that is gone";
+        EXPECT_EQ(host->state, HostState::serving);
+        EXPECT_FALSE(evacuated.contains(host->zone));
+        if (life.asked.allowedRegions) {
+            EXPECT_EQ(std::count(life.asked.allowedRegions->begin(), life.asked.allowedRegions->end(),
+                                 host->region),
+                      1);
+        }
+        const bool repeatable = life.asked.type == RequestType::idempotent || life.asked.resumable;
+        EXPECT_TRUE(repeatable || life.possiblyRun + static_cast<int>(life.out.size()) == 0)
+            << "may run twice";
+        EXPECT_EQ(send.resume, life.open);
+        EXPECT_GT(send.within, 0);
+        EXPECT_EQ(send.attempt, life.sent);
+        ++life.sent;
+        life.out.insert(send.attempt);
+        const bool cold = coldUntil.contains(send.instanceId) && now < coldUntil.at(send.instanceId);
+        if (cold) coldSends[send.instanceId].push_back(now);
+        plan(gateway, send, host->instanceId);
+    }
+    void plan(std::size_t gateway, const Send& send, const std::string& instance) {
+        const Outcome outcomes[] = {Outcome::served,       Outcome::hostError,  Outcome::notExecuted,
+                                    Outcome::notConnected, Outcome::noCapacity, Outcome::resetBeforeAnswer,
+                                    Outcome::broken,       Outcome::malformed,  Outcome::foreign,
+                                    Outcome::timedOut};
+        const bool sound = random() < (std::hash<std::string>{}(instance) % 3 == 0 ? 0.5 : 0.95);
+        const Outcome outcome = sound ? Outcome::served : outcomes[1 + random.below(9)];
+        const Millis took = outcome == Outcome::timedOut ? send.within : 5 + 100 * random() * random();
+        if (outcome != Outcome::notConnected && outcome != Outcome::noCapacity)
+            arrived[send.id].push_back(now + took / 2);
+        const bool headed = outcome == Outcome::served || outcome == Outcome::hostError ||
+                            outcome == Outcome::notExecuted || outcome == Outcome::broken;
+        if (headed) pending.push({now + took * 0.8, gateway, send.id, send.attempt, 0, outcome});
+        if (outcome == Outcome::served || outcome == Outcome::broken)
+            pending.push({now + took * 0.9, gateway, send.id, send.attempt, 1, outcome});
+        pending.push({now + took, gateway, send.id, send.attempt, 2, outcome});
+    }
+    void did(std::size_t gateway, const Cancel& cancel) {
+        cancelled.insert({cancel.id, cancel.attempt});
+        pending.push({now, gateway, cancel.id, cancel.attempt, 2, Outcome::cancelled});
+    }
+    void did(std::size_t, const Relay& relay) {
+        Life& life = lifeOf(relay.id);
+        EXPECT_TRUE(life.relayed < 0 || life.asked.resumable);
+        life.relayed = relay.attempt;
+        life.open = true;
+    }
+    void did(std::size_t, const Refuse& refuse) {
+        Life& life = lifeOf(refuse.id);
+        EXPECT_FALSE(life.open);
+        const bool repeatable = life.asked.type == RequestType::idempotent || life.asked.resumable;
+        EXPECT_TRUE(repeatable || life.possiblyRun + static_cast<int>(life.out.size()) == 0)
+            << "refused, yet may have run";
+        EXPECT_LE(refuse.retryAfter, life.asked.deadline / 3);
+        life.over = true;
+    }
+    void did(std::size_t, const Fail& fail) {
+        Life& life = lifeOf(fail.id);
+        EXPECT_FALSE(life.open);
+        life.over = true;
+    }
+    void did(std::size_t, const BreakOff& off) {
+        Life& life = lifeOf(off.id);
+        EXPECT_TRUE(life.open);
+        life.over = true;
+    }
+    void did(std::size_t gateway, const Probe& probe) {
+        probes.push({now + 10, {gateway, probe.instanceId}});
+    }
+    void did(std::size_t gateway, const SetTimer& timer) { gateways[gateway].timerAt = timer.at; }
+    void did(std::size_t, const Log&) {}
+
+    void arrive() {
+        RequestArrived asked;
+        asked.id = ++lastId;
+        asked.route = "route-" + std::to_string(random.below(4));
+        asked.services = {{"svc", 1}};
+        asked.type = static_cast<RequestType>(random.below(3));
+        asked.resumable = asked.type == RequestType::streaming && random() < 0.5;
+        asked.aim = 300;
+        asked.deadline = asked.timeout = 1500;
+        asked.priorityClass = static_cast<int>(random.below(3));
+        asked.maxAttempts = 1 + static_cast<int>(random.below(3));
+        if (random() < 0.3) asked.allowedRegions = {"north"};
+        asked.prompt = {{"p" + std::to_string(random.below(10)), 3000}, {"own", 100}};
+        lives[asked.id].asked = asked;
+        requests.push_back(now);
+        tell(random.below(gateways.size()), asked);
+    }
+    void finish(const Pending& next) {
+        Life& life = lives.at(next.id);
+        if (!life.out.contains(next.attempt)) return;
+        const bool wasCancelled = cancelled.contains({next.id, next.attempt});
+        if (wasCancelled != (next.outcome == Outcome::cancelled)) return;
+        if (next.step == 0) {
+            AttemptHead head;
+            head.id = next.id, head.attempt = next.attempt;
+            head.status = next.outcome == Outcome::hostError     ? 500
+                          : next.outcome == Outcome::notExecuted ? 503
+                                                                 : 200;
+            head.notExecuted = next.outcome == Outcome::notExecuted;
+            head.bodyBytes = 100;
+            return tell(next.gateway, head);
+        }
+        if (next.step == 1) return tell(next.gateway, AttemptFirstByte{next.id, next.attempt});
+        life.out.erase(next.attempt);
+        const bool never = next.outcome == Outcome::notExecuted || next.outcome == Outcome::notConnected ||
+                           next.outcome == Outcome::noCapacity;
+        if (!never) ++life.possiblyRun;
+        const bool whole = next.outcome == Outcome::served || next.outcome == Outcome::hostError;
+        tell(next.gateway, AttemptEnded{next.id, next.attempt, next.outcome, "", 0});
+        if (whole && life.relayed == next.attempt) life.over = true;
+    }
+    void change() {
+        const double what = random();
+        Host& host = hosts[random.below(hosts.size())];
+        if (what < 0.25) {
+            host.state = host.state == HostState::serving ? HostState::draining : HostState::serving;
+        } else if (what < 0.4) {
+            hosts.erase(hosts.begin() + (&host - hosts.data()));
+            addHost();
+            coldUntil[hosts.back().instanceId] = now + kWarmupS * 1000;
+        } else if (what < 0.55) {
+            host.warmupLeft = 2000;
+            coldUntil[host.instanceId] = now + host.warmupLeft;
+        } else {
+            evacuated.clear();
+            if (what < 0.8) evacuated.insert(host.zone);
+            toAll(Evacuated{{evacuated.begin(), evacuated.end()}});
+        }
+        toAll(Hosts{hosts});
+        for (Host& each : hosts) each.warmupLeft = 0;
+    }
+    void run(Millis length) {
+        const Millis end = now + length;
+        Millis nextArrival = now, nextChange = now + 3000;
+        while (now < end + 5000) {
+            if (now < end && now >= nextArrival) arrive(), nextArrival = now + 20 * random();
+            if (now >= nextChange) change(), nextChange = now + 2000 * random();
+            while (!pending.empty() && pending.top().at <= now) {
+                const Pending next = pending.top();
+                pending.pop();
+                finish(next);
+            }
+            while (!probes.empty() && probes.front().first <= now) {
+                const auto [gateway, instance] = probes.front().second;
+                probes.pop();
+                tell(gateway, ProbeEnded{instance, random() < 0.7, 0, true});
+            }
+            for (std::size_t g = 0; g < gateways.size(); ++g) {
+                if (gateways[g].timerAt == 0 || gateways[g].timerAt > now) continue;
+                gateways[g].timerAt = 0;
+                tell(g, Tick{});
+            }
+            now += 1;
+        }
+    }
+    void checkEnds() {
+        for (const auto& [id, life] : lives) EXPECT_TRUE(life.over) << "request " << id << " has no end";
+        for (const Gateway& gateway : gateways) {
+            EXPECT_EQ(gateway.dispatcher->live(), 0u);
+            EXPECT_EQ(gateway.dispatcher->attemptsOut(), 0u);
+        }
+    }
+    static double within(const std::vector<Millis>& times, Millis from, Millis to) {
+        return static_cast<double>(std::upper_bound(times.begin(), times.end(), to) -
+                                   std::lower_bound(times.begin(), times.end(), from));
+    }
+    void checkBudget() {
+        std::vector<Millis> further;
+        for (const auto& [id, times] : arrived) further.insert(further.end(), times.begin() + 1, times.end());
+        std::sort(further.begin(), further.end());
+        for (const Millis from : further) {
+            const double most =
+                std::max({within(requests, from, from + kWindow), within(requests, from - kWindow, from),
+                          within(requests, from - kWindow / 2, from + kWindow / 2)});
+            ASSERT_LE(within(further, from, from + kWindow), kRatio * most + kSlack);
+        }
+    }
+    void checkCold() {
+        for (const auto& [host, sends] : coldSends)
+            for (const Millis from : sends)
+                ASSERT_LE(within(sends, from, from + 1000), kWarmupPerS * kOvershoot + kWarmupSlack) << host;
+    }
+
+    SplitMix random;
+    Millis now = 1000000;
+    std::vector<Gateway> gateways;
+    std::vector<Host> hosts;
+    std::set<std::string> evacuated;
+    std::map<RequestId, Life> lives;
+    std::map<RequestId, std::vector<Millis>> arrived;
+    std::set<std::pair<RequestId, int>> cancelled;
+    std::vector<Millis> requests;
+    std::map<std::string, Millis> coldUntil;
+    std::map<std::string, std::vector<Millis>> coldSends;
+    std::priority_queue<Pending> pending;
+    std::queue<std::pair<Millis, std::pair<std::size_t, std::string>>> probes;
+    RequestId lastId = 0;
+    int lastHost = 0;
+};
+
+// In every scenario: no send to a host that is gone, draining, evacuated or outside the allowed regions; at most one
+// send that may have run of a request that can't be repeated; no refusal of one that may have run; one end for each
+// request; the shared budget and the cold bound hold over all gateways.
+TEST(RandomScenarios, KeepTheRules) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        SCOPED_TRACE(seed);
+        Scenario scenario(seed);
+        scenario.run(20000);
+        scenario.checkEnds();
+        scenario.checkBudget();
+        scenario.checkCold();
+        EXPECT_GT(scenario.arrived.size(), 1000u);
+        if (testing::Test::HasFailure()) break;
+    }
+}
+
+}  // namespace
+}  // namespace beechpoint::dispatch
