--- /dev/null
+++ b/src/routing/routing_table.cpp
@@ -0,0 +1,101 @@
+#include "routing/routing_table.hpp"
+
+#include <algorithm>
+
+#include "configuration/host_name.hpp"
+#include "routing/routing_table_builder.hpp"
+
+namespace beechpoint::routing {
+namespace {
+
+template <class Entry>
+std::shared_ptr<const Entry> entryNamed(const StringMap<std::shared_ptr<const Entry>>& entries,
+                                        std::string_view name) {
+    const auto found = entries.find(name);
+    return found == entries.end() ? nullptr : found->second;
+}
+
+std::string_view withoutPort(std::string_view host) {
+    const std::size_t bracket = host.rfind(']');  // of an IPv6 address
+    const std::size_t colon = host.find(':', bracket == std::string_view::npos ? 0 : bracket);
+    return host.substr(0, colon);
+}
+
+std::string_view withoutBlanks(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+    return text;
+}
+
+std::shared_ptr<const RouteEntry> longestMatch(const HostRoutes& host, std::string_view path) {
+    // A prefix ends with a slash: only the beginnings of the path that do can be one.
+    std::string_view candidate = path.substr(0, std::min(path.size(), host.longestPrefix));
+    while (!candidate.empty()) {
+        const std::size_t slash = candidate.rfind('/');
+        if (slash == std::string_view::npos) return nullptr;
+        candidate = candidate.substr(0, slash + 1);
+        if (const auto found = host.byPrefix.find(candidate); found != host.byPrefix.end())
+            return found->second;
+        candidate.remove_suffix(1);
+    }
+    return nullptr;
+}
+
+}  // namespace
+
+const std::string& RouteEntry::backendFor(double draw) const {
+    for (const BackendShare& share : shares)
+        if (draw < share.upTo) return share.service;
+    return shares.back().service;
+}
+
+bool RouteEntry::leadsTo(std::string_view service) const {
+    return std::any_of(shares.begin(), shares.end(),
+                       [service](const BackendShare& share) { return share.service == service; });
+}
+
+bool RouteEntry::allows(std::string_view region) const {
+    const std::vector<std::string>& regions = route.allowedRegions;
+    return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
+std::string RoutingTable::normalHost(std::string_view hostHeader) {
+    return configuration::comparableHost(withoutPort(withoutBlanks(hostHeader)));
+}
+
+std::shared_ptr<const RouteEntry> RoutingTable::find(std::string_view hostHeader,
+                                                     std::string_view path) const {
+    const auto host = hosts_.find(normalHost(hostHeader));
+    if (host == hosts_.end()) return nullptr;
+    return longestMatch(*host->second, path.substr(0, path.find('?')));
+}
+
+std::shared_ptr<const RouteEntry> RoutingTable::routeNamed(std::string_view name) const {
+    return entryNamed(routes_, name);
+}
+
+std::shared_ptr<const ServiceEntry> RoutingTable::service(std::string_view name) const {
+    return entryNamed(services_, name);
+}
+
+std::shared_ptr<const RoutingTable> RoutingTable::fromTable(const Table& table, Position position) {
+    const RoutingTable nothing;
+    RoutingTableBuilder builder = RoutingTableBuilder::replacing(nothing);
+    for (const auto& [key, value] : table) builder.set(key, value);
+    return builder.finish(position);
+}
+
+std::shared_ptr<const RoutingTable> RoutingTable::updated(const RoutingTable& base,
+                                                          const TableUpdate& update) {
+    RoutingTableBuilder builder =
+        update.whole ? RoutingTableBuilder::replacing(base) : RoutingTableBuilder::changing(base);
+    for (const Change& change : update.changes) {
+        if (change.value)
+            builder.set(change.key, *change.value);
+        else
+            builder.remove(change.key);
+    }
+    return builder.finish(update.position);
+}
+
+}  // namespace beechpoint::routing
