--- a/src/replica/failure_detector.cpp
+++ b/src/replica/failure_detector.cpp
@@ -1,6 +1,7 @@
 #include "replica/failure_detector.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace beechpoint::replica {
 
@@ -19,10 +20,7 @@
     nextRoundAt_ = now + kHeartbeatEvery * (0.95 + 0.05 * random_());
     if (!membership_.voter()) return;
     for (const auto& [address, peer] : peers_) {
-        const bool listed = std::ranges::any_of(membership_.view.members, [&](const Member& member) {
-            return member.internalAddress == address;
-        });
-        if (listed || now - peer.joinedAt <= kJoinerForgottenAfter)
+        if (watched_.contains(address) || now - peer.joinedAt <= kJoinerForgottenAfter)
             outbox_.send(address, Heartbeat{sequence_, now});
     }
 }
@@ -37,8 +35,19 @@
         peer.vouchedSequence = 0;
         peer.vouchedSentAt = Peer::kNever;
     }
-    for (const Member& member : membership_.view.members)
-        if (member.internalAddress != membership_.self.internalAddress) add(now, member);
+    // Silence counts only from when heartbeats are sent to a process steadily.
+    std::set<std::string> watched;
+    if (membership_.voter()) {
+        for (const Member& member : membership_.view.members) {
+            const std::string& address = member.internalAddress;
+            if (address == membership_.self.internalAddress) continue;
+            Peer* peer = add(now, member);
+            if (!peer) continue;
+            if (!watched_.contains(address)) peer->watchedSince = now;
+            watched.insert(address);
+        }
+    }
+    watched_ = std::move(watched);
     nextRoundAt_ = now;
 }
 
@@ -110,8 +119,8 @@
 
 std::vector<std::string> FailureDetector::unheard(Millis now) const {
     std::vector<std::string> addresses;
-    for (const Member& member : membership_.view.members)
-        if (suspected(member.internalAddress, now)) addresses.push_back(member.internalAddress);
+    for (const std::string& address : watched_)
+        if (suspected(address, now)) addresses.push_back(address);
     return addresses;
 }
 
@@ -153,10 +162,7 @@
 bool FailureDetector::makeRoom() {
     auto oldest = peers_.end();
     for (auto entry = peers_.begin(); entry != peers_.end(); ++entry) {
-        const bool listed = std::ranges::any_of(membership_.view.members, [&](const Member& member) {
-            return member.internalAddress == entry->first;
-        });
-        if (listed) continue;
+        if (watched_.contains(entry->first)) continue;
         if (oldest == peers_.end() || entry->second.joinedAt < oldest->second.joinedAt) oldest = entry;
     }
     if (oldest == peers_.end()) return false;
--- a/src/replica/failure_detector.hpp
+++ b/src/replica/failure_detector.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,7 @@
     Outbox& outbox_;
     SplitMix random_;
     std::map<std::string, Peer> peers_;
+    std::set<std::string> watched_;  // the other members of the view, while this process is a voter
     std::uint64_t sequence_ = 0;
     Millis lastRoundAt_ = Peer::kNever;
     Millis nextRoundAt_;
--- /dev/null
+++ b/src/replica/read_barriers.hpp
@@ -0,0 +1,42 @@
+// Reads at the tail that wait until a majority has vouched for the epoch after they began.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+
+#include "core/clock.hpp"
+#include "replica/chain.hpp"
+#include "replica/failure_detector.hpp"
+#include "replica/membership.hpp"
+#include "replica/outbox.hpp"
+
+namespace beechpoint::replica {
+
+class ReadBarriers {
+public:
+    ReadBarriers(const Membership& membership, Outbox& outbox, FailureDetector& detector, const Chain& chain)
+        : membership_(membership), outbox_(outbox), detector_(detector), chain_(chain) {}
+
+    void add(Millis now, std::uint64_t token);
+    void tick(Millis now);
+    void failAll();
+    bool busy() const { return !reads_.empty(); }
+    // When the next heartbeat round for reads is due; far away if none is.
+    Millis nextRoundAt() const;
+
+private:
+    struct Read {
+        std::uint64_t token;
+        std::uint64_t round;  // the first heartbeat round begun after the call
+        Millis deadline;
+    };
+    void finish(bool ok);
+
+    const Membership& membership_;
+    Outbox& outbox_;
+    FailureDetector& detector_;
+    const Chain& chain_;
+    std::deque<Read> reads_;  // by age: rounds never fall
+};
+
+}  // namespace beechpoint::replica
--- /dev/null
+++ b/src/replica/table_history.cpp
@@ -0,0 +1,80 @@
+#include "replica/table_history.hpp"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "replica/durable_state.hpp"
+#include "replica/settings.hpp"
+
+namespace beechpoint::replica {
+
+namespace {
+
+std::size_t bytesOf(const Batch& batch) {
+    std::size_t bytes = sizeof(Batch);
+    for (const Change& change : batch.changes)
+        bytes += sizeof(Change) + change.key.size() + (change.value ? change.value->size() : 0);
+    return bytes;
+}
+
+}  // namespace
+
+TableHistory::TableHistory(Table table, Position position)
+    : table_(std::make_shared<Table>(std::move(table))), position_(position), base_(position) {}
+
+void TableHistory::fold(const Batch& batch) {
+    beechpoint::apply(batch.changes, writable());
+    position_ = batch.position;
+    remember(batch);
+}
+
+void TableHistory::bring(const TableUpdate& update) {
+    if (!update.whole) return fold(Batch{update.position, update.changes});
+    auto table = std::make_shared<Table>();
+    beechpoint::apply(update.changes, *table);
+    table_ = std::move(table);
+    position_ = base_ = update.position;
+    batches_.clear();
+    bytes_ = 0;
+}
+
+TableUpdate TableHistory::updateSince(Position since) const {
+    if (since == position_) return {position_, false, {}};
+    auto first = batches_.begin();
+    if (since != base_) {
+        first = std::ranges::find(batches_, since, &Batch::position);
+        if (first != batches_.end()) ++first;
+    }
+    TableUpdate update{position_, first == batches_.end(), {}};
+    if (update.whole) {
+        for (const auto& [key, value] : *table_) update.changes.push_back({key, value});
+        return update;
+    }
+    std::set<std::string> keys;
+    for (; first != batches_.end(); ++first)
+        for (const Change& change : first->changes) keys.insert(change.key);
+    for (const std::string& key : keys) {
+        const auto entry = table_->find(key);
+        update.changes.push_back({key, entry == table_->end() ? std::nullopt : std::optional(entry->second)});
+    }
+    return update;
+}
+
+Table& TableHistory::writable() {
+    if (table_.use_count() > 1) table_ = std::make_shared<Table>(*table_);
+    return *table_;
+}
+
+void TableHistory::remember(Batch batch) {
+    bytes_ += bytesOf(batch);
+    batches_.push_back(std::move(batch));
+    while (!batches_.empty() && (batches_.size() > kHistoryBatches || bytes_ > kHistoryBytes)) {
+        base_ = batches_.front().position;
+        bytes_ -= bytesOf(batches_.front());
+        batches_.pop_front();
+    }
+}
+
+}  // namespace beechpoint::replica
--- /dev/null
+++ b/src/replica/view_planner.cpp
@@ -0,0 +1,268 @@
+#include "replica/view_planner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace beechpoint::replica {
+
+namespace {
+
+constexpr std::size_t kRemovedKept = 2 * kMaxMembers;
+
+bool contains(const std::vector<std::string>& list, const std::string& text) {
+    return std::ranges::find(list, text) != list.end();
+}
+
+// What the source of the next view is chosen by.
+struct Stored {
+    std::uint64_t syncedEpoch;
+    Position position;
+    auto operator<=>(const Stored&) const = default;
+};
+
+Stored storedBy(const ReceivedPromise& received) {
+    return {received.promise.syncedEpoch, received.promise.position};
+}
+
+// Whether this promiser holds everything that was committed up to `epoch`. One that is synced into the epoch does. If
+// some promiser is not synced into it, then nothing was committed in it, neither its starting state, and never will be;
+// then one that is synced into the epoch before does.
+bool mayBeSource(const ReceivedPromise& received, std::uint64_t epoch,
+                 const std::map<std::string, ReceivedPromise>& promises) {
+    if (received.promise.syncedEpoch == epoch) return true;
+    if (received.promise.syncedEpoch + 1 != epoch) return false;
+    return std::ranges::any_of(promises,
+                               [&](const auto& entry) { return entry.second.promise.syncedEpoch < epoch; });
+}
+
+}  // namespace
+
+void ViewPlanner::enterView(Millis now, const View& before) {
+    enteredAt_ = now;
+    for (const Member& member : before.members)
+        if (!membership_.view.indexOfProcess(member)) removed_.push_back(member);
+    if (removed_.size() > kRemovedKept)
+        removed_.erase(removed_.begin(), removed_.end() - static_cast<std::ptrdiff_t>(kRemovedKept));
+}
+
+Assessment ViewPlanner::assess(Millis now) const {
+    Assessment assessment;
+    if (!membership_.voter()) return assessment;
+    assessMembers(now, assessment);
+    assessLinks(now, assessment);
+    assessStalls(now, assessment);
+    assessJoiners(now, assessment);
+    std::vector<Member> planned = assessment.joiners;
+    for (const Member& member : membership_.view.members)
+        if (!assessment.excluded.contains(member.internalAddress)) planned.push_back(member);
+    assessment.possible = enough(planned);
+    return assessment;
+}
+
+void ViewPlanner::assessMembers(Millis now, Assessment& assessment) const {
+    const View& view = membership_.view;
+    if (membership_.sealed) assessment.unfinished = true;
+    if (!chain_.settled() && now - enteredAt_ > 2 * kOpeningStallAfter) assessment.unfinished = true;
+    for (const Member& member : view.members) {
+        if (sameDisk(member, membership_.self)) {
+            const bool restarted = !sameProcess(member, membership_.self);
+            assessment.restarted |= restarted;
+            assessment.observed |= restarted;
+            continue;
+        }
+        const Peer* peer = detector_.find(member.internalAddress);
+        if (!peer || !detector_.reachable(member.internalAddress, now)) continue;
+        if (!sameDisk(peer->member, member)) {
+            assessment.excluded.insert(member.internalAddress);  // its disk is gone
+            assessment.observed = true;
+            continue;
+        }
+        if (!sameProcess(peer->member, member)) assessment.restarted = assessment.observed = true;
+        if (peer->status.diskFailing) {
+            assessment.excluded.insert(member.internalAddress);
+            assessment.observed = true;
+        }
+        if (peer->epoch == view.epoch && peer->status.sealed) assessment.unfinished = true;
+    }
+}
+
+// Leaves out the silent, then the fewest that end all broken links, the later in order first.
+void ViewPlanner::assessLinks(Millis now, Assessment& assessment) const {
+    std::vector<Pair> broken;
+    const auto addBroken = [&](const std::string& from, const std::string& to) {
+        if (!listed(to) || assessment.excluded.contains(from) || assessment.excluded.contains(to)) return;
+        broken.emplace_back(from, to);
+    };
+    for (const std::string& address : detector_.unheard(now)) {
+        if (assessment.excluded.contains(address)) continue;
+        assessment.observed = true;
+        if (!heardByAny(address, now)) assessment.excluded.insert(address);
+    }
+    for (const std::string& address : detector_.unheard(now))
+        addBroken(membership_.self.internalAddress, address);
+    for (const Member& member : membership_.view.members) {
+        const Peer* peer = detector_.find(member.internalAddress);
+        if (!peer || !detector_.reachable(member.internalAddress, now)) continue;
+        if (peer->epoch != membership_.view.epoch) continue;
+        for (const std::string& address : peer->status.unheard) addBroken(member.internalAddress, address);
+    }
+    while (!broken.empty()) {
+        std::map<std::string, std::size_t> count;
+        for (const auto& [from, to] : broken) {
+            ++count[from];
+            ++count[to];
+        }
+        std::string worst;
+        for (const Member& member : membership_.view.members) {
+            const auto entry = count.find(member.internalAddress);
+            if (entry == count.end()) continue;
+            if (worst.empty() || entry->second >= count[worst]) worst = member.internalAddress;
+        }
+        if (worst.empty()) return;
+        assessment.excluded.insert(worst);
+        std::erase_if(broken, [&](const Pair& pair) { return pair.first == worst || pair.second == worst; });
+    }
+}
+
+void ViewPlanner::assessStalls(Millis now, Assessment& assessment) const {
+    const std::string own = chain_.stalledAt(now, detector_);
+    if (!own.empty()) {
+        assessment.excluded.insert(own);
+        assessment.observed = true;
+    }
+    const View& view = membership_.view;
+    if (view.members.empty() || sameDisk(view.members.front(), membership_.self)) return;
+    const Member& head = view.members.front();
+    const Peer* peer = detector_.find(head.internalAddress);
+    if (!peer || !detector_.reachable(head.internalAddress, now) || peer->epoch != view.epoch) return;
+    if (!sameProcess(peer->member, head) || !listed(peer->status.stalledAt)) return;
+    assessment.excluded.insert(peer->status.stalledAt);
+}
+
+void ViewPlanner::assessJoiners(Millis now, Assessment& assessment) const {
+    std::size_t room = kMaxMembers - std::min(kMaxMembers, membership_.view.members.size());
+    room += assessment.excluded.size();
+    for (const auto& [address, peer] : detector_.peers()) {
+        if (assessment.joiners.size() >= room) return;
+        if (!mayJoin(peer, now, assessment)) continue;
+        assessment.joiners.push_back(peer.member);
+        assessment.observed = true;
+    }
+}
+
+bool ViewPlanner::mayJoin(const Peer& peer, Millis now, const Assessment& assessment) const {
+    const View& view = membership_.view;
+    const Member& member = peer.member;
+    if (member.incarnation == 0 || !detector_.reachable(member.internalAddress, now)) return false;
+    if (peer.status.diskFailing || view.findDisk(member)) return false;
+    const Member* namesake = view.find(member.name);
+    if (namesake && !assessment.excluded.contains(namesake->internalAddress)) return false;
+    const bool namedTwice = std::ranges::any_of(
+        assessment.joiners, [&](const Member& joiner) { return joiner.name == member.name; });
+    if (namedTwice || !reachedByAll(member.internalAddress, now, assessment)) return false;
+    const bool removedBefore =
+        std::ranges::any_of(removed_, [&](const Member& removed) { return sameProcess(removed, member); });
+    return !removedBefore || now - peer.answeringSince >= kProbation;
+}
+
+bool ViewPlanner::reachedByAll(const std::string& address, Millis now, const Assessment& assessment) const {
+    return std::ranges::all_of(membership_.view.members, [&](const Member& member) {
+        if (sameDisk(member, membership_.self)) return true;
+        if (assessment.excluded.contains(member.internalAddress)) return true;
+        const Peer* peer = detector_.find(member.internalAddress);
+        return peer && detector_.reachable(member.internalAddress, now) &&
+               contains(peer->status.reached, address);
+    });
+}
+
+bool ViewPlanner::heardByAny(const std::string& address, Millis now) const {
+    return std::ranges::any_of(detector_.peers(), [&](const auto& entry) {
+        return detector_.reachable(entry.first, now) && contains(entry.second.status.reached, address);
+    });
+}
+
+// A view that is smaller than the one before must still bear what is to be tolerated.
+bool ViewPlanner::enough(const std::vector<Member>& members) const {
+    if (members.empty()) return false;
+    if (members.size() >= membership_.view.members.size()) return true;
+    View view;
+    view.members = members;
+    return membership_.settings.tolerance.covers(view);
+}
+
+const Member* ViewPlanner::listed(const std::string& address) const {
+    const auto& members = membership_.view.members;
+    const auto found = std::ranges::find(members, address, &Member::internalAddress);
+    return found == members.end() ? nullptr : &*found;
+}
+
+bool ViewPlanner::hearsMajority(Millis now) const {
+    std::size_t count = 0;
+    for (const Member& member : membership_.view.members) {
+        if (sameDisk(member, membership_.self)) {
+            ++count;
+            continue;
+        }
+        const Peer* peer = detector_.find(member.internalAddress);
+        if (peer && sameDisk(peer->member, member) && detector_.reachable(member.internalAddress, now))
+            ++count;
+    }
+    return count > 0 && count >= membership_.view.majority();
+}
+
+std::size_t ViewPlanner::rank(Millis now, const Assessment& assessment) const {
+    std::size_t rank = 0;
+    for (const Member& member : membership_.view.members) {
+        const bool excluded = assessment.excluded.contains(member.internalAddress);
+        if (sameDisk(member, membership_.self)) return excluded ? membership_.view.members.size() : rank;
+        if (!excluded && detector_.reachable(member.internalAddress, now)) ++rank;
+    }
+    return rank;
+}
+
+std::optional<View> ViewPlanner::compose(Millis now,
+                                         const std::map<std::string, ReceivedPromise>& promises) const {
+    const Assessment assessment = assess(now);
+    const View& base = membership_.view;
+    std::vector<const ReceivedPromise*> candidates;
+    const ReceivedPromise* source = nullptr;
+    const ReceivedPromise* spare = nullptr;  // would do as source, though it should be left out
+    for (const Member& member : base.members) {
+        const auto found = std::ranges::find_if(
+            promises, [&](const auto& entry) { return sameDisk(entry.second.from, member); });
+        if (found == promises.end()) continue;
+        const ReceivedPromise& received = found->second;
+        const bool possible = mayBeSource(received, base.epoch, promises);
+        const bool wanted =
+            !assessment.excluded.contains(member.internalAddress) && !received.promise.diskFailing;
+        const ReceivedPromise*& best = wanted ? source : spare;
+        if (possible && (!best || storedBy(*best) < storedBy(received))) best = &received;
+        if (wanted) candidates.push_back(&received);
+    }
+    if (!source) {
+        source = spare;
+        if (source) candidates.push_back(source);
+    }
+    if (!source) return std::nullopt;
+    View view;
+    view.epoch = base.epoch + 1;
+    view.start = source->promise.position;
+    view.members.push_back(source->from);
+    for (const ReceivedPromise* candidate : candidates)
+        if (candidate != source) view.members.push_back(candidate->from);
+    for (const Member& joiner : assessment.joiners)
+        if (view.members.size() < kMaxMembers && !view.find(joiner.name)) view.members.push_back(joiner);
+    if (!enough(view.members)) return std::nullopt;
+    return view;
+}
+
+View ViewPlanner::composeFounding(const std::map<std::string, ReceivedPromise>& promises) const {
+    View view;
+    view.epoch = 1;
+    for (const auto& [voter, received] : promises)
+        if (view.members.size() < kMaxMembers && !view.find(received.from.name))
+            view.members.push_back(received.from);
+    return view;
+}
+
+}  // namespace beechpoint::replica
--- /dev/null
+++ b/src/replica/view_planner.hpp
@@ -0,0 +1,69 @@
+// What is wrong with the present view by the heartbeats' reports, and the view that would follow it. Decides nothing that
+// safety rests on except the source of the next view.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "replica/chain.hpp"
+#include "replica/failure_detector.hpp"
+#include "replica/membership.hpp"
+#include "replica/view_agreement.hpp"
+
+namespace beechpoint::replica {
+
+struct Assessment {
+    std::set<std::string> excluded;  // internal addresses of members to leave out
+    std::vector<Member> joiners;     // processes to take in, beyond members that only restarted
+    bool restarted = false;          // a member of the view runs under another session
+    bool unfinished =
+        false;              // a member has promised for a view that did not come, or the epoch never settled
+    bool observed = false;  // this process saw some cause itself
+    bool possible = true;   // what would be left is enough
+
+    bool any() const { return !excluded.empty() || !joiners.empty() || restarted || unfinished; }
+    bool actionable() const { return any() && possible; }
+    bool onlyUnfinished() const { return excluded.empty() && joiners.empty() && !restarted; }
+};
+
+class ViewPlanner {
+public:
+    ViewPlanner(const Membership& membership, const FailureDetector& detector, const Chain& chain)
+        : membership_(membership), detector_(detector), chain_(chain) {}
+
+    void enterView(Millis now, const View& before);
+
+    Assessment assess(Millis now) const;
+    // A majority of the view's disks, this one included, answers at present.
+    bool hearsMajority(Millis now) const;
+    // Place among the members that may propose; beyond the last one if this process should not.
+    std::size_t rank(Millis now, const Assessment& assessment) const;
+    // The view to propose from these promises; nothing if none would do.
+    std::optional<View> compose(Millis now, const std::map<std::string, ReceivedPromise>& promises) const;
+    View composeFounding(const std::map<std::string, ReceivedPromise>& promises) const;
+
+private:
+    using Pair = std::pair<std::string, std::string>;
+
+    void assessMembers(Millis now, Assessment& assessment) const;
+    void assessLinks(Millis now, Assessment& assessment) const;
+    void assessStalls(Millis now, Assessment& assessment) const;
+    void assessJoiners(Millis now, Assessment& assessment) const;
+    bool heardByAny(const std::string& address, Millis now) const;
+    bool mayJoin(const Peer& peer, Millis now, const Assessment& assessment) const;
+    bool reachedByAll(const std::string& address, Millis now, const Assessment& assessment) const;
+    bool enough(const std::vector<Member>& members) const;
+    const Member* listed(const std::string& address) const;
+
+    const Membership& membership_;
+    const FailureDetector& detector_;
+    const Chain& chain_;
+    std::vector<Member> removed_;  // processes that recent views left out
+    Millis enteredAt_ = 0;
+};
+
+}  // namespace beechpoint::replica
--- /dev/null
+++ b/tests/replica/simulated_cluster.hpp
@@ -0,0 +1,197 @@
+// Replicas in virtual time, with messages, disks and processes that fail by seed, a client that writes and reads, and the
+// promises of the control state checked after every step.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/splitmix.hpp"
+#include "replica/replica.hpp"
+
+namespace beechpoint::replica::simulation {
+
+struct ClusterOptions {
+    std::uint64_t seed = 1;
+    std::size_t nodes = 3;
+    std::size_t seeds = 3;
+    std::size_t zones = 3;
+    Tolerance tolerance;
+    Millis startSpread = 300;  // processes start within so long of each other
+};
+
+// What of the network is harmed at present.
+struct NetworkTrouble {
+    double loss = 0;
+    double duplicate = 0;
+    Millis extraDelay = 0;  // at most, drawn for each message
+};
+
+struct Counters {
+    std::uint64_t writesOffered = 0;
+    std::uint64_t writesAcknowledged = 0;
+    std::uint64_t readsDone = 0;
+    std::uint64_t faults = 0;
+    std::uint64_t faultsWithWriteInFlight = 0;
+    std::uint64_t viewChanges = 0;
+};
+
+class Cluster {
+public:
+    explicit Cluster(ClusterOptions options);
+    ~Cluster();
+
+    // ---- Time
+    Millis now() const { return now_; }
+    void runFor(Millis span);
+    // Until the condition holds; false if it did not within the span.
+    bool runUntil(Millis span, const std::function<bool()>& condition);
+    void at(Millis time, std::function<void()> action);
+
+    // ---- Faults. Nodes are numbered from 0; a replacement gets a new number.
+    std::size_t nodes() const { return nodes_.size(); }
+    void start(std::size_t node, bool bootstrap = false);
+    void kill(std::size_t node);
+    void losePower(std::size_t node);
+    void wipe(std::size_t node);  // only while it is down
+    std::size_t addReplacement(std::size_t node, bool sameName);
+    void freeze(std::size_t node);
+    void thaw(std::size_t node);
+    void stallDisk(std::size_t node, Millis until);
+    void failDisk(std::size_t node, bool failing);
+    void cut(std::size_t from, std::size_t to, bool cut);
+    void joinAll();  // no cuts
+    NetworkTrouble& network() { return network_; }
+    // Ends all troubles but machines that are down for good.
+    void heal();
+    bool up(std::size_t node) const { return nodes_[node].replica != nullptr; }
+    bool frozen(std::size_t node) const { return nodes_[node].frozen; }
+    bool gone(std::size_t node) const { return nodes_[node].gone; }
+    void setGone(std::size_t node) { nodes_[node].gone = true; }
+    Replica& replica(std::size_t node) { return *nodes_[node].replica; }
+    const DurableState& disk(std::size_t node) const { return nodes_[node].written; }
+
+    // ---- Client
+    void startClient();
+    void stopClient() { clientRuns_ = false; }
+    void write();
+    bool writeInFlight() const;
+    // Done once, right after the next acknowledgement, or a moment after the next write was taken.
+    void onNextAcknowledgement(std::function<void()> action) { afterAcknowledgement_ = std::move(action); }
+    void onNextWrite(std::function<void()> action) { afterWrite_ = std::move(action); }
+    std::uint64_t acknowledged() const { return counters_.writesAcknowledged; }
+    Position lastAcknowledged() const { return acknowledged_; }
+    std::optional<std::size_t> settledTail() const;
+
+    Counters& counters() { return counters_; }
+    void countFault();
+
+    // ---- Findings
+    bool failed() const { return !failure_.empty(); }
+    const std::string& failure() const { return failure_; }
+    void fail(const std::string& text);
+    std::string trace() const;
+    std::string describe() const;
+
+    SplitMix& random() { return random_; }
+    double draw(double low, double high) { return low + (high - low) * random_(); }
+
+private:
+    struct QueuedPersist {
+        std::uint64_t token;
+        DurableUpdate update;
+    };
+    struct Node {
+        Member member;
+        std::vector<std::string> seeds;
+        std::unique_ptr<Replica> replica;
+        std::uint64_t life = 0;  // of the process: events of an earlier one are void
+        bool frozen = false;
+        bool gone = false;          // for good
+        std::deque<Event> waiting;  // while frozen
+        DurableState written;       // what the operating system has
+        DurableState synced;        // what a loss of power leaves
+        std::deque<QueuedPersist> persists;
+        bool diskBusy = false;
+        std::uint64_t diskOrder = 0;  // an earlier completion is void
+        Millis diskStalledUntil = 0;
+        bool diskFails = false;
+        Millis timer = 0;
+        Position shown;  // committed position last seen in this life
+    };
+    struct Step {
+        Millis time;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator>(const Step& other) const {
+            return time != other.time ? time > other.time : order > other.order;
+        }
+    };
+    struct OpenWrite {
+        std::size_t node;
+        std::uint64_t life;
+        std::string key;
+        std::string value;
+    };
+    struct OpenRead {
+        std::size_t node;
+        std::uint64_t life;
+        Position floor;  // acknowledged when it began
+    };
+    struct Canon {
+        Position position;
+        Table table;
+    };
+
+    void deliver(std::size_t node, Event event);
+    void carryOut(std::size_t node, const std::vector<Action>& actions);
+    void send(std::size_t from, const Send& send);
+    void armTimer(std::size_t node, Millis at);
+    void startPersist(std::size_t node);
+    void finishPersist(std::size_t node);
+    void endProcess(std::size_t node);
+    void readOnce();
+    void clientStep();
+    void checkNode(std::size_t node);
+    void checkState(std::size_t node);
+    void onWriteDone(std::size_t node, const WriteDone& done);
+    void onReadDone(std::size_t node, const ReadDone& done);
+    void onCommitted(std::size_t node, const Batch& batch);
+    std::string address(std::size_t node) const { return nodes_[node].member.internalAddress; }
+    std::vector<std::string> currentSeeds() const;
+    void note(const std::string& text);
+
+    ClusterOptions options_;
+    SplitMix random_;
+    Millis now_ = 1'000'000;
+    std::uint64_t order_ = 0;
+    std::priority_queue<Step, std::vector<Step>, std::greater<>> steps_;
+    std::deque<Node> nodes_;
+    std::map<std::string, std::size_t> byAddress_;
+    std::set<std::pair<std::size_t, std::size_t>> cuts_;
+    NetworkTrouble network_;
+
+    bool clientRuns_ = false;
+    std::uint64_t nextToken_ = 1;
+    std::uint64_t nextValue_ = 1;
+    std::map<std::uint64_t, OpenWrite> openWrites_;
+    std::map<std::uint64_t, OpenRead> openReads_;
+    std::function<void()> afterAcknowledgement_;
+    std::function<void()> afterWrite_;
+    Position acknowledged_;
+    std::deque<std::pair<Millis, Position>> acknowledgements_;
+    std::map<std::uint64_t, Canon> canon_;  // by sequence: the one history
+
+    Counters counters_;
+    std::string failure_;
+    std::deque<std::string> trace_;
+};
+
+}  // namespace beechpoint::replica::simulation
