Strict reading, streamed answers and limits in the listener; connections to hosts

Cause: the gateway passes requests and streams on, so no byte may be read in two ways and a stream cut short must look so. http-parser as installed is built without its strict checks (a chunk may end with any two bytes), hence own framing for strict connections; the gatherer's reading is left as it was.

--- a/src/net/buffer.hpp
+++ b/src/net/buffer.hpp
@@ -24,6 +24,12 @@
     void commit(std::size_t got) { end_ += got; }
     // Moves nothing: a read into what prepare() gave may be under way.
     void consume(std::size_t used) { begin_ += used; }
+    // Takes `size` bytes out, `at` behind the front; what lies behind moves up. Not while a read into it is under way.
+    void cut(std::size_t at, std::size_t size) {
+        char* const gap = bytes_.data() + begin_ + at;
+        std::memmove(gap, gap + size, this->size() - at - size);
+        end_ -= size;
+    }
     // Gives the memory back while nothing is held. Not while a read into it is under way.
     void release() {
         if (size() > 0) return;
--- a/src/net/framing.hpp
+++ b/src/net/framing.hpp
@@ -37,7 +37,9 @@
 };
 
 // Where the head at the front of `bytes` ends, its blank line included; 0 while it is not whole.
-std::size_t headEnd(std::string_view bytes, std::size_t lookedAt = 0);
+std::size_t headEnd(std::string_view bytes);
+// Whether a line ends with LF alone: no head will come of it.
+bool holdsBareLineEnd(std::string_view bytes);
 // `head` with its blank line. None: the bytes form no head, or one that could be read in two ways (folded or
 // nameless lines, blanks in names, control bytes, lines ended by a single CR or LF, targets that do not begin with
 // "/" or are not "*", several Host headers).
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -6,25 +6,15 @@
 
 namespace beechpoint::net {
 
-namespace {
-
-bool sameWord(std::string_view a, std::string_view b) {
-    const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; };
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                      [&](char x, char y) { return lower(x) == lower(y); });
-}
-
-}  // namespace
-
 std::string_view HttpMessage::header(std::string_view name) const {
     for (const auto& [key, value] : headers)
-        if (sameWord(key, name)) return value;
+        if (sameName(key, name)) return value;
     return {};
 }
 
 std::size_t HttpMessage::count(std::string_view name) const {
     return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(),
-                                                  [&](const auto& h) { return sameWord(h.first, name); }));
+                                                  [&](const auto& h) { return sameName(h.first, name); }));
 }
 
 HttpReader::HttpReader(Kind kind, Buffer& buffer, OnBody onBody, std::size_t maxBody)
@@ -65,10 +55,10 @@
         const std::string_view name = view(nameAt);
         if (name.empty() || name.find_first_of(" \t()<>@,;:\\\"/[]?={}") != std::string_view::npos)
             return false;
-        if (sameWord(name, "Content-Length")) ++lengths;
-        if (!sameWord(name, "Transfer-Encoding")) continue;
+        if (sameName(name, "Content-Length")) ++lengths;
+        if (!sameName(name, "Transfer-Encoding")) continue;
         ++codings;
-        if (!sameWord(view(valueAt), "chunked")) return false;
+        if (!sameName(view(valueAt), "chunked")) return false;
     }
     return lengths + codings <= 1;
 }
@@ -107,7 +97,7 @@
     if (complete_) return State::complete;
     if (tooLarge_) return State::tooLarge;
     if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) return State::bad;
-    if (!headDone_ && parsed_ > kMaxHead) return State::tooLarge;
+    if (!headDone_ && parsed_ > maxHead_) return State::tooLarge;
     if (handOn_ && headDone_) {  // nothing of it is needed any more
         buffer_.consume(parsed_);
         parsed_ = 0;
@@ -117,18 +107,82 @@
 
 HttpReader::State HttpReader::parse() {
     if (complete_) return State::complete;
+    if (strict_) return parseStrict();
     if (buffer_.size() == parsed_) return State::more;
     return result(
         http_parser_execute(&parser_, &settings_, buffer_.data() + parsed_, buffer_.size() - parsed_));
 }
 
+void HttpReader::limits(std::size_t maxHead, std::size_t maxBody) {
+    maxHead_ = maxHead;
+    maxBody_ = maxBody;
+}
+
+void HttpReader::strict() { strict_ = true; }
+
+bool HttpReader::awaitsContinue() const {
+    return expectsContinue_ && headDone_ && !complete_ && body_.size == 0;
+}
+
+HttpReader::State HttpReader::parseStrict() {
+    if (!headDone_) {
+        const State head = parseStrictHead();
+        if (!headDone_ || head != State::more) return head;
+    }
+    return parseStrictBody();
+}
+
+HttpReader::State HttpReader::parseStrictHead() {
+    while (buffer_.view().starts_with("\r\n")) buffer_.consume(2);  // some clients send one behind a body
+    const std::size_t end = headEnd(buffer_.view());
+    const std::string_view head = buffer_.view().substr(0, end > 0 ? end : buffer_.size());
+    if (head.size() > maxHead_) return State::tooLarge;
+    if (holdsBareLineEnd(head)) return State::bad;
+    if (end == 0) return State::more;
+    if (!takeHead(head)) return State::bad;
+    return tooLarge_ ? State::tooLarge : State::more;
+}
+
+bool HttpReader::takeHead(std::string_view text) {
+    const auto head = parseRequestHead(text);
+    const auto framing = head ? requestFraming(*head) : std::nullopt;
+    if (!framing) return false;
+    method_ = sliceOf(head->method);
+    target_ = sliceOf(head->target);
+    for (const auto& [name, value] : head->headers) headers_.emplace_back(sliceOf(name), sliceOf(value));
+    minorVersion_ = head->minorVersion;
+    keepAlive_ = head->keepAlive();
+    expectsContinue_ = minorVersion_ == 1 && head->holds("Expect", "100-continue");
+    decoder_ = BodyDecoder(*framing);
+    headDone_ = true;
+    parsed_ = body_.at = text.size();
+    tooLarge_ = framing->kind == BodyFraming::Kind::length && framing->length > maxBody_;
+    return true;
+}
+
+// Chunks are moved together as they come, and the room of their size lines is given back.
+HttpReader::State HttpReader::parseStrictBody() {
+    const BodyDecoder::State state =
+        decoder_.feed(buffer_.view().substr(parsed_), parsed_,
+                      [this](std::string_view piece) { onBody(piece.data(), piece.size()); });
+    if (tooLarge_) return State::tooLarge;
+    if (state == BodyDecoder::State::bad) return State::bad;
+    const std::size_t bodyEnd = body_.at + body_.size;
+    buffer_.cut(bodyEnd, parsed_ - bodyEnd);
+    parsed_ = bodyEnd;
+    complete_ = state == BodyDecoder::State::complete;
+    return complete_ ? State::complete : State::more;
+}
+
 HttpReader::State HttpReader::finish() {
     return result(http_parser_execute(&parser_, &settings_, nullptr, 0));
 }
 
 HttpMessage HttpReader::message() {
     HttpMessage m;
-    if (kind_ == Kind::request)
+    if (strict_)
+        m.method = view(method_);
+    else if (kind_ == Kind::request)
         m.method = http_method_str(static_cast<http_method>(parser_.method));
     else
         m.status = static_cast<int>(parser_.status_code);
@@ -136,6 +190,7 @@
     for (const auto& [name, value] : headers_) m.headers.emplace_back(view(name), view(value));
     m.body = view(body_);
     m.keepAlive = keepAlive_;
+    m.minorVersion = strict_ ? minorVersion_ : static_cast<int>(parser_.http_minor);
     return m;
 }
 
@@ -145,6 +200,7 @@
     headDone_ = complete_ = tooLarge_ = lastWasValue_ = keepAlive_ = false;
     target_ = body_ = {};
     headers_.clear();
+    expectsContinue_ = false;
     http_parser_init(&parser_, kind_ == Kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_.data = this;
 }
@@ -153,8 +209,24 @@
     switch (status) {
         case 200:
             return "OK";
+        case 201:
+            return "Created";
+        case 202:
+            return "Accepted";
+        case 204:
+            return "No Content";
+        case 206:
+            return "Partial Content";
+        case 304:
+            return "Not Modified";
+        case 307:
+            return "Temporary Redirect";
         case 400:
             return "Bad Request";
+        case 401:
+            return "Unauthorized";
+        case 403:
+            return "Forbidden";
         case 404:
             return "Not Found";
         case 405:
@@ -163,14 +235,22 @@
             return "Conflict";
         case 408:
             return "Request Timeout";
+        case 412:
+            return "Precondition Failed";
         case 413:
             return "Payload Too Large";
+        case 421:
+            return "Misdirected Request";
+        case 422:
+            return "Unprocessable Entity";
         case 429:
             return "Too Many Requests";
         case 431:
             return "Request Header Fields Too Large";
         case 500:
             return "Internal Server Error";
+        case 502:
+            return "Bad Gateway";
         case 503:
             return "Service Unavailable";
         case 504:
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -79,6 +79,10 @@
     State parseStrict();
     State parseStrictHead();
     State parseStrictBody();
+    bool takeHead(std::string_view head);
+    Slice sliceOf(std::string_view text) {
+        return {static_cast<std::size_t>(text.data() - buffer_.data()), text.size()};
+    }
 
     Buffer& buffer_;
     OnBody handOn_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -1,5 +1,6 @@
 #include "net/server.hpp"
 
+#include <fmt/format.h>
 #include <poll.h>
 
 #include <algorithm>
@@ -15,21 +16,19 @@
 namespace {
 
 constexpr std::size_t kReadSize = 4096;
-constexpr std::size_t kReadAhead = 16 * kReadSize;  // while a request is in hand, so that an end behind bytes is soon seen
+constexpr std::size_t kReadAhead =
+    16 * kReadSize;  // while a request is in hand, so that an end behind bytes is soon seen
 // A client may send ahead while its request is in hand. More than this is read and thrown away: it can't fill the memory, and its
 // end, which lies behind, is seen.
-constexpr std::size_t kMostAhead = kMaxBody + 2 * kMaxHead;
+constexpr std::size_t kHeadsAhead = 2;
+constexpr std::size_t kSmallMessage = 16 * 1024;  // a strict connection reads in larger steps from there on
+constexpr std::size_t kKeptOutput = 64 * 1024;    // bytes already sent that may stay before those that wait
 constexpr auto kSweepEvery = std::chrono::milliseconds(250);
 constexpr int kAcceptsAtOnce = 16;
 constexpr auto kAcceptPause = std::chrono::milliseconds(10);
-// Those who send nothing, or no whole message, hear so or are closed well inside 3 s of their connecting.
-constexpr Millis kSilent = 2000;
-constexpr Millis kPartialMessage = 2000;
 constexpr Millis kJustCame = 50;
 constexpr Millis kIdleShort = 2000;  // from then on an idle connection may go at any time
 constexpr int kNeverClosed = 9;
-constexpr Millis kIdle = 10'000;        // between requests; less where room is short
-constexpr Millis kWriteWithin = 5000;   // a client that does not read its answer
 constexpr Millis kLinger = 500;         // for the client's end after the last answer
 constexpr Millis kLingerBroken = 3000;  // while it still sends what was refused
 
@@ -39,11 +38,13 @@
     : server_(server),
       socket_(std::move(socket)),
       reader_(HttpReader::Kind::request, buffer_),
+      strict_(server.limits_.strict),
       since_(server.clock_.now()),
       receivedAt_(since_) {
     asio::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);  // a read that finds nothing after all must not hold up the loop
+    if (strict_) reader_.strict();
 }
 
 // Waits for bytes without a buffer for them: hundreds of idle connections must not hold one each.
@@ -59,10 +60,11 @@
 
 void HttpConnection::onReadable() {
     asio::error_code error;
-    if (state_ != State::lingering && !farAhead_ && buffer_.size() > kMostAhead) {
+    if (state_ != State::lingering && !farAhead_ && buffer_.size() > mostAhead()) {
         farAhead_ = broken_ = true;
-        server_.log_.seldom("far ahead", "a client sent over {} bytes ahead of its answer: the rest is thrown away",
-                            field("bytes", kMostAhead));
+        server_.log_.seldom("far ahead",
+                            "a client sent over {} bytes ahead of its answer: the rest is thrown away",
+                            field("bytes", mostAhead()));
         if (server_.farAhead_) server_.farAhead_();
     }
     if (state_ == State::lingering || farAhead_) {  // thrown away
@@ -70,9 +72,7 @@
         static std::array<char, 256 * 1024> sink;
         socket_.receive(asio::buffer(sink), MSG_TRUNC, error);
     } else {
-        const std::size_t ahead = std::min(kReadAhead, kMostAhead + kReadSize - std::min(buffer_.size(), kMostAhead));
-        const std::size_t room = state_ == State::reading ? kReadSize : ahead;
-        const std::size_t got = socket_.read_some(buffer_.prepare(room), error);
+        const std::size_t got = socket_.read_some(buffer_.prepare(readRoom()), error);
         if (!error) {
             receivedAt_ = server_.clock_.now();
             buffer_.commit(got);
@@ -85,40 +85,85 @@
     read();
 }
 
+std::size_t HttpConnection::mostAhead() const {
+    return server_.limits_.body + kHeadsAhead * server_.limits_.head;
+}
+
+std::size_t HttpConnection::readRoom() const {
+    if (state_ != State::reading)
+        return std::min(kReadAhead, mostAhead() + kReadSize - std::min(buffer_.size(), mostAhead()));
+    return strict_ && buffer_.size() >= kSmallMessage ? kReadAhead : kReadSize;
+}
+
 void HttpConnection::onEnd() {
+    if (state_ == State::streaming && streamEnd_ != StreamEnd::open) return;
     if (state_ == State::writing) return;  // the answer is on its way; its write tells the rest
     close();
 }
 
 void HttpConnection::parse() {
+    reader_.limits(server_.limits_.head, server_.limits_.body);
     const HttpReader::State state = reader_.parse();
     if (state == HttpReader::State::more) {
         partialSince_ = buffer_.size() == 0 ? 0 : partialSince_ > 0 ? partialSince_ : server_.clock_.now();
+        if (reader_.awaitsContinue()) sayContinue();
         return;
     }
     state_ = State::handling;
     partialSince_ = 0;
-    if (state == HttpReader::State::complete) {
-        if (!std::exchange(asked_, true)) ++server_.askers_;
-        const HttpMessage message = reader_.message();
-        keepAlive_ = message.keepAlive;
-        server_.handler_(message, shared_from_this());
-        return;
-    }
-    keepAlive_ = false;  // where the next message begins is unknown
+    if (state == HttpReader::State::complete) return takeMessage(reader_.message());
+    keepAlive_ = noBody_ = false;  // where the next message begins is unknown
     broken_ = true;
     const bool large = state == HttpReader::State::tooLarge;
     if (large && reader_.inHead()) return respond(431, "text/plain", "the head is too large\n");
     respond(large ? 413 : 400, "text/plain", large ? "message too large\n" : "malformed request\n");
 }
 
-void HttpConnection::respond(int status, std::string_view type, std::string_view body,
-                             std::string_view extra, std::function<void()> handedOver) {
+void HttpConnection::takeMessage(const HttpMessage& message) {
+    if (!std::exchange(asked_, true)) ++server_.askers_;
+    keepAlive_ = message.keepAlive;
+    noBody_ = strict_ && message.method == "HEAD";
+    oldClient_ = message.minorVersion == 0;
+    const auto self = shared_from_this();
+    server_.handler_(message, self);
+    if (!strict_ || state_ == State::closed) return;
+    reader_.next();  // a large body must not stay for as long as its answer takes
+    buffer_.release();
+}
+
+void HttpConnection::sayContinue() {
+    if (std::exchange(continueSaid_, true)) return;
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::error_code ignored;  // a connection that can't take it shows so when it is read
+    socket_.write_some(asio::buffer(kContinue), ignored);
+}
+
+// A strict connection is not closed behind this answer where another request has come already: that one counts as read.
+void HttpConnection::decideKeepAlive() {
+    const bool leave = server_.closing_ || server_.crowded();
+    const bool moreCame = strict_ && (buffer_.size() > 0 || unread());
+    if (farAhead_ || (leave && !moreCame)) keepAlive_ = false;
+}
+
+std::string HttpConnection::connectionLines() const {
+    if (!keepAlive_) return "Connection: close\r\n";
+    const auto seconds =
+        static_cast<long>(server_.limits_.idle / 1000) - 1;  // so that the client is first to leave
+    if (!server_.limits_.announceIdle || seconds < 1) return {};
+    return fmt::format("Keep-Alive: timeout={}\r\n", seconds);
+}
+
+void HttpConnection::respond(int status, std::string_view type, std::string_view body, std::string_view extra,
+                             std::function<void()> handedOver) {
     if (state_ != State::handling) return;  // the client has gone
     handedOver_ = std::move(handedOver);
     gone_ = nullptr;
-    if (server_.closing_ || server_.crowded() || farAhead_) keepAlive_ = false;
-    out_ = response(status, type, body, keepAlive_, extra);
+    decideKeepAlive();
+    if (keepAlive_)
+        out_ = response(status, type, body, keepAlive_, connectionLines().append(extra));
+    else
+        out_ = response(status, type, body, keepAlive_, extra);
+    if (noBody_) out_.resize(out_.size() - body.size());
     state_ = State::writing;
     since_ = server_.clock_.now();
     write();
@@ -130,20 +175,162 @@
                           if (self->state_ == State::closed) return;
                           if (error) return self->close();
                           if (self->handedOver_) std::exchange(self->handedOver_, nullptr)();
-                          // Far ahead: what came while it was written is not whole any more.
-                          if (!self->keepAlive_ || self->farAhead_) return self->linger();
-                          self->state_ = State::reading;
-                          self->since_ = self->server_.clock_.now();
-                          self->reader_.next();
-                          std::string().swap(self->out_);
-                          self->buffer_.release();
-                          self->server_.connections_.splice(self->server_.connections_.end(),
-                                                            self->server_.connections_, self->place_);
-                          self->parse();  // what the client sent ahead
-                          self->read();
+                          self->afterAnswer();
                       });
 }
 
+void HttpConnection::afterAnswer() {
+    // Far ahead: what came while it was written is not whole any more.
+    if (!keepAlive_ || farAhead_) return linger();
+    state_ = State::reading;
+    continueSaid_ = false;
+    since_ = server_.clock_.now();
+    reader_.next();
+    std::string().swap(out_);
+    buffer_.release();
+    server_.connections_.splice(server_.connections_.end(), server_.connections_, place_);
+    parse();  // what the client sent ahead
+    read();
+}
+
+bool HttpConnection::beginStream(int status, std::string_view headers,
+                                 std::optional<std::uint64_t> contentLength) {
+    if (state_ != State::handling) return false;
+    decideKeepAlive();
+    bodyless_ = noBody_ || status < 200 || status == 204 || status == 304;
+    lengthLeft_ = contentLength;
+    chunked_ = !contentLength && !oldClient_ && !bodyless_;
+    if (endsWithConnection()) keepAlive_ = false;
+    state_ = State::streaming;
+    streamEnd_ = StreamEnd::open;
+    since_ = server_.clock_.now();
+    out_ = streamHead(status, headers, contentLength);
+    outSent_ = 0;
+    writeOut_ = true;  // within this turn of the loop, so that the first bytes of the body go with the head
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (!std::exchange(self->writeOut_, false) || self->state_ != State::streaming) return;
+        self->writeStream();
+    });
+    return true;
+}
+
+std::string HttpConnection::streamHead(int status, std::string_view headers,
+                                       std::optional<std::uint64_t> contentLength) const {
+    std::string head =
+        fmt::format("HTTP/1.1 {} {}\r\n{}{}", status, reasonOf(status), headers, connectionLines());
+    const bool lengthAllowed = status >= 200 && status != 204;
+    if (contentLength && lengthAllowed) head += fmt::format("Content-Length: {}\r\n", *contentLength);
+    if (chunked_) head += "Transfer-Encoding: chunked\r\n";
+    return head += "\r\n";
+}
+
+std::size_t HttpConnection::writeSome(std::string_view bytes) {
+    const bool open = state_ == State::streaming && streamEnd_ == StreamEnd::open;
+    if (!open || bodyless_ || bytes.empty()) return queued();  // an empty chunk would be the last one
+    if (lengthLeft_ && bytes.size() > *lengthLeft_) {
+        failStream();
+        return queued();
+    }
+    if (lengthLeft_) *lengthLeft_ -= bytes.size();
+    if (chunked_) out_ += fmt::format("{:x}\r\n", bytes.size());
+    out_ += bytes;
+    if (chunked_) out_ += "\r\n";
+    sendStream();
+    if (queued() > server_.limits_.streamQueue) failStream();
+    return queued();
+}
+
+void HttpConnection::endStream(std::function<void()> handedOver) {
+    if (state_ != State::streaming || streamEnd_ != StreamEnd::open) return;
+    if (lengthLeft_ && *lengthLeft_ > 0 && !bodyless_) return abortStream();
+    if (chunked_) out_ += "0\r\n\r\n";
+    handedOver_ = std::move(handedOver);
+    gone_ = nullptr;
+    streamEnd_ = StreamEnd::whole;
+    sendStream();
+}
+
+void HttpConnection::abortStream() {
+    if (state_ != State::streaming || streamEnd_ != StreamEnd::open) return;
+    gone_ = nullptr;
+    keepAlive_ = false;
+    streamEnd_ = StreamEnd::broken;
+    sendStream();
+}
+
+void HttpConnection::whenDrained(std::function<void()> drained) {
+    if (state_ != State::streaming) return;
+    drained_ = std::move(drained);
+    if (queued() > 0) return;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (self->queued() == 0 && self->drained_) std::exchange(self->drained_, nullptr)();
+    });
+}
+
+// Writes at once where nothing waits for the socket. The head alone waits for the loop's turn; not once a body comes.
+void HttpConnection::sendStream() {
+    if (waitsWritable_) return;
+    writeOut_ = false;
+    writeStream();
+}
+
+void HttpConnection::writeStream() {
+    asio::error_code error;
+    while (!error && outSent_ < out_.size()) {
+        const std::size_t sent =
+            socket_.write_some(asio::buffer(out_.data() + outSent_, out_.size() - outSent_), error);
+        if (error) break;
+        outSent_ += sent;
+        since_ = server_.clock_.now();
+    }
+    if (error == asio::error::would_block) return waitWritable();
+    if (error) return failStream();
+    out_.clear();
+    outSent_ = 0;
+    if (out_.capacity() > kKeptOutput) std::string().swap(out_);
+    if (streamEnd_ == StreamEnd::open) {
+        if (drained_) std::exchange(drained_, nullptr)();
+        return;
+    }
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->finishStream(); });
+}
+
+void HttpConnection::waitWritable() {
+    if (outSent_ > kKeptOutput) {
+        out_.erase(0, outSent_);
+        outSent_ = 0;
+    }
+    waitsWritable_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code error) {
+        self->waitsWritable_ = false;
+        if (self->state_ != State::streaming) return;
+        error ? self->close() : self->writeStream();
+    });
+}
+
+void HttpConnection::finishStream() {
+    if (state_ != State::streaming) return;
+    const bool whole = streamEnd_ == StreamEnd::whole;
+    if (!whole && endsWithConnection()) return reset();
+    if (whole && handedOver_) std::exchange(handedOver_, nullptr)();
+    if (state_ == State::streaming) afterAnswer();
+}
+
+// The answer can't go on: nothing more is sent. Its end is told from the loop, not within the call that found it.
+void HttpConnection::failStream() {
+    streamEnd_ = StreamEnd::broken;
+    std::string().swap(out_);
+    outSent_ = 0;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->reset(); });
+}
+
+void HttpConnection::reset() {
+    if (state_ == State::closed) return;
+    asio::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 // Closing with bytes unread would reset the connection and could cost the client the answer: its end is
 // awaited for a while.
 void HttpConnection::linger() {
@@ -175,12 +362,18 @@
 
 // Whether it has had its time, whatever it is about. Who is owed an answer never has.
 bool HttpConnection::late(Millis now) const {
+    const HttpLimits& limits = server_.limits_;
     switch (state_) {
         case State::reading:
-            if (!asked_) return now - since_ > kSilent;
-            return partialSince_ > 0 ? now - partialSince_ > kPartialMessage : now - since_ > kIdle;
+            if (partialSince_ > 0 && limits.bodyPause > 0)
+                return reader_.inHead() ? now - partialSince_ > limits.partialHead
+                                        : now - receivedAt_ > limits.bodyPause;
+            if (!asked_) return now - since_ > limits.silent;
+            return partialSince_ > 0 ? now - partialSince_ > limits.partialHead : now - since_ > limits.idle;
+        case State::streaming:
+            return queued() > 0 && now - since_ > limits.writePause;
         case State::writing:
-            return now - since_ > kWriteWithin;
+            return now - since_ > limits.writePause;
         case State::lingering:
             return now - since_ > (broken_ ? kLingerBroken : kLinger);
         default:
@@ -188,15 +381,27 @@
     }
 }
 
+// A message that is late although more of it has come: this side may be the late one, for so long.
+bool HttpConnection::lateToRead(Millis now) const {
+    if (!unread()) return false;
+    const HttpLimits& limits = server_.limits_;
+    if (idle()) return true;
+    if (limits.bodyPause > 0 && !reader_.inHead()) return now - receivedAt_ < 2 * limits.bodyPause;
+    return now - partialSince_ < 2 * limits.partialHead;
+}
+
 void HttpConnection::close() {
     if (state_ == State::closed) return;
+    asio::error_code ignored;
+    // A close must not look like the end of an answer that lasts until it.
+    if (state_ == State::streaming && endsWithConnection())
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     state_ = State::closed;
     const auto self = shared_from_this();
-    asio::error_code ignored;
     socket_.close(ignored);
     server_.connections_.erase(place_);
     if (asked_) --server_.askers_;
-    handedOver_ = nullptr;
+    handedOver_ = drained_ = nullptr;
     if (gone_) std::exchange(gone_, nullptr)();
 }
 
@@ -280,7 +485,8 @@
 
 void HttpServer::limit(std::size_t most) {
     max_ = most;
-    while (connections_.size() > max_ && makeRoom());
+    while (connections_.size() > max_ && makeRoom())
+        ;
 }
 
 void HttpServer::adopt(tcp::socket socket) {
@@ -302,11 +508,11 @@
         for (const auto& c : late) {
             if (c->state_ != HttpConnection::State::reading) {
                 c->close();
-            } else if (c->unread() && (c->idle() || now - c->partialSince_ < 2 * kPartialMessage)) {
-                continue;  // this side may be the late one: what has come is read first
+            } else if (c->lateToRead(now)) {
+                continue;             // what has come is read first
             } else if (!c->idle()) {  // half a message: its client hears why
                 c->state_ = HttpConnection::State::handling;
-                c->keepAlive_ = false;
+                c->keepAlive_ = c->noBody_ = false;
                 c->respond(408, "text/plain", "the request did not come whole in time\n");
             } else {
                 c->close();
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -25,8 +25,8 @@
 struct HttpLimits {
     std::size_t head = kMaxHead;  // bytes; more is answered 431
     std::size_t body = kMaxBody;  // bytes without the transfer coding; more is answered 413
-    Millis silent = 2000;         // from connecting to the first byte; then the connection is closed
-    Millis partialHead = 2000;    // from the first byte of a message to the end of its head; then 408
+    Millis silent = 2000;  // from connecting to the first whole message; with `bodyPause`, to its first byte
+    Millis partialHead = 2000;  // from the first byte of a message to the end of its head; then 408
     // Between bytes of a body; then 408. 0: the whole message has `partialHead`.
     Millis bodyPause = 0;
     Millis idle = 10'000;      // between requests
@@ -35,7 +35,7 @@
         1024 * 1024;            // bytes of a streamed answer that wait for a slow client; more aborts it
     bool announceIdle = false;  // Keep-Alive: timeout=N on answers that keep the connection
     // The strict reading of net/framing.hpp for new connections: nothing ambiguous is taken, 100-continue is answered,
-    // HEAD, 204 and 304 are answered without a body, and a request that came behind the one in hand is served before
+    // HEAD is answered without a body, and a request that came behind the one in hand is served before
     // its connection is closed.
     bool strict = false;
 };
@@ -56,7 +56,7 @@
     bool beginStream(int status, std::string_view headers, std::optional<std::uint64_t> contentLength);
     // Sends body bytes at once; what a slow client does not take waits here. Returns the bytes that wait, those of
     // earlier calls included. More than HttpLimits::streamQueue of them, or more than the length announced, aborts the
-    // answer (whenGone is called). Ignored while no streamed answer is open.
+    // answer (whenGone is called, from the loop). Ignored while no streamed answer is open.
     std::size_t writeSome(std::string_view bytes);
     // The body is whole. Short of the length announced, the answer is aborted instead. `handedOver` as for respond().
     void endStream(std::function<void()> handedOver = {});
@@ -65,7 +65,7 @@
     void abortStream();
     bool streaming() const { return state_ == State::streaming; }
     // Bytes of the streamed answer that wait for the client.
-    std::size_t queued() const { return out_.size() - outSent_ + pending_.size(); }
+    std::size_t queued() const { return out_.size() - outSent_; }
     // Called once, when nothing waits for the client any more (not within this call).
     void whenDrained(std::function<void()> drained);
     // Called once if the client leaves, or its connection is aborted from within, before the answer is whole.
@@ -92,17 +92,20 @@
     void afterAnswer();
     void linger();
     void takeMessage(const HttpMessage& message);
-    void refuse(int status, std::string_view text);
     void sayContinue();
     void decideKeepAlive();
     std::string connectionLines() const;
-    void sendStream(std::string_view framed);
+    std::string streamHead(int status, std::string_view headers,
+                           std::optional<std::uint64_t> contentLength) const;
+    void sendStream();
     void writeStream();
-    void onStreamWritten(asio::error_code error, std::size_t sent);
+    void waitWritable();
     void finishStream();
-    void handDrained();
+    void failStream();
+    bool endsWithConnection() const { return !chunked_ && !lengthLeft_ && !bodyless_; }
     std::size_t mostAhead() const;
     std::size_t readRoom() const;
+    bool lateToRead(Millis now) const;
     bool late(Millis now) const;
     bool unread() const;  // more has come than was read
 
@@ -120,10 +123,11 @@
     bool continueSaid_ = false;
     std::string out_;
     // Of a streamed answer.
-    std::string pending_;      // behind out_, of which a write is under way
     std::size_t outSent_ = 0;  // bytes of out_ that the system has
-    bool writeOut_ = false;
+    bool writeOut_ = false;    // the head is due in this turn of the loop
+    bool waitsWritable_ = false;
     bool chunked_ = false, bodyless_ = false;
+    bool strict_;
     std::optional<std::uint64_t> lengthLeft_;
     StreamEnd streamEnd_ = StreamEnd::open;
     std::function<void()> gone_, handedOver_, drained_;
--- a/src/upstream/event_stream.hpp
+++ b/src/upstream/event_stream.hpp
@@ -27,7 +27,7 @@
     using OnEvent = std::function<void(const StreamEvent&)>;
     static constexpr std::size_t kMaxEvent = 1024 * 1024;  // bytes
 
-    // Hands on each event that `bytes` completes; its slices hold during that call. False: an event is longer than
+    // Hands on each event that `bytes` completes; its slices hold during that call, which must not feed or restart. False: an event is longer than
     // kMaxEvent; nothing more is taken.
     bool feed(std::string_view bytes, const OnEvent& onEvent);
     // Bytes of an event that is not whole: a stream that ends with some was cut.
--- a/src/upstream/upstream.hpp
+++ b/src/upstream/upstream.hpp
@@ -73,7 +73,7 @@
     malformedAnswer,    // the bytes received form no answer
     foreignAnswer,      // the answer belongs to another request
     timedOut,
-    cancelled,  // the Upstream ended with the exchange open; cancel() itself reports nothing
+    cancelled,  // closeAll(); cancel() itself reports nothing
 };
 std::string_view nameOf(FailureKind kind);
 
@@ -119,7 +119,7 @@
 class Upstream {
 public:
     Upstream(asio::io_context& io, const Clock& clock, UpstreamSettings settings = {});
-    ~Upstream();  // open exchanges end with `cancelled`
+    ~Upstream();  // drops what is open; no handler is called any more
     Upstream(const Upstream&) = delete;
     Upstream& operator=(const Upstream&) = delete;
 
@@ -141,6 +141,9 @@
     // The same for one host.
     void drop(const HostAddress& host);
 
+    // Closes everything; open exchanges end with `cancelled`.
+    void closeAll();
+
     // Open connections to the host, used and unused, dials included.
     std::size_t connections(const HostAddress& host) const;
     std::size_t unused(const HostAddress& host) const;
--- /dev/null
+++ b/tests/upstream/server_test.cpp
@@ -0,0 +1,474 @@
+// The listener as a gateway uses it: strict reading, limits, streamed answers.
+#include "net/server.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "loopback.hpp"
+
+namespace beechpoint {
+namespace {
+
+using net::HttpConnection;
+using net::HttpMessage;
+using ConnectionPtr = std::shared_ptr<HttpConnection>;
+using test::PeerPtr;
+using test::settle;
+using test::until;
+
+struct Taken {
+    std::string method, target, body;
+    ConnectionPtr connection;
+};
+
+class StrictServer : public ::testing::Test {
+protected:
+    StrictServer() { start(limits()); }
+    ~StrictServer() override {
+        for (const PeerPtr& peer : peers) peer->close();
+        taken.clear();
+        server.reset();
+        settle(io);
+    }
+
+    static net::HttpLimits limits() {
+        net::HttpLimits limits;
+        limits.strict = true;
+        limits.bodyPause = 2000;
+        limits.body = 5 * 1024 * 1024;
+        return limits;
+    }
+    void start(const net::HttpLimits& limits) {
+        server = std::make_unique<net::HttpServer>(
+            io, clock, log, 64, [this](const HttpMessage& m, const ConnectionPtr& c) {
+                taken.push_back({std::string(m.method), std::string(m.target), std::string(m.body), c});
+                if (onRequest) onRequest(c);
+            });
+        server->limits(limits);
+        server->listen(test::anyPort());
+    }
+    PeerPtr connect(bool slow = false) {
+        peers.push_back(test::connectTo(io, server->endpoint(), slow));
+        return peers.back();
+    }
+    PeerPtr ask(const std::string& bytes) {
+        const PeerPtr peer = connect();
+        peer->send(bytes);
+        return peer;
+    }
+    // The connection of the request that comes next.
+    ConnectionPtr take(const std::string& bytes, PeerPtr* peer = nullptr, bool slow = false) {
+        const std::size_t before = taken.size();
+        const PeerPtr asker = connect(slow);
+        asker->send(bytes);
+        if (peer != nullptr) *peer = asker;
+        EXPECT_TRUE(until(io, [&] { return taken.size() > before; }));
+        return taken.back().connection;
+    }
+    void pass(Millis ms) { clock.set(clock.now() + ms); }
+
+    asio::io_context io;
+    Clock clock;
+    Logger log{clock, logging::Format::text, -1};
+    std::unique_ptr<net::HttpServer> server;
+    std::vector<Taken> taken;
+    std::vector<PeerPtr> peers;
+    std::function<void(const ConnectionPtr&)> onRequest;
+};
+
+const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string kPost = "POST /a HTTP/1.1\r\nHost: h\r\n";
+
+TEST_F(StrictServer, RefusesAndCloses) {
+    const std::pair<std::string, std::string> cases[] = {
+        {kPost + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + kGet, " 400 "},
+        {kPost + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + kGet, " 400 "},
+        {kPost + "X: y\r\n folded\r\n\r\n" + kGet, " 400 "},
+        {kPost + "Content-Length : 3\r\n\r\nabc" + kGet, " 400 "},
+        {kPost + "X: " + std::string(20'000, 'x') + "\r\n\r\n", " 431 "},
+        {kPost + "Content-Length: 6000000\r\n\r\n", " 413 "}};
+    for (const auto& [bytes, status] : cases) {
+        const PeerPtr peer = ask(bytes);
+        ASSERT_TRUE(until(io, [&] { return peer->ended; })) << status;
+        EXPECT_TRUE(peer->has(status)) << peer->got;
+        EXPECT_TRUE(peer->has("Connection: close")) << peer->got;
+        EXPECT_EQ(peer->got.find("HTTP/1.1", 1), std::string::npos) << "more than one answer: " << peer->got;
+    }
+    EXPECT_TRUE(taken.empty());
+}
+
+TEST_F(StrictServer, TakesLargeBodiesInBothCodings) {
+    std::string body;
+    for (int i = 0; body.size() < 4 * 1024 * 1024; ++i) body += std::to_string(i) + ",";
+    std::string chunks;
+    for (std::size_t at = 0, size = 1; at < body.size(); at += size, size = size * 3 % 70'001 + 1) {
+        const std::string chunk = body.substr(at, size);
+        chunks += fmt::format("{:x}\r\n{}\r\n", chunk.size(), chunk);
+    }
+    take(kPost + fmt::format("Content-Length: {}\r\n\r\n", body.size()) + body);
+    EXPECT_EQ(taken.back().body, body);
+    take(kPost + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "0\r\n\r\n");
+    EXPECT_EQ(taken.back().body, body);
+}
+
+TEST_F(StrictServer, ServesPipelinedRequestsInOrderOneAtATime) {
+    const PeerPtr peer = ask(kPost + "Content-Length: 3\r\n\r\none" + kPost +
+                             "Transfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n" + kGet);
+    ASSERT_TRUE(until(io, [&] { return taken.size() == 1; }));
+    settle(io);
+    ASSERT_EQ(taken.size(), 1u);
+    for (std::size_t i = 0; i < 3; ++i) {
+        ASSERT_TRUE(until(io, [&] { return taken.size() == i + 1; }));
+        const ConnectionPtr connection = taken[i].connection;
+        ASSERT_TRUE(connection->beginStream(200, "", std::nullopt));
+        connection->writeSome("answer" + std::to_string(i));
+        connection->endStream();
+    }
+    ASSERT_TRUE(until(io, [&] { return peer->has("answer2\r\n0\r\n\r\n"); }));
+    EXPECT_EQ(taken[0].body, "one");
+    EXPECT_EQ(taken[1].body, "two");
+    EXPECT_LT(peer->got.find("answer0"), peer->got.find("answer1"));
+    EXPECT_LT(peer->got.find("answer1"), peer->got.find("answer2"));
+    EXPECT_FALSE(peer->ended);
+}
+
+// Answers given within the handler do not disturb the reading of what came behind.
+TEST_F(StrictServer, AnswersWithinTheHandler) {
+    onRequest = [](const ConnectionPtr& c) {
+        ASSERT_TRUE(c->beginStream(200, "", 2));
+        c->writeSome("ok");
+        c->endStream();
+    };
+    const PeerPtr peer = ask(kGet + kPost + "Content-Length: 1\r\n\r\nx" + kGet);
+    ASSERT_TRUE(until(io, [&] { return taken.size() == 3; }));
+    EXPECT_EQ(taken[1].body, "x");
+    ASSERT_TRUE(until(io, [&] {
+        std::size_t answers = 0;
+        for (auto at = peer->got.find("\r\n\r\nok"); at != std::string::npos;
+             at = peer->got.find("\r\n\r\nok", at + 1))
+            ++answers;
+        return answers == 3;
+    }));
+}
+
+TEST_F(StrictServer, AnswersExpectContinue) {
+    const PeerPtr peer = ask(kPost + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+    ASSERT_TRUE(until(io, [&] { return peer->has("HTTP/1.1 100 Continue\r\n\r\n"); }));
+    peer->send("abc");
+    ASSERT_TRUE(until(io, [&] { return taken.size() == 1; }));
+    EXPECT_EQ(taken[0].body, "abc");
+    taken[0].connection->respond(200, "text/plain", "fine");
+    ASSERT_TRUE(until(io, [&] { return peer->has("fine"); }));
+    const PeerPtr large = ask(kPost + "Expect: 100-continue\r\nContent-Length: 6000000\r\n\r\n");
+    ASSERT_TRUE(until(io, [&] { return large->ended; }));
+    EXPECT_TRUE(large->has(" 413 "));
+    EXPECT_FALSE(large->has(" 100 "));
+}
+
+TEST_F(StrictServer, HeadIsAnsweredWithoutABody) {
+    PeerPtr peer;
+    ConnectionPtr connection = take("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", &peer);
+    ASSERT_TRUE(connection->beginStream(200, "", 5));
+    connection->writeSome("12345");
+    connection->endStream();
+    ASSERT_TRUE(until(io, [&] { return peer->has("Content-Length: 5\r\n\r\n"); }));
+    peer->send("HEAD /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(until(io, [&] { return taken.size() == 2; }));
+    connection->respond(404, "text/plain", "nothing here");
+    ASSERT_TRUE(until(io, [&] { return peer->has("Content-Length: 12\r\n\r\n"); }));
+    EXPECT_TRUE(peer->got.ends_with("\r\n\r\n")) << peer->got;
+    EXPECT_FALSE(peer->has("12345"));
+}
+
+TEST_F(StrictServer, LimitsChangeWhileItRuns) {
+    PeerPtr first;
+    ConnectionPtr connection = take(kPost + "Content-Length: 10\r\n\r\n0123456789", &first);
+    net::HttpLimits smaller = limits();
+    smaller.body = 9;
+    smaller.head = 100;
+    server->limits(smaller);
+    connection->respond(200, "text/plain", "fine");
+    ASSERT_TRUE(until(io, [&] { return first->has("fine"); }));
+    first->send(kPost + "Content-Length: 10\r\n\r\n0123456789");
+    ASSERT_TRUE(until(io, [&] { return first->ended; }));
+    EXPECT_TRUE(first->has(" 413 "));
+    const PeerPtr second = ask("GET /" + std::string(100, 'x') + " HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(until(io, [&] { return second->ended; }));
+    EXPECT_TRUE(second->has(" 431 "));
+    EXPECT_EQ(taken.size(), 1u);
+}
+
+TEST_F(StrictServer, HalfAHeadIsAnswered408) {
+    const PeerPtr peer = ask("GET /a HTTP/1.1\r\nHos");
+    settle(io);
+    ASSERT_TRUE(until(io, [&] {
+        pass(100);
+        return peer->ended;
+    }));
+    EXPECT_TRUE(peer->has(" 408 "));
+    EXPECT_TRUE(peer->has("Connection: close"));
+}
+
+// A body may take long as a whole, as long as it goes on.
+TEST_F(StrictServer, ABodyMayTakeLongButNotStall) {
+    const PeerPtr peer = ask(kPost + "Content-Length: 10\r\n\r\n");
+    ASSERT_TRUE(until(io, [&] { return server->connections() == 1; }));
+    for (int i = 0; i < 10; ++i) {
+        settle(io);
+        pass(1500);
+        peer->send("x");
+        const std::size_t before = taken.size();
+        if (i < 9) settle(io);
+        EXPECT_EQ(taken.size(), before);
+    }
+    ASSERT_TRUE(until(io, [&] { return taken.size() == 1; }));
+    EXPECT_FALSE(peer->has(" 408 "));
+    const PeerPtr stalled = ask(kPost + "Content-Length: 10\r\n\r\nx");
+    ASSERT_TRUE(until(io, [&] {
+        pass(100);
+        return stalled->ended;
+    }));
+    EXPECT_TRUE(stalled->has(" 408 "));
+}
+
+TEST_F(StrictServer, IdleConnectionsAreAnnouncedAndClosed) {
+    net::HttpLimits announced = limits();
+    announced.idle = 4500;
+    announced.announceIdle = true;
+    server->limits(announced);
+    PeerPtr peer;
+    take(kGet, &peer)->respond(200, "text/plain", "fine");
+    ASSERT_TRUE(until(io, [&] { return peer->has("fine"); }));
+    EXPECT_TRUE(peer->has("Keep-Alive: timeout=3\r\n"));
+    ASSERT_TRUE(until(io, [&] {
+        pass(100);
+        return peer->ended;
+    }));
+}
+
+// Whoever has a request on its way when the server closes is answered before its connection ends.
+TEST_F(StrictServer, ClosingServesWhatCameBehind) {
+    PeerPtr peer;
+    ConnectionPtr connection = take(kGet + kGet, &peer);
+    server->closing(true);
+    connection->respond(200, "text/plain", "first");
+    ASSERT_TRUE(until(io, [&] { return taken.size() == 2; }));
+    EXPECT_FALSE(peer->has("Connection: close"));
+    connection->respond(200, "text/plain", "second");
+    ASSERT_TRUE(until(io, [&] { return peer->ended; }));
+    EXPECT_TRUE(peer->has("second"));
+    EXPECT_TRUE(peer->has("Connection: close"));
+    EXPECT_FALSE(peer->wasReset);
+}
+
+TEST_F(StrictServer, ClosingIdleSparesARequestThatHasCome) {
+    PeerPtr peer;
+    take(kGet, &peer)->respond(200, "text/plain", "first");
+    ASSERT_TRUE(until(io, [&] { return peer->has("first"); }));
+    asio::write(peer->socket, asio::buffer(kGet));  // in the system's hands, not read yet
+    server->closing(true);
+    server->closeIdle(0);
+    ASSERT_TRUE(until(io, [&] { return taken.size() == 2; }));
+    taken[1].connection->respond(200, "text/plain", "second");
+    ASSERT_TRUE(until(io, [&] { return peer->ended; }));
+    EXPECT_TRUE(peer->has("second"));
+}
+
+TEST_F(StrictServer, StreamsEachPieceAtOnce) {
+    PeerPtr peer;
+    const ConnectionPtr connection = take(kGet, &peer);
+    ASSERT_TRUE(connection->beginStream(200, "Content-Type: text/event-stream\r\n", std::nullopt));
+    ASSERT_TRUE(until(io, [&] { return peer->has("\r\n\r\n"); }));
+    EXPECT_TRUE(peer->has("Transfer-Encoding: chunked\r\n"));
+    for (int i = 0; i < 5; ++i) {
+        const std::string event = fmt::format("id: {}\n\n", i);
+        EXPECT_EQ(connection->writeSome(event), 0u);
+        ASSERT_TRUE(until(io, [&] { return peer->has(event); }));
+    }
+    EXPECT_EQ(connection->writeSome(""), 0u);
+    EXPECT_FALSE(peer->has("0\r\n\r\n"));
+    bool handedOver = false;
+    connection->endStream([&] { handedOver = true; });
+    ASSERT_TRUE(until(io, [&] { return peer->has("0\r\n\r\n"); }));
+    ASSERT_TRUE(until(io, [&] { return handedOver; }));
+    EXPECT_FALSE(peer->ended);
+    peer->send(kGet);  // the connection goes on
+    ASSERT_TRUE(until(io, [&] { return taken.size() == 2; }));
+}
+
+TEST_F(StrictServer, TheHeadGoesWithTheFirstBytes) {
+    PeerPtr peer;
+    const ConnectionPtr connection = take(kGet, &peer);
+    std::size_t pieces = 0;
+    peer->onData = [&](test::Peer&) { ++pieces; };
+    connection->beginStream(200, "", 2);
+    connection->writeSome("ok");
+    connection->endStream();
+    ASSERT_TRUE(until(io, [&] { return peer->has("\r\n\r\nok"); }));
+    EXPECT_EQ(pieces, 1u);
+}
+
+TEST_F(StrictServer, AnAbortedStreamIsVisiblyBroken) {
+    PeerPtr chunked;
+    ConnectionPtr connection = take(kGet, &chunked);
+    connection->beginStream(200, "", std::nullopt);
+    connection->writeSome("part");
+    connection->abortStream();
+    ASSERT_TRUE(until(io, [&] { return chunked->ended; }));
+    EXPECT_TRUE(chunked->has("4\r\npart\r\n"));
+    EXPECT_FALSE(chunked->has("0\r\n\r\n"));
+
+    PeerPtr counted;
+    connection = take(kGet, &counted);
+    connection->beginStream(200, "", 10);
+    connection->writeSome("part");
+    connection->endStream();  // short of its length
+    ASSERT_TRUE(until(io, [&] { return counted->ended; }));
+    EXPECT_TRUE(counted->got.ends_with("\r\n\r\npart"));
+
+    PeerPtr old;
+    connection = take("GET /a HTTP/1.0\r\n\r\n", &old);
+    connection->beginStream(200, "", std::nullopt);
+    connection->writeSome("part");
+    ASSERT_TRUE(until(io, [&] { return old->has("part"); }));
+    EXPECT_FALSE(old->has("chunked"));
+    connection->abortStream();
+    ASSERT_TRUE(until(io, [&] { return old->ended; }));
+    EXPECT_TRUE(old->wasReset) << "a plain close would be the end of the answer";
+}
+
+TEST_F(StrictServer, OldClientsGetTheBodyToTheEnd) {
+    PeerPtr peer;
+    const ConnectionPtr connection = take("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", &peer);
+    connection->beginStream(200, "", std::nullopt);
+    connection->writeSome("whole");
+    connection->endStream();
+    ASSERT_TRUE(until(io, [&] { return peer->ended; }));
+    EXPECT_TRUE(peer->got.ends_with("\r\n\r\nwhole"));
+    EXPECT_TRUE(peer->has("Connection: close"));
+    EXPECT_FALSE(peer->wasReset);
+}
+
+TEST_F(StrictServer, MoreThanTheLengthIsNotSent) {
+    PeerPtr peer;
+    const ConnectionPtr connection = take(kGet, &peer);
+    bool gone = false;
+    connection->beginStream(200, "", 3);
+    connection->whenGone([&] { gone = true; });
+    connection->writeSome("1234");
+    EXPECT_FALSE(gone) << "told from the loop";
+    ASSERT_TRUE(until(io, [&] { return gone && peer->ended; }));
+    EXPECT_FALSE(peer->has("1234"));
+}
+
+TEST_F(StrictServer, TellsWhenTheClientLeavesAStream) {
+    PeerPtr peer;
+    ConnectionPtr connection = take(kGet, &peer);
+    bool gone = false;
+    connection->whenGone([&] { gone = true; });
+    connection->beginStream(200, "", std::nullopt);
+    connection->writeSome("part");
+    ASSERT_TRUE(until(io, [&] { return peer->has("part"); }));
+    EXPECT_FALSE(gone);
+    peer->close();
+    ASSERT_TRUE(until(io, [&] { return gone; }));
+    EXPECT_EQ(connection->writeSome("more"), 0u);
+    connection->endStream();
+    settle(io);
+    EXPECT_EQ(server->connections(), 0u);
+}
+
+TEST_F(StrictServer, ASlowClientIsBoundedAndHoldsNoOther) {
+    PeerPtr slow;
+    const ConnectionPtr connection = take(kGet, &slow, true);
+    bool gone = false;
+    connection->beginStream(200, "", std::nullopt);
+    connection->whenGone([&] { gone = true; });
+    const std::string piece(64 * 1024, 'x');
+    std::size_t most = 0;
+    for (int i = 0; i < 1000 && !gone; ++i) {
+        most = std::max(most, connection->writeSome(piece));
+        settle(io);
+    }
+    EXPECT_TRUE(gone);
+    EXPECT_GT(most, 0u);
+    EXPECT_LE(most, limits().streamQueue);
+    PeerPtr other;
+    take(kGet, &other)->respond(200, "text/plain", "fine");
+    ASSERT_TRUE(until(io, [&] { return other->has("fine"); }));
+}
+
+TEST_F(StrictServer, DrainsToAClientThatReadsLater) {
+    PeerPtr slow;
+    const ConnectionPtr connection = take(kGet, &slow, true);
+    std::string body;
+    for (int i = 0; body.size() < 4 * 1024 * 1024; ++i) body += std::to_string(i) + ",";
+    connection->beginStream(200, "", body.size());
+    std::size_t at = 0;
+    bool drained = false;
+    while (at < body.size() && connection->queued() < 100'000) {
+        connection->writeSome(std::string_view(body).substr(at, 32 * 1024));
+        at += std::min<std::size_t>(32 * 1024, body.size() - at);
+    }
+    ASSERT_GT(connection->queued(), 0u);
+    connection->whenDrained([&] { drained = true; });
+    settle(io);
+    EXPECT_FALSE(drained);
+    slow->slow = false;
+    slow->read();
+    while (at < body.size()) {
+        ASSERT_TRUE(until(io, [&] { return connection->queued() < 500'000; }));
+        connection->writeSome(std::string_view(body).substr(at, 32 * 1024));
+        at += std::min<std::size_t>(32 * 1024, body.size() - at);
+    }
+    connection->endStream();
+    ASSERT_TRUE(until(io, [&] { return slow->got.size() >= body.size() && slow->got.ends_with(body); }));
+    EXPECT_TRUE(drained);
+}
+
+TEST_F(StrictServer, AClientThatReadsNothingIsClosedInTime) {
+    PeerPtr slow;
+    const ConnectionPtr connection = take(kGet, &slow, true);
+    bool gone = false;
+    connection->beginStream(200, "", std::nullopt);
+    connection->whenGone([&] { gone = true; });
+    const std::string piece(32 * 1024, 'x');
+    while (connection->queued() < 10 * piece.size()) {  // more than the system takes in between
+        connection->writeSome(piece);
+        settle(io);
+    }
+    ASSERT_TRUE(until(io, [&] {
+        pass(500);
+        return gone;
+    }));
+}
+
+// A quiet stream is not late: nothing waits for its client.
+TEST_F(StrictServer, AQuietStreamStays) {
+    PeerPtr peer;
+    const ConnectionPtr connection = take(kGet, &peer);
+    connection->beginStream(200, "", std::nullopt);
+    connection->writeSome("part");
+    const PeerPtr witness = ask("GET /a HTTP/1.1\r\nHos");  // is closed by the sweep
+    ASSERT_TRUE(until(io, [&] {
+        pass(1000);
+        return witness->ended;
+    }));
+    EXPECT_TRUE(connection->streaming());
+    EXPECT_FALSE(peer->ended);
+}
+
+TEST_F(StrictServer, ClosingAllBreaksStreamsVisibly) {
+    PeerPtr peer;
+    const ConnectionPtr connection = take(kGet, &peer);
+    connection->beginStream(200, "", std::nullopt);
+    connection->writeSome("part");
+    ASSERT_TRUE(until(io, [&] { return peer->has("part"); }));
+    server->closeAll();
+    ASSERT_TRUE(until(io, [&] { return peer->ended; }));
+    EXPECT_FALSE(peer->has("0\r\n\r\n"));
+}
+
+}  // namespace
+}  // namespace beechpoint
