Assemble the gateway role: front, dispatcher, hosts, link to control, life cycle

Cause: the serving path needs one process that wires routing, dispatch, upstream and control. Decides nothing itself; drains on SIGTERM inside the grace time.

--- a/src/cli/system.cpp
+++ b/src/cli/system.cpp
@@ -1,14 +1,13 @@
 #include "cli/system.hpp"
 
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 
 #include "cli/cli.hpp"
 #include "control/control.hpp"
 #include "core/logger.hpp"
 #include "gateway/run.hpp"
-#include "settings/settings.hpp"
+#include "settings/process_settings.hpp"
 
 namespace beechpoint::cli {
 
@@ -27,8 +26,7 @@
 }  // namespace
 
 SystemCommands::SystemCommands(CLI::App& app) {
-    const char* const named = std::getenv(settings::kSettingsVariable);
-    settingsPath_ = named ? named : "";
+    settingsPath_ = settings::settingsPath();
     gateway_ = app.add_subcommand("gateway", "serves clients: routes requests to hosts, until SIGTERM");
     control_ = app.add_subcommand("control", "keeps the configuration and knows the gateways, until SIGTERM");
     checkSettings_ = app.add_subcommand("check-settings", "says all that is wrong with a process's settings");
@@ -41,10 +39,6 @@
 
 int SystemCommands::run(Clock& clock) {
     std::signal(SIGPIPE, SIG_IGN);
-    if (settingsPath_.empty()) {
-        std::cerr << "beechpoint: name the settings by --settings or " << settings::kSettingsVariable << '\n';
-        return kUsage;
-    }
     if (*checkSettings_) return checkSettings(settingsPath_);
     Logger log(clock, logging::Format::json);
     return *gateway_ ? gateway::run(settingsPath_, clock, log) : control::run(settingsPath_, clock, log);
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,276 @@
+#include "gateway/gateway.hpp"
+
+#include <algorithm>
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <random>
+#include <stdexcept>
+
+namespace beechpoint::gateway {
+
+namespace {
+
+constexpr Millis kLook = 250;  // between looks at what depends on time
+constexpr Millis kControlSilent =
+    2500;                             // without an answer of control: the platform's list is read from here
+constexpr Millis kOwnReading = 2500;  // between own readings of the platform's list
+constexpr Millis kFleetMemory = 20'000;        // the number of gateways last heard of counts so long
+constexpr Millis kAcceptWhileStopping = 3000;  // clients may hold the directory's answer so long
+constexpr Millis kIdleWhileStopping = 500;     // a kept connection is closed after being idle so long
+constexpr Millis kBeforeKill = 400;            // the process has ended by then
+constexpr Millis kStopLook = 50;
+constexpr std::size_t kReservedDescriptors = 232;  // 200 are the platform's; listeners, control, platform
+constexpr std::size_t kReadinessClients = 16;
+constexpr Millis kClientPause = 10'000;  // between bytes of a body
+
+std::uint64_t drawSeed() {
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+std::chrono::microseconds microseconds(Millis ms) {
+    return std::chrono::microseconds(static_cast<long long>(std::max(ms, 0.0) * 1000) + 1);
+}
+
+asio::ip::tcp::endpoint endpointOf(const std::string& text, const char* field) {
+    const auto address = upstream::HostAddress::parse(text);
+    if (!address)
+        throw std::runtime_error(fmt::format("listen_addresses.{}: {}", field, address.error().text()));
+    return {asio::ip::make_address(address.value().ip), address.value().port};
+}
+
+dispatch::Settings dispatchSettings(const settings::ProcessSettings& settings) {
+    dispatch::Settings out;
+    out.region = settings.region;
+    out.zone = settings.zone;
+    out.retryBudgetRatio = settings.timingBounds.retryBudgetRatio;
+    out.retryWindow = settings.timingBounds.retryWindowS * 1000;
+    out.retryBudgetSlack = settings.timingBounds.retryBudgetSlack;
+    out.warmupOvershoot = settings.timingBounds.warmupOvershoot;
+    out.warmupSlack = settings.timingBounds.warmupSlack;
+    return out;
+}
+
+instances::Poller::Settings platformSettings(const settings::ProcessSettings& settings) {
+    instances::Poller::Settings out;
+    out.address = settings.cloudApi.address;
+    out.reader.period = kOwnReading;
+    return out;
+}
+
+// Control members listen for their own kind, and for gateways, at the first internal port.
+std::vector<std::string> internalAddresses(const settings::ProcessSettings& settings) {
+    std::vector<std::string> addresses;
+    for (const std::string& seed : settings.seedNodes) {
+        const auto address = upstream::HostAddress::parse(seed);
+        if (address)
+            addresses.push_back(fmt::format("{}:{}", address.value().ip, settings.internalPortRange.first));
+    }
+    return addresses;
+}
+
+std::size_t clientConnections(const settings::ProcessSettings& settings) {
+    const auto open = static_cast<std::size_t>(std::max<std::int64_t>(settings.limits.maxOpenFiles, 0));
+    return open > 2 * kReservedDescriptors ? (open - kReservedDescriptors) / 2 : kReservedDescriptors / 2;
+}
+
+}  // namespace
+
+Gateway::Gateway(asio::io_context& io, settings::ProcessSettings settings, const Clock& clock, Logger& log)
+    : io_(io),
+      settings_(std::move(settings)),
+      clock_(clock),
+      log_(log),
+      session_(drawSeed()),
+      exchange_(io, clock, log, dispatchSettings(settings_), drawSeed()),
+      control_(io, clock, log, drawSeed(),
+               {[this] { return pollRequest(); },
+                [this](const control::PollReply& reply, Millis sentAt) { onPollReply(reply, sentAt); }}),
+      platform_(io, clock, log, platformSettings(settings_), drawSeed(), session_,
+                [this](const std::shared_ptr<const instances::HostList>& list, Millis confirmedAt, bool) {
+                    takeHosts(list, confirmedAt);
+                }),
+      front_(io, clock, log, clientConnections(settings_),
+             [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
+                 exchange_.take(message, client);
+             }),
+      readiness_(io, clock, log, kReadinessClients,
+                 [this](const net::HttpMessage&, const std::shared_ptr<net::HttpConnection>& client) {
+                     client->respond(ready() ? 200 : 503, "application/json",
+                                     ready() ? R"({"ready":true})" : R"({"ready":false})");
+                 }),
+      timer_(io) {
+    net::HttpLimits limits;
+    limits.strict = true;
+    limits.announceIdle = true;
+    limits.bodyPause = kClientPause;
+    front_.limits(limits);
+}
+
+void Gateway::start() {
+    startedAt_ = clock_.now();
+    front_.listen(endpointOf(settings_.listenAddresses.front, "front"));
+    if (!settings_.listenAddresses.readiness.empty())
+        readiness_.listen(endpointOf(settings_.listenAddresses.readiness, "readiness"));
+    control_.seeds(internalAddresses(settings_));
+    control_.start();
+    log_.info("gateway {} serves at {}", field("name", settings_.nodeName),
+              field("address", settings_.listenAddresses.front));
+    look();
+}
+
+void Gateway::reload(const settings::ProcessSettings& settings) {
+    settings_.seedNodes = settings.seedNodes;
+    control_.seeds(internalAddresses(settings_));
+    log_.info("settings read again: {} seeds", field("seeds", settings_.seedNodes.size()));
+}
+
+bool Gateway::ready() const { return stoppingAt_ == 0 && table_.configured() && hosts_.list() != nullptr; }
+
+control::PollRequest Gateway::pollRequest() const {
+    control::PollRequest request;
+    request.gateway.name = settings_.nodeName;
+    request.gateway.session = session_;
+    request.gateway.zone = settings_.zone;
+    request.gateway.region = settings_.region;
+    request.gateway.frontAddress = settings_.listenAddresses.front;
+    request.gateway.ready = ready();
+    request.gateway.draining = stoppingAt_ != 0;
+    request.position = table_.position();
+    request.hostList = hosts_.version();
+    return request;
+}
+
+void Gateway::onPollReply(const control::PollReply& reply, Millis) {
+    const bool wasReady = ready();
+    const Millis now = clock_.now();
+    if (reply.table) takeTable(*reply.table);
+    if (reply.hostList) {
+        auto list = std::make_shared<instances::HostList>();
+        list->version = reply.hostList->version;
+        list->readAt = now - reply.hostList->readAge;
+        list->hosts = reply.hostList->hosts;
+        takeHosts(std::move(list), now - reply.hostListAge.value_or(reply.hostList->readAge));
+    } else if (reply.hostListAge) {
+        hosts_.confirm(reply.hostListVersion, now - *reply.hostListAge);
+    }
+    const auto live = reply.largestLive ? reply.largestLive : reply.liveGateways;
+    if (live && *live > 0) {
+        liveGateways_ = *live;
+        liveKnownAt_ = now;
+    }
+    exchange_.sharedBy(std::max<std::uint32_t>(liveGateways_, 1));
+    dispatch::Fleet fleet;
+    fleet.liveGateways = static_cast<int>(std::max<std::uint32_t>(liveGateways_, 1));
+    fleet.known = liveGateways_ > 0 && now - liveKnownAt_ < kFleetMemory;
+    exchange_.tell(fleet);
+    if (ready() != wasReady) control_.pollNow();
+}
+
+void Gateway::takeTable(const TableUpdate& update) {
+    if (!table_.apply(update)) return;
+    const auto& routes = *table_.current();
+    net::HttpLimits limits = front_.limits();
+    limits.head = static_cast<std::size_t>(routes.limits().maxHeaderBytes);
+    limits.body = static_cast<std::size_t>(routes.limits().maxBodyBytes);
+    limits.partialHead = routes.limits().headerTimeoutMs;
+    limits.silent = routes.limits().idleTimeoutMs;
+    limits.idle = routes.limits().idleTimeoutMs;
+    front_.limits(limits);
+    exchange_.routes(table_.current());
+    tellServices();
+}
+
+void Gateway::tellServices() {
+    dispatch::Services services;
+    for (const auto& [name, entry] : table_.current()->services()) {
+        dispatch::Service service;
+        service.name = name;
+        service.warmupS = entry->service.warmupS;
+        service.warmupPerS = entry->service.warmupPerS;
+        service.maxConnections = static_cast<int>(entry->service.maxConnections);
+        service.engine = entry->service.inferenceEngine.has_value();
+        if (service.engine)
+            service.cacheTokens = static_cast<std::uint64_t>(entry->service.inferenceEngine->cacheTokens);
+        services.services.push_back(std::move(service));
+    }
+    exchange_.tell(std::move(services));
+    dispatch::Evacuated evacuated;
+    for (const std::string& zone : table_.current()->evacuatedZones()) evacuated.zones.push_back(zone);
+    exchange_.tell(std::move(evacuated));
+}
+
+void Gateway::takeHosts(std::shared_ptr<const instances::HostList> list, Millis confirmedAt) {
+    if (hosts_.offer(std::move(list), confirmedAt, clock_.now())) tellHosts();
+}
+
+void Gateway::tellHosts() {
+    const Millis age = clock_.now() - hosts_.list()->readAt;
+    dispatch::Hosts event;
+    for (const instances::Host& host : hosts_.list()->hosts) {
+        dispatch::Host one;
+        one.instanceId = host.instanceId;
+        one.service = host.service;
+        one.address = host.address;
+        one.zone = host.zone;
+        one.region = settings_.regionOf(host.zone);
+        one.capacity = static_cast<int>(std::max<std::uint32_t>(host.capacity, 1));
+        one.state = host.state == instances::HostState::draining ? dispatch::HostState::draining
+                                                                 : dispatch::HostState::serving;
+        one.warmupLeft = std::max(host.warmupLeft - age, 0.0);
+        if (host.remaining) one.remaining = std::max(*host.remaining - age, 0.0);
+        event.hosts.push_back(std::move(one));
+    }
+    exchange_.tell(std::move(event));
+}
+
+// Reads the platform's list from here while control is silent, and leaves it to control otherwise.
+void Gateway::look() {
+    const Millis now = clock_.now();
+    const Millis heard = std::max(control_.heardAt(), startedAt_);
+    const bool silent = now - heard > kControlSilent;
+    if (silent && !platform_.running()) {
+        log_.seldom("control", "control is silent; the platform's list is read from here");
+        platform_.start(0, hosts_.version().number, hosts_.list());
+    } else if (!silent && platform_.running()) {
+        platform_.stop();
+    }
+    lookAfter(kLook);
+}
+
+void Gateway::lookAfter(Millis pause) {
+    timer_.expires_after(microseconds(pause));
+    timer_.async_wait([this](asio::error_code error) {
+        if (error) return;
+        stoppingAt_ == 0 ? look() : lookWhileStopping();
+    });
+}
+
+void Gateway::stop(std::function<void()> ended) {
+    if (stoppingAt_ != 0) return;
+    stoppingAt_ = clock_.now();
+    ended_ = std::move(ended);
+    log_.info("gateway {} drains: {} requests are open", field("name", settings_.nodeName),
+              field("open", exchange_.live()));
+    front_.closing(true);
+    control_.pollNow();
+    lookWhileStopping();
+}
+
+void Gateway::lookWhileStopping() {
+    const Millis passed = clock_.now() - stoppingAt_;
+    const Millis grace = settings_.timingBounds.graceS * 1000 - kBeforeKill;
+    if (passed > kAcceptWhileStopping) {
+        front_.stopAccepting();
+        front_.closeIdle(kIdleWhileStopping);
+    }
+    const bool empty = passed > kAcceptWhileStopping && exchange_.live() == 0 && front_.connections() == 0;
+    if (!empty && passed < grace) return lookAfter(kStopLook);
+    exchange_.endAll();
+    control_.stop();
+    platform_.stop();
+    log_.info("gateway {} ends", field("name", settings_.nodeName));
+    ended_();
+}
+
+}  // namespace beechpoint::gateway
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,66 @@
+// The gateway role: owns its parts and wires them on one Asio loop. It decides nothing but its own life cycle:
+//
+//   starting --table and hosts known--> ready --SIGTERM--> draining --no request left, or time up--> ended
+//
+// A gateway is ready once it has a configuration and a list of hosts, and stays so when control is away: it goes on with what
+// it holds, and reads the platform's list by itself, slowly.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "core/logger.hpp"
+#include "gateway/control_link.hpp"
+#include "gateway/request_exchange.hpp"
+#include "instances/host_list.hpp"
+#include "instances/poller.hpp"
+#include "net/server.hpp"
+#include "routing/table_copy.hpp"
+#include "settings/process_settings.hpp"
+
+namespace beechpoint::gateway {
+
+class Gateway {
+public:
+    // Throws where it can't listen.
+    Gateway(asio::io_context& io, settings::ProcessSettings settings, const Clock& clock, Logger& log);
+    void start();
+    // New settings; only the seeds may differ while it runs.
+    void reload(const settings::ProcessSettings& settings);
+    // Drains; `ended` is called once, inside the grace time.
+    void stop(std::function<void()> ended);
+
+private:
+    bool ready() const;
+    control::PollRequest pollRequest() const;
+    void onPollReply(const control::PollReply& reply, Millis sentAt);
+    void takeTable(const TableUpdate& update);
+    void takeHosts(std::shared_ptr<const instances::HostList> list, Millis confirmedAt);
+    void tellHosts();
+    void tellServices();
+    void look();
+    void lookAfter(Millis pause);
+    void lookWhileStopping();
+
+    asio::io_context& io_;
+    settings::ProcessSettings settings_;
+    const Clock& clock_;
+    Logger& log_;
+    std::uint64_t session_;
+    routing::TableCopy table_;
+    instances::HostListHolder hosts_;
+    RequestExchange exchange_;
+    ControlLink control_;
+    instances::Poller platform_;
+    net::HttpServer front_, readiness_;
+    asio::steady_timer timer_;
+    std::uint32_t liveGateways_ = 0;  // 0: not known
+    Millis liveKnownAt_ = 0;
+    Millis startedAt_ = 0;
+    Millis stoppingAt_ = 0;  // 0: not stopping
+    std::function<void()> ended_;
+};
+
+}  // namespace beechpoint::gateway
--- /dev/null
+++ b/src/gateway/run.hpp
@@ -0,0 +1,14 @@
+// The gateway role as a process: reads its settings, serves until SIGTERM, reads the settings again on SIGHUP.
+#pragma once
+
+#include <string>
+
+#include "core/clock.hpp"
+#include "core/logger.hpp"
+
+namespace beechpoint::gateway {
+
+// The exit status: 0 after an orderly end.
+int run(const std::string& settingsPath, Clock& clock, Logger& log);
+
+}  // namespace beechpoint::gateway
