--- /dev/null
+++ b/tests/rpc/rpc_test.cpp
@@ -0,0 +1,341 @@
+// Calls between a real client and a real server on loopback.
+#include <gtest/gtest.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "rpc/client.hpp"
+#include "rpc/server.hpp"
+
+namespace beechpoint::rpc {
+namespace {
+
+using Answer = Result<std::string>;
+
+constexpr Millis kLong = 10'000;  // never reached in a passing test
+constexpr Millis kShort = 60;
+
+class RpcTest : public ::testing::Test {
+protected:
+    // Runs the loop until `done`, for at most ten seconds.
+    template <class Done>
+    bool runUntil(Done done) {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!done()) {
+            if (std::chrono::steady_clock::now() > until) return false;
+            io_.restart();
+            io_.run_one_for(std::chrono::milliseconds(50));
+        }
+        return true;
+    }
+
+    std::unique_ptr<Server> serve(Server::Handler handler, std::uint16_t port = 0) {
+        auto server = std::make_unique<Server>(io_, log_);
+        server->onRequest(std::move(handler));
+        const Result<void> listening = server->listen("127.0.0.1:" + std::to_string(port));
+        EXPECT_TRUE(listening) << listening.error().text();
+        return server;
+    }
+
+    static std::string addressOf(const Server& server) {
+        return "127.0.0.1:" + std::to_string(server.port());
+    }
+
+    Answer callAndWait(Client& client, const std::string& address, std::string bytes,
+                       Millis timeout = kLong) {
+        std::optional<Answer> answer;
+        client.call(address, std::move(bytes), timeout, [&](Answer got) {
+            EXPECT_FALSE(answer) << "called back twice";
+            EXPECT_EQ(std::this_thread::get_id(), loopThread_);
+            answer = std::move(got);
+        });
+        EXPECT_FALSE(answer) << "called back before call() returned";
+        EXPECT_TRUE(runUntil([&] { return answer.has_value(); }));
+        return answer ? *answer : Answer(Error{ErrorKind::notFound, "", "no callback", ""});
+    }
+
+    static void echo(std::string bytes, Reply reply) { reply.send("re:" + bytes); }
+
+    const std::thread::id loopThread_ = std::this_thread::get_id();
+    asio::io_context io_;
+    Clock clock_;
+    Logger log_{clock_, logging::Format::text, -1};
+};
+
+TEST_F(RpcTest, AnswersComeToTheirCalls) {
+    const auto server = serve(echo);
+    Client client(io_, log_);
+    EXPECT_EQ(callAndWait(client, addressOf(*server), "a").value(), "re:a");
+    EXPECT_EQ(callAndWait(client, addressOf(*server), "").value(), "re:");
+    const std::string large(1 << 20, 'x');
+    EXPECT_EQ(callAndWait(client, addressOf(*server), large).value(), "re:" + large);
+    EXPECT_EQ(client.peers(), 1u);
+    EXPECT_EQ(client.outstanding(), 0u);
+}
+
+TEST_F(RpcTest, ManyOutstandingCallsAreAnsweredInAnyOrder) {
+    constexpr std::size_t kCalls = 600;
+    std::vector<std::pair<std::string, Reply>> held;
+    const auto server =
+        serve([&](std::string bytes, Reply reply) { held.emplace_back(std::move(bytes), std::move(reply)); });
+    Client client(io_, log_);
+    std::vector<std::string> answers(kCalls);
+    std::size_t done = 0;
+    for (std::size_t i = 0; i < kCalls; ++i)
+        client.call(addressOf(*server), std::to_string(i), kLong, [&, i](Answer answer) {
+            ++done;
+            answers[i] = answer ? answer.value() : answer.error().text();
+        });
+    ASSERT_TRUE(runUntil([&] { return held.size() == kCalls; }));
+    EXPECT_EQ(server->handled(), kCalls);
+    EXPECT_EQ(client.outstanding(), kCalls);
+    while (!held.empty()) {
+        held.back().second.send("re:" + held.back().first);
+        held.pop_back();
+    }
+    ASSERT_TRUE(runUntil([&] { return done == kCalls; }));
+    for (std::size_t i = 0; i < kCalls; ++i) EXPECT_EQ(answers[i], "re:" + std::to_string(i));
+    EXPECT_EQ(server->handled(), 0u);
+}
+
+TEST_F(RpcTest, MoreRequestsThanTheBoundAreRefusedAtOnceAndLaterTakenAgain) {
+    std::vector<Reply> held;
+    const auto server = serve([&](std::string, Reply reply) { held.push_back(std::move(reply)); });
+    Client first(io_, log_), second(io_, log_);
+    std::size_t done = 0;
+    for (std::size_t i = 0; i < kMaxHandledRequests; ++i)
+        first.call(addressOf(*server), "held", kLong, [&](Answer) { ++done; });
+    ASSERT_TRUE(runUntil([&] { return held.size() == kMaxHandledRequests; }));
+    const Answer refused = callAndWait(second, addressOf(*server), "one more");
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().kind, ErrorKind::unavailable);
+    const std::size_t before = held.size();
+    for (Reply& reply : held) reply.send("");
+    ASSERT_TRUE(runUntil([&] { return done == before; }));
+    held.clear();
+    std::optional<Answer> taken;
+    second.call(addressOf(*server), "again", kLong, [&](Answer answer) { taken = std::move(answer); });
+    ASSERT_TRUE(runUntil([&] { return !held.empty(); }));
+    held.front().send("now");
+    ASSERT_TRUE(runUntil([&] { return taken.has_value(); }));
+    EXPECT_EQ(taken->value(), "now");
+}
+
+TEST_F(RpcTest, ACallerAtItsBoundFailsAtOnce) {
+    std::vector<Reply> held;
+    const auto server = serve([&](std::string, Reply reply) { held.push_back(std::move(reply)); });
+    Client client(io_, log_);
+    for (std::size_t i = 0; i < kMaxOutstandingCalls; ++i)
+        client.call(addressOf(*server), "held", kLong, [](Answer) {});
+    const Answer answer = callAndWait(client, addressOf(*server), "one more");
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().kind, ErrorKind::unavailable);
+}
+
+TEST_F(RpcTest, ADroppedReplySaysNothingAndTheNextCallDialsAnew) {
+    std::optional<Reply> late;
+    bool drop = true;
+    const auto server = serve([&](std::string bytes, Reply reply) {
+        if (!std::exchange(drop, false)) return echo(std::move(bytes), std::move(reply));
+        late = std::move(reply);
+    });
+    Client client(io_, log_);
+    const Answer unanswered = callAndWait(client, addressOf(*server), "a", kShort);
+    ASSERT_FALSE(unanswered);
+    EXPECT_EQ(unanswered.error().kind, ErrorKind::timedOut);
+    EXPECT_EQ(unanswered.error().place, addressOf(*server));
+    late->send("too late");  // on a connection that is gone
+    EXPECT_EQ(callAndWait(client, addressOf(*server), "b").value(), "re:b");
+}
+
+TEST_F(RpcTest, AReplyThatIsDestroyedFreesItsPlace) {
+    const auto server = serve([](std::string, Reply) {});
+    Client client(io_, log_);
+    EXPECT_FALSE(callAndWait(client, addressOf(*server), "a", kShort));
+    EXPECT_EQ(server->handled(), 0u);
+}
+
+TEST_F(RpcTest, AReplyMayOutliveItsServer) {
+    std::optional<Reply> kept;
+    auto server = serve([&](std::string, Reply reply) { kept = std::move(reply); });
+    Client client(io_, log_);
+    std::optional<Answer> answer;
+    client.call(addressOf(*server), "a", kLong, [&](Answer got) { answer = std::move(got); });
+    ASSERT_TRUE(runUntil([&] { return kept.has_value(); }));
+    server.reset();
+    kept->send("nobody listens");
+    kept.reset();
+    ASSERT_TRUE(runUntil([&] { return answer.has_value(); }));  // the lost connection is told at once
+    ASSERT_FALSE(*answer);
+    EXPECT_EQ(answer->error().kind, ErrorKind::unavailable);
+}
+
+TEST_F(RpcTest, ARestartedPeerIsReachedByTheNextCalls) {
+    auto server = serve(echo);
+    const std::uint16_t port = server->port();
+    const std::string address = addressOf(*server);
+    Client client(io_, log_);
+    EXPECT_TRUE(callAndWait(client, address, "a"));
+    server.reset();
+    const Answer away = callAndWait(client, address, "b", kShort);
+    ASSERT_FALSE(away);
+    server = serve(echo, port);
+    // The call may meet the end of the connection that was lost; it is told so, and the next one dials.
+    bool answered = false;
+    for (int attempt = 0; attempt < 3 && !answered; ++attempt)
+        answered = callAndWait(client, address, "c").has_value();
+    EXPECT_TRUE(answered);
+}
+
+TEST_F(RpcTest, ACallWaitsForAPeerThatIsNotListeningYet) {
+    auto server = serve(echo);
+    const std::uint16_t port = server->port();
+    server.reset();
+    Client client(io_, log_);
+    std::optional<Answer> answer;
+    client.call("127.0.0.1:" + std::to_string(port), "a", kLong,
+                [&](Answer got) { answer = std::move(got); });
+    io_.poll();
+    server = serve(echo, port);
+    ASSERT_TRUE(runUntil([&] { return answer.has_value(); }));
+    EXPECT_EQ(answer->value(), "re:a");
+}
+
+// A peer that takes connections and never says a word: as one behind a silent cut.
+TEST_F(RpcTest, ASilentPeerTimesOutEachCallAndEachFailureClosesTheConnection) {
+    asio::ip::tcp::acceptor silent(io_, {asio::ip::make_address("127.0.0.1"), 0});
+    std::vector<asio::ip::tcp::socket> accepted;
+    std::function<void()> accept = [&] {
+        silent.async_accept([&](asio::error_code error, asio::ip::tcp::socket socket) {
+            if (error) return;
+            accepted.push_back(std::move(socket));
+            accept();
+        });
+    };
+    accept();
+    const std::string address = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+    Client client(io_, log_);
+    for (std::size_t calls = 1; calls <= 3; ++calls) {
+        const Answer answer = callAndWait(client, address, "a", kShort);
+        ASSERT_FALSE(answer);
+        EXPECT_EQ(answer.error().kind, ErrorKind::timedOut);
+        ASSERT_TRUE(runUntil([&] { return accepted.size() >= calls; }));
+        EXPECT_EQ(accepted.size(), calls);
+    }
+    accepted.clear();
+}
+
+// Several calls that fail together close the connection once, and a call begun after them is not failed with them.
+TEST_F(RpcTest, AYoungerConnectionOutlivesTheFailuresOfAnOlderOne) {
+    std::vector<Reply> held;
+    const auto server = serve([&](std::string bytes, Reply reply) {
+        if (bytes == "hold") return held.push_back(std::move(reply));
+        echo(std::move(bytes), std::move(reply));
+    });
+    Client client(io_, log_);
+    std::size_t failed = 0;
+    std::optional<Answer> younger;
+    for (int i = 0; i < 5; ++i)
+        client.call(addressOf(*server), "hold", kShort, [&](Answer answer) {
+            EXPECT_FALSE(answer);
+            if (++failed == 1)
+                client.call(addressOf(*server), "b", kLong, [&](Answer got) { younger = std::move(got); });
+        });
+    ASSERT_TRUE(runUntil([&] { return failed == 5 && younger; }));
+    ASSERT_TRUE(*younger) << younger->error().text();
+    EXPECT_EQ(younger->value(), "re:b");
+}
+
+TEST_F(RpcTest, PeersAreBoundedAndTheLeastRecentlyUsedIsDropped) {
+    std::vector<std::unique_ptr<Server>> servers;
+    Client client(io_, log_);
+    for (std::size_t i = 0; i <= kMaxPeers; ++i) {
+        servers.push_back(serve(echo));
+        EXPECT_TRUE(callAndWait(client, addressOf(*servers.back()), "a"));
+    }
+    EXPECT_EQ(client.peers(), kMaxPeers);
+    EXPECT_EQ(callAndWait(client, addressOf(*servers.front()), "b").value(), "re:b");
+    EXPECT_EQ(client.peers(), kMaxPeers);
+}
+
+TEST_F(RpcTest, CallsToADroppedPeerFail) {
+    std::vector<Reply> held;
+    const auto holder = serve([&](std::string, Reply reply) { held.push_back(std::move(reply)); });
+    const auto server = serve(echo);
+    Client client(io_, log_);
+    std::optional<Answer> dropped;
+    client.call(addressOf(*holder), "a", kLong, [&](Answer answer) { dropped = std::move(answer); });
+    // Addresses of this machine's loopback network at which the same server does not listen: they stay unanswered.
+    for (std::size_t i = 0; i < kMaxPeers; ++i)
+        client.call("127.0.1." + std::to_string(i + 1) + ":9", "b", kLong, [](Answer) {});
+    ASSERT_TRUE(runUntil([&] { return dropped.has_value(); }));
+    ASSERT_FALSE(*dropped);
+    EXPECT_EQ(dropped->error().kind, ErrorKind::unavailable);
+    EXPECT_EQ(client.peers(), kMaxPeers);
+}
+
+TEST_F(RpcTest, WhatIsNoAddressOrTooLargeIsInvalid) {
+    Client client(io_, log_);
+    for (const std::string address :
+         {"", "nowhere", "127.0.0.1", "127.0.0.1:", "127.0.0.1:66000", "host:80", "1.2.3.4:5x"}) {
+        const Answer answer = callAndWait(client, address, "a");
+        ASSERT_FALSE(answer) << address;
+        EXPECT_EQ(answer.error().kind, ErrorKind::invalid);
+        Server server(io_, log_);
+        EXPECT_FALSE(server.listen(address)) << address;
+    }
+    const Answer answer = callAndWait(client, "127.0.0.1:9", std::string(kMaxMessageBytes + 1, 'x'));
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().kind, ErrorKind::invalid);
+    EXPECT_EQ(client.peers(), 0u);
+}
+
+TEST_F(RpcTest, AMessageOfTheLargestSizePassesBothWays) {
+    const auto server = serve([](std::string bytes, Reply reply) { reply.send(std::move(bytes)); });
+    Client client(io_, log_);
+    const std::string largest(kMaxMessageBytes, 'x');
+    EXPECT_EQ(callAndWait(client, addressOf(*server), largest).value(), largest);
+}
+
+TEST_F(RpcTest, AnAddressInUseIsAnError) {
+    const auto server = serve(echo);
+    Server other(io_, log_);
+    const Result<void> listening = other.listen(addressOf(*server));
+    ASSERT_FALSE(listening);
+    EXPECT_EQ(listening.error().kind, ErrorKind::unavailable);
+}
+
+TEST_F(RpcTest, DestroyedWithCallsOutstandingNothingIsCalledBack) {
+    std::vector<Reply> held;
+    auto server = serve([&](std::string, Reply reply) { held.push_back(std::move(reply)); });
+    auto client = std::make_unique<Client>(io_, log_);
+    for (int i = 0; i < 20; ++i)
+        client->call(addressOf(*server), "a", kLong, [](Answer) { ADD_FAILURE() << "called back"; });
+    ASSERT_TRUE(runUntil([&] { return held.size() == 20; }));
+    for (Reply& reply : held) reply.send("on its way");
+    client.reset();
+    server.reset();
+    io_.restart();
+    io_.poll();
+}
+
+TEST_F(RpcTest, ACallbackMayDestroyItsClient) {
+    const auto server = serve(echo);
+    auto client = std::make_unique<Client>(io_, log_);
+    bool called = false;
+    client->call(addressOf(*server), "a", kLong, [&](Answer) {
+        called = true;
+        client.reset();
+    });
+    EXPECT_TRUE(runUntil([&] { return called; }));
+    EXPECT_FALSE(client);
+}
+
+}  // namespace
+}  // namespace beechpoint::rpc
