--- /dev/null
+++ b/src/control/gateway_service.cpp
@@ -0,0 +1,379 @@
+#include "control/gateway_service.hpp"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "control/codec.hpp"
+#include "control/replica_driver.hpp"
+#include "leases/duty.hpp"
+#include "replica/replica.hpp"
+#include "rpc/client.hpp"
+#include "rpc/server.hpp"
+
+namespace beechpoint::control {
+namespace {
+
+constexpr std::string_view kHostsDuty = "hosts";
+constexpr Millis kShareTimeout = 1000;
+constexpr Millis kReaderHeard = 1500;  // a reader that has not said so for longer is not counted on
+constexpr Millis kListWorthSending =
+    1500;  // an older list of another reader is sent to a gateway only where confirmed lately
+constexpr std::size_t kMaxPeers = replica::kMaxPeers;
+
+struct WaitingPoll {
+    PollRequest request;
+    rpc::Reply reply;
+    Millis deadline = 0;
+};
+
+struct Peer {
+    instances::HostListVersion hostList;  // that it said it has
+    bool asked = false;                   // a share to it is out
+    Millis readHostsAt = 0;               // when it last said that it reads the list
+};
+
+bool differsForClients(const leases::Gateway& one, const leases::Gateway& other) {
+    return one.session != other.session || one.ready != other.ready || one.draining != other.draining ||
+           one.frontAddress != other.frontAddress;
+}
+
+}  // namespace
+
+class GatewayService::Impl : public std::enable_shared_from_this<Impl> {
+public:
+    Impl(asio::io_context& io, const Clock& clock, Logger& logger, ReplicaDriver& driver, rpc::Client& client,
+         Settings settings, std::function<void()> onGateways)
+        : clock_(clock),
+          logger_(logger),
+          driver_(driver),
+          client_(client),
+          leaseMs_(settings.leases.leaseMs),
+          leases_(settings.leases, clock.now()),
+          startedAt_(clock.now()),
+          poller_(io, clock, logger, settings.poller, settings.seed, settings.seed,
+                  [this](const auto& list, Millis confirmedAt, bool) { onReading(list, confirmedAt); }),
+          onGateways_(std::move(onGateways)) {}
+
+    void onPoll(PollRequest request, rpc::Reply reply) {
+        const Millis now = clock_.now();
+        answerEarlierPoll(request.gateway.name);
+        if (!mayAnswer(now)) return refuse(reply, PollStatus::notFresh);
+        if (!renewLease(now, request.gateway)) return refuse(reply, PollStatus::full);
+        const Millis wait = std::clamp(request.waitMs, 0.0, kMaxPollWait);
+        if (hasNews(request) || wait == 0 || polls_.size() >= kMaxWaitingPolls)
+            return answer(now, request, reply);
+        const std::string name = request.gateway.name;
+        polls_.emplace(name, WaitingPoll{std::move(request), std::move(reply), now + wait});
+    }
+
+    void onShare(const Share& share, rpc::Reply reply) {
+        const Millis now = clock_.now();
+        leases_.merge(now, share.leases);
+        if (share.hostList) {
+            auto list = std::make_shared<instances::HostList>();
+            list->version = share.hostList->version;
+            list->readAt = now - share.hostList->readAge;
+            list->hosts = share.hostList->hosts;
+            offer(std::move(list), now - share.hostListAge.value_or(share.hostList->readAge));
+        } else if (share.hostListAge) {
+            hosts_.confirm(share.hostListVersion, now - *share.hostListAge);
+        }
+        if (Peer* peer = peerOf(share.member)) {
+            if (share.readsHosts) peer->readHostsAt = now;
+            peer->hostList = share.hostListVersion;
+        }
+        if (share.hostListVersion.fence == fence_) poller_.raiseNumber(share.hostListVersion.number);
+        reply.send(encode(ShareReply{hosts_.version()}));
+        wakeForCount(now);
+        onGateways_();
+    }
+
+    void onTableMoved() { wakePolls(); }
+
+    void onView() {
+        forgetPeers();
+        lookAtDuty(clock_.now());
+        shareSoon_ = true;
+    }
+
+    void tick() {
+        const Millis now = clock_.now();
+        leases_.look(now);
+        lookAtDuty(now);
+        answerDue(now);
+        if (shareSoon_ || now - sharedAt_ >= kShareEvery - kServiceTick / 2) shareWithAll(now);
+    }
+
+    void leave() {
+        leaving_ = true;
+        poller_.stop();
+        for (auto& [name, poll] : std::exchange(polls_, {})) refuse(poll.reply, PollStatus::notFresh);
+    }
+
+    std::vector<leases::Gateway> liveGateways() const { return leases_.live(clock_.now()); }
+    bool readsHosts() const { return poller_.running(); }
+    std::size_t waitingPolls() const { return polls_.size(); }
+
+private:
+    bool mayAnswer(Millis now) const {
+        const replica::Replica* replica = driver_.replica();
+        return !leaving_ && replica && replica->fresh(now);
+    }
+
+    void refuse(rpc::Reply& reply, PollStatus status) const {
+        PollReply message;
+        message.status = status;
+        reply.send(encode(message));
+    }
+
+    // A gateway that asks again has no use for the wait of its earlier poll; it is answered, since a call that times out costs
+    // the gateway its connection.
+    void answerEarlierPoll(const std::string& gateway) {
+        auto earlier = polls_.extract(gateway);
+        if (!earlier.empty()) answer(clock_.now(), earlier.mapped().request, earlier.mapped().reply);
+    }
+
+    bool renewLease(Millis now, const leases::Gateway& gateway) {
+        const auto live = leases_.live(now);
+        const auto known = std::find_if(live.begin(), live.end(), [&](const leases::Gateway& other) {
+            return other.name == gateway.name;
+        });
+        const bool matters = known == live.end() || differsForClients(*known, gateway);
+        if (!leases_.renew(now, gateway)) {
+            logger_.seldom("leases", "the lease table is full: gateway {} is refused",
+                           field("gateway", gateway.name));
+            return false;
+        }
+        if (matters) {
+            shareWithAll(now);
+            wakeForCount(now);
+            onGateways_();
+        }
+        return true;
+    }
+
+    // --- polls
+
+    bool hasNews(const PollRequest& request) const {
+        if (driver_.replica()->committedPosition() > request.position) return true;
+        return hosts_.list() && hosts_.version() > request.hostList;
+    }
+
+    void answer(Millis now, const PollRequest& request, rpc::Reply& reply) {
+        if (!mayAnswer(now)) return refuse(reply, PollStatus::notFresh);
+        const replica::Replica& replica = *driver_.replica();
+        PollReply message;
+        if (replica.committedPosition() > request.position) {
+            message.table = replica.updateSince(request.position);
+            if (!message.table) return refuse(reply, PollStatus::notFresh);
+        }
+        addHostList(now, request, message);
+        message.liveGateways = leases_.count(now);
+        message.largestLive = leases_.largestLive(now);
+        message.members = memberAddresses(replica);
+        if (request.wantsLoad) message.othersLoad = leases_.loadOfOthers(now, request.gateway.name);
+        message.leaseMs = leaseMs_;
+        reply.send(encode(message));
+    }
+
+    void addHostList(Millis now, const PollRequest& request, PollReply& message) const {
+        message.hostListVersion = hosts_.version();
+        message.hostListAge = hosts_.age(now);
+        if (!hosts_.list() || hosts_.version() == request.hostList) return;
+        const bool newer = hosts_.version() > request.hostList;
+        if (newer || *message.hostListAge < kListWorthSending) message.hostList = sharedList(now);
+    }
+
+    SharedHostList sharedList(Millis now) const {
+        const instances::HostList& list = *hosts_.list();
+        return {list.version, std::max(0.0, now - list.readAt), list.hosts};
+    }
+
+    static std::vector<std::string> memberAddresses(const replica::Replica& replica) {
+        std::vector<std::string> addresses{replica.self().internalAddress};
+        for (const replica::Member& member : replica.view().members)
+            if (member.name != replica.self().name) addresses.push_back(member.internalAddress);
+        return addresses;
+    }
+
+    template <class Condition>
+    void answerWhere(Condition condition) {
+        const Millis now = clock_.now();
+        std::vector<WaitingPoll> due;
+        for (auto next = polls_.begin(); next != polls_.end();) {
+            const auto poll = next++;
+            if (!condition(poll->second)) continue;
+            due.push_back(std::move(poll->second));
+            polls_.erase(poll);
+        }
+        for (WaitingPoll& poll : due) answer(now, poll.request, poll.reply);
+    }
+
+    void wakePolls() {
+        const bool may = mayAnswer(clock_.now());
+        answerWhere([&](const WaitingPoll& poll) { return !may || hasNews(poll.request); });
+    }
+
+    void answerDue(Millis now) {
+        const bool may = mayAnswer(now);
+        answerWhere([&](const WaitingPoll& poll) { return !may || poll.deadline - now < kServiceTick; });
+    }
+
+    // More gateways share the budgets from now on: all must know soon.
+    void wakeForCount(Millis now) {
+        const auto largest = leases_.largestLive(now);
+        const bool risen = largest && (!toldCount_ || *largest > *toldCount_);
+        toldCount_ = largest;
+        if (risen) answerWhere([](const WaitingPoll&) { return true; });
+    }
+
+    // --- what members tell each other
+
+    Peer* peerOf(const std::string& member) {
+        const replica::Replica* replica = driver_.replica();
+        if (!replica || !replica->view().find(member)) return nullptr;
+        return &peers_[member];
+    }
+
+    void forgetPeers() {
+        const replica::Replica* replica = driver_.replica();
+        std::erase_if(peers_,
+                      [&](const auto& entry) { return !replica || !replica->view().find(entry.first); });
+    }
+
+    void shareWithAll(Millis now) {
+        const replica::Replica* replica = driver_.replica();
+        if (!replica || !replica->inView()) return;
+        sharedAt_ = now;
+        shareSoon_ = false;
+        Share share;
+        share.member = replica->self().name;
+        share.session = replica->self().session;
+        share.epoch = replica->view().epoch;
+        share.leases = leases_.granted(now);
+        share.hostListVersion = hosts_.version();
+        share.hostListAge = hosts_.age(now);
+        share.readsHosts = poller_.running() && poller_.failures() == 0 &&
+                           hosts_.age(now).value_or(kReaderHeard) < kReaderHeard;
+        for (const replica::Member& member : replica->view().members)
+            if (member.name != share.member) shareWith(now, member, share);
+    }
+
+    void shareWith(Millis now, const replica::Member& member, Share& share) {
+        if (peers_.size() >= kMaxPeers && !peers_.contains(member.name)) return;
+        Peer& peer = peers_[member.name];
+        if (peer.asked) {
+            shareSoon_ = true;
+            return;
+        }
+        peer.asked = true;
+        const bool lacksList = hosts_.list() && peer.hostList < hosts_.version();
+        if (lacksList) share.hostList = sharedList(now);
+        client_.call(member.internalAddress, encode(share), kShareTimeout,
+                     [weak = weak_from_this(), name = member.name](Result<std::string> bytes) {
+                         if (const auto self = weak.lock()) self->onShared(name, bytes);
+                     });
+        share.hostList.reset();
+    }
+
+    void onShared(const std::string& member, const Result<std::string>& bytes) {
+        const auto peer = peers_.find(member);
+        if (peer == peers_.end()) return;
+        peer->second.asked = false;
+        if (!bytes) {
+            peer->second.hostList = {};
+            return;
+        }
+        const auto reply = decodeShareReply(bytes.value());
+        if (reply) peer->second.hostList = reply.value().hostListVersion;
+    }
+
+    // --- the host list
+
+    void onReading(const std::shared_ptr<const instances::HostList>& list, Millis confirmedAt) {
+        offer(list, confirmedAt);
+    }
+
+    void offer(std::shared_ptr<const instances::HostList> list, Millis confirmedAt) {
+        const Millis now = clock_.now();
+        if (!hosts_.offer(std::move(list), confirmedAt, now)) return;
+        if (poller_.running()) shareWithAll(now);
+        wakePolls();
+    }
+
+    void lookAtDuty(Millis now) {
+        const replica::Replica* replica = driver_.replica();
+        if (leaving_ || !replica || !replica->inView() || !replica->fresh(now)) return poller_.stop();
+        std::vector<std::string> names;
+        for (const replica::Member& member : replica->view().members) names.push_back(member.name);
+        const auto order = leases::rendezvousOrder(kHostsDuty, names);
+        const std::string& self = replica->self().name;
+        const auto rank =
+            static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
+        if (rank == 0) return read(replica->view().epoch);
+        if (isReadBefore(order, rank, now)) return poller_.stop();
+        const Millis unconfirmed = hosts_.age(now).value_or(now - startedAt_);
+        if (poller_.running() || unconfirmed > kTakeoverAfter * static_cast<double>(rank))
+            read(replica->view().epoch);
+    }
+
+    bool isReadBefore(const std::vector<std::string>& order, std::size_t rank, Millis now) const {
+        for (std::size_t place = 0; place < rank; place++) {
+            const auto peer = peers_.find(order[place]);
+            if (peer != peers_.end() && peer->second.readHostsAt > 0 &&
+                now - peer->second.readHostsAt < kReaderHeard)
+                return true;
+        }
+        return false;
+    }
+
+    void read(std::uint64_t epoch) {
+        fence_ = epoch;
+        const bool sameFence = hosts_.version().fence == epoch;
+        poller_.start(epoch, sameFence ? hosts_.version().number : 0, hosts_.list());
+    }
+
+    const Clock& clock_;
+    Logger& logger_;
+    ReplicaDriver& driver_;
+    rpc::Client& client_;
+    Millis leaseMs_;
+    leases::LeaseTable leases_;
+    Millis startedAt_;
+    instances::HostListHolder hosts_;
+    instances::Poller poller_;
+    std::function<void()> onGateways_;
+    std::map<std::string, WaitingPoll> polls_;  // by gateway
+    std::map<std::string, Peer> peers_;         // by member's name
+    std::uint64_t fence_ = 0;
+    std::optional<std::uint32_t> toldCount_;
+    Millis sharedAt_ = 0;
+    bool shareSoon_ = false, leaving_ = false;
+};
+
+GatewayService::GatewayService(asio::io_context& io, const Clock& clock, Logger& logger,
+                               ReplicaDriver& driver, rpc::Client& client, Settings settings,
+                               std::function<void()> onGateways)
+    : impl_(std::make_shared<Impl>(io, clock, logger, driver, client, std::move(settings),
+                                   std::move(onGateways))) {}
+
+GatewayService::~GatewayService() = default;
+
+void GatewayService::onPoll(PollRequest request, rpc::Reply reply) {
+    impl_->onPoll(std::move(request), std::move(reply));
+}
+void GatewayService::onShare(const Share& share, rpc::Reply reply) {
+    impl_->onShare(share, std::move(reply));
+}
+void GatewayService::onTableMoved() { impl_->onTableMoved(); }
+void GatewayService::onView() { impl_->onView(); }
+void GatewayService::tick() { impl_->tick(); }
+void GatewayService::leave() { impl_->leave(); }
+std::vector<leases::Gateway> GatewayService::liveGateways() const { return impl_->liveGateways(); }
+bool GatewayService::readsHosts() const { return impl_->readsHosts(); }
+std::size_t GatewayService::waitingPolls() const { return impl_->waitingPolls(); }
+
+}  // namespace beechpoint::control
--- /dev/null
+++ b/src/control/gateway_service.hpp
@@ -0,0 +1,68 @@
+// What gateways get from a control member: answers to their polls, by which they hold their leases, and the platform's host list.
+// Members tell each other their grants and the list (Share); one of them, by rendezvous hashing, has the duty of reading it.
+//
+// The duty: the first in the order of the view's members reads under the epoch as its fence. The next one steps in when the list
+// has not been confirmed for kTakeoverAfter for each place in the order, and steps back when one before it reads again.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/messages.hpp"
+#include "core/logger.hpp"
+#include "instances/poller.hpp"
+#include "leases/lease_table.hpp"
+
+namespace asio {
+class io_context;
+}
+namespace beechpoint::rpc {
+class Client;
+class Reply;
+}  // namespace beechpoint::rpc
+
+namespace beechpoint::control {
+
+class ReplicaDriver;
+
+inline constexpr Millis kServiceTick = 250;  // tick() is to be called so often
+inline constexpr Millis kShareEvery = 500;   // to each other member of the view
+inline constexpr Millis kTakeoverAfter =
+    2000;  // an unconfirmed list, for each place in the order of the duty
+inline constexpr std::size_t kMaxWaitingPolls = 256;
+
+class GatewayService {
+public:
+    struct Settings {
+        leases::LeaseTable::Settings leases;
+        instances::Poller::Settings poller;
+        std::uint64_t seed = 0;  // differs at each start
+    };
+
+    // All references must outlive it. `onGateways` is called when a lease is granted or heard of.
+    GatewayService(asio::io_context& io, const Clock& clock, Logger& logger, ReplicaDriver& driver,
+                   rpc::Client& client, Settings settings, std::function<void()> onGateways);
+    ~GatewayService();
+    GatewayService(const GatewayService&) = delete;
+    GatewayService& operator=(const GatewayService&) = delete;
+
+    void onPoll(PollRequest request, rpc::Reply reply);
+    void onShare(const Share& share, rpc::Reply reply);
+    void onTableMoved();
+    void onView();
+    void tick();
+    // Every waiting poll is answered, and later ones at once, with notFresh: gateways go elsewhere.
+    void leave();
+
+    std::vector<leases::Gateway> liveGateways() const;
+    bool readsHosts() const;  // holds the duty
+    std::size_t waitingPolls() const;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace beechpoint::control
--- a/src/leases/lease_table.cpp
+++ b/src/leases/lease_table.cpp
@@ -39,18 +39,13 @@
     lease.gateway = std::move(gateway);
     lease.grantedAt = grantedAt;
     lease.grantedHere = here;
-    lease.toShare = here;
     return true;
 }
 
-std::vector<SharedLease> LeaseTable::takeGranted(Millis now, bool all) {
+std::vector<SharedLease> LeaseTable::granted(Millis now) const {
     std::vector<SharedLease> granted;
-    for (auto& [name, lease] : leases_) {
-        if (!lease.grantedHere || !runs(lease, now)) continue;
-        if (!lease.toShare && !all) continue;
-        granted.push_back({lease.gateway, now - lease.grantedAt});
-        lease.toShare = false;
-    }
+    for (const auto& [name, lease] : leases_)
+        if (lease.grantedHere && runs(lease, now)) granted.push_back({lease.gateway, now - lease.grantedAt});
     return granted;
 }
 
--- a/src/leases/lease_table.hpp
+++ b/src/leases/lease_table.hpp
@@ -59,8 +59,8 @@
     bool renew(Millis now, Gateway gateway);
     // What another member granted. A grant older than the one known, of any session, changes nothing.
     void merge(Millis now, const std::vector<SharedLease>& leases);
-    // The leases granted here since the last call of this; with `all`, every live one granted here.
-    std::vector<SharedLease> takeGranted(Millis now, bool all = false);
+    // The live leases granted here, by name: what the other members are told again and again, so that no loss matters.
+    std::vector<SharedLease> granted(Millis now) const;
     // To be called every few hundred ms: ends leases, notes the count, notices a late wake.
     void look(Millis now);
 
@@ -81,7 +81,6 @@
         Gateway gateway;
         Millis grantedAt = 0;
         bool grantedHere = false;
-        bool toShare = false;
     };
     struct Count {
         Millis until = 0;  // when it was last so
