--- /dev/null
+++ b/tests/routing/routing_table_test.cpp
@@ -0,0 +1,122 @@
+#include "routing/routing_table.hpp"
+
+#include <gtest/gtest.h>
+
+#include "tables.hpp"
+
+namespace beechpoint::routing {
+namespace {
+
+using tables::route;
+
+std::string nameAt(const RoutingTable& table, std::string_view host, std::string_view path) {
+    const auto entry = table.find(host, path);
+    return entry ? entry->route.name : "";
+}
+
+std::shared_ptr<const RoutingTable> tableWith(const std::string& routes) {
+    Table table;
+    tables::put(table, routes);
+    return RoutingTable::fromTable(table, {1, 1});
+}
+
+TEST(RoutingTable, PicksTheLongestPrefixOfTheHost) {
+    const auto table =
+        tableWith(route("root", "h.example", "/") + "," + route("a", "h.example", "/a/") + "," +
+                  route("deep", "h.example", "/a/b/c/") + "," + route("other", "g.example", "/a/b/"));
+    EXPECT_EQ(nameAt(*table, "h.example", "/"), "root");
+    EXPECT_EQ(nameAt(*table, "h.example", "/a"), "root");
+    EXPECT_EQ(nameAt(*table, "h.example", "/ax/"), "root");
+    EXPECT_EQ(nameAt(*table, "h.example", "/a/"), "a");
+    EXPECT_EQ(nameAt(*table, "h.example", "/a/b/c"), "a");
+    EXPECT_EQ(nameAt(*table, "h.example", "/a/b/c/"), "deep");
+    EXPECT_EQ(nameAt(*table, "h.example", "/a/b/c/d/e/f"), "deep");
+    EXPECT_EQ(nameAt(*table, "g.example", "/a/b/c/"), "other");
+    EXPECT_EQ(nameAt(*table, "g.example", "/a/"), "");
+    EXPECT_EQ(nameAt(*table, "g.example", "/"), "");
+    EXPECT_EQ(nameAt(*table, "nowhere.example", "/a/"), "");
+}
+
+TEST(RoutingTable, ComparesHostsWithoutCasePortAndFinalDot) {
+    const auto table = tableWith(route("a", "H.Example", "/a/"));
+    for (const char* host :
+         {"h.example", "H.EXAMPLE", "h.example:8144", "h.example.", "h.example.:80", " h.example\t"})
+        EXPECT_EQ(nameAt(*table, host, "/a/x"), "a") << host;
+    for (const char* host : {"", ":80", "h.exampl", "h.example.x", "xh.example", "[h.example]"})
+        EXPECT_EQ(nameAt(*table, host, "/a/x"), "") << host;
+    EXPECT_EQ(RoutingTable::normalHost("[::1]:80"), "[::1]");
+}
+
+TEST(RoutingTable, LooksAtThePathAloneAndAsItStands) {
+    const auto table = tableWith(route("a", "h", "/a/"));
+    EXPECT_EQ(nameAt(*table, "h", "/a/?x=/b/"), "a");
+    EXPECT_EQ(nameAt(*table, "h", "/?x=/a/"), "");
+    EXPECT_EQ(nameAt(*table, "h", "/A/"), "");
+    EXPECT_EQ(nameAt(*table, "h", "//a/"), "");
+    EXPECT_EQ(nameAt(*table, "h", "a/"), "");
+    EXPECT_EQ(nameAt(*table, "h", ""), "");
+    EXPECT_EQ(nameAt(*table, "h", "*"), "");
+}
+
+TEST(RoutingTable, SpreadsASplitByItsWeights) {
+    const auto table = tableWith(
+        R"({"name":"a","hostname":"h","path_prefix":"/","timeout_ms":1,"backend":"t","traffic_split":[)"
+        R"({"backend":"t","weight":0},{"backend":"s","weight":3},{"backend":"t","weight":1},{"backend":"s","weight":0}]})");
+    const auto entry = table->routeNamed("a");
+    ASSERT_TRUE(entry);
+    EXPECT_EQ(entry->backendFor(0), "s");
+    EXPECT_EQ(entry->backendFor(0.749), "s");
+    EXPECT_EQ(entry->backendFor(0.75), "t");
+    EXPECT_EQ(entry->backendFor(0.999999), "t");
+    EXPECT_EQ(entry->backendFor(1), "t");
+    EXPECT_TRUE(entry->leadsTo("s"));
+    EXPECT_FALSE(entry->leadsTo("u"));
+}
+
+TEST(RoutingTable, KnowsHomes) {
+    const auto table =
+        tableWith(route("a", "h", "/a/") + R"(,{"name":"b","hostname":"h","path_prefix":"/b/","backend":"s",)"
+                                           R"("allowed_regions":["east"]})");
+    EXPECT_TRUE(table->routeNamed("a")->allows("west"));
+    EXPECT_TRUE(table->routeNamed("b")->allows("east"));
+    EXPECT_FALSE(table->routeNamed("b")->allows("west"));
+}
+
+TEST(RoutingTable, HasServicesLimitsZonesAndRevision) {
+    Table table;
+    tables::put(table, route("a", "h", "/a/"));
+    table["limits"] = R"({"max_body_bytes":77})";
+    beechpoint::apply(tables::changesOf(configuration::evacuate(table, "hub-hall", true)), table);
+    const auto routing = RoutingTable::fromTable(table, {3, 4});
+    ASSERT_TRUE(routing->service("s"));
+    EXPECT_DOUBLE_EQ(routing->service("s")->service.maxConnections, 10);
+    EXPECT_FALSE(routing->service("none"));
+    EXPECT_DOUBLE_EQ(routing->limits().maxBodyBytes, 77);
+    EXPECT_TRUE(routing->evacuated("hub-hall"));
+    EXPECT_FALSE(routing->evacuated("other"));
+    EXPECT_EQ(routing->revision(), 1U);
+    EXPECT_EQ(routing->position(), (Position{3, 4}));
+    EXPECT_EQ(routing->unreadable(), 0U);
+}
+
+TEST(RoutingTable, LeavesOutAndCountsWhatItCannotRead) {
+    Table table;
+    tables::put(table, route("a", "h", "/a/") + "," + route("b", "h", "/b/"));
+    table["route/a"] = "1 {\"name\":";
+    table["service/t"] = "no order";
+    const auto routing = RoutingTable::fromTable(table, {1, 1});
+    EXPECT_EQ(routing->unreadable(), 2U);
+    EXPECT_EQ(nameAt(*routing, "h", "/a/"), "");
+    EXPECT_EQ(nameAt(*routing, "h", "/b/"), "b");
+}
+
+// Many slashes cost no more than the longest prefix has.
+TEST(RoutingTable, BoundsTheSearchByTheLongestPrefix) {
+    const auto table = tableWith(route("a", "h", "/a/"));
+    const std::string slashes(1 << 20, '/');
+    EXPECT_EQ(nameAt(*table, "h", slashes), "");
+    EXPECT_EQ(nameAt(*table, "h", "/a" + slashes), "a");
+}
+
+}  // namespace
+}  // namespace beechpoint::routing
--- /dev/null
+++ b/tests/routing/table_copy_test.cpp
@@ -0,0 +1,119 @@
+#include "routing/table_copy.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "tables.hpp"
+
+namespace beechpoint::routing {
+namespace {
+
+using tables::route;
+
+TEST(TableCopy, BeginsEmpty) {
+    const TableCopy copy;
+    ASSERT_TRUE(copy.current());
+    EXPECT_EQ(copy.position(), Position{});
+    EXPECT_FALSE(copy.configured());
+    EXPECT_FALSE(copy.current()->find("h", "/"));
+}
+
+TEST(TableCopy, FollowsDeltas) {
+    Table table;
+    TableCopy copy;
+    EXPECT_TRUE(copy.apply({{1, 1}, true, tables::put(table, route("a", "h", "/a/"))}));
+    EXPECT_TRUE(copy.configured());
+    EXPECT_TRUE(copy.current()->find("h", "/a/"));
+    EXPECT_TRUE(copy.apply({{1, 2}, false, tables::put(table, route("b", "h", "/b/"))}));
+    EXPECT_FALSE(copy.current()->find("h", "/a/"));
+    EXPECT_TRUE(copy.current()->find("h", "/b/"));
+    EXPECT_EQ(copy.current()->revision(), 2U);
+}
+
+TEST(TableCopy, NeverGoesBack) {
+    Table table;
+    TableCopy copy;
+    const std::vector<Change> first = tables::put(table, route("a", "h", "/a/"));
+    copy.apply({{2, 5}, true, first});
+    const auto held = copy.current();
+    const std::vector<Change> older = tables::put(table, route("b", "h", "/b/"));
+    EXPECT_FALSE(copy.apply({{2, 5}, true, older}));
+    EXPECT_FALSE(copy.apply({{2, 4}, false, older}));
+    EXPECT_FALSE(copy.apply({{1, 99}, true, older}));
+    EXPECT_EQ(copy.current(), held);
+    EXPECT_EQ(copy.ignoredUpdates(), 3U);
+    EXPECT_TRUE(copy.apply({{3, 1}, false, older}));
+}
+
+TEST(TableCopy, LeavesSnapshotsThatAreHeldAlone) {
+    Table table;
+    TableCopy copy;
+    copy.apply({{1, 1}, true, tables::put(table, route("a", "h", "/a/") + "," + route("b", "g", "/"))});
+    const auto before = copy.current();
+    copy.apply({{1, 2}, false, tables::put(table, route("b", "h", "/a/"))});
+    EXPECT_EQ(before->find("h", "/a/")->route.name, "a");
+    EXPECT_EQ(before->find("g", "/")->route.name, "b");
+    EXPECT_EQ(copy.current()->find("h", "/a/")->route.name, "b");
+    EXPECT_FALSE(copy.current()->find("g", "/"));
+}
+
+TEST(TableCopy, SharesEntriesThatDidNotChange) {
+    Table table;
+    TableCopy copy;
+    copy.apply({{1, 1}, true, tables::put(table, route("a", "h", "/a/") + "," + route("b", "h", "/b/"))});
+    const auto before = copy.current();
+    tables::put(table, route("a", "h", "/a/") + "," + route("b", "h", "/c/"));
+    copy.apply({{1, 2}, true, tables::wholeOf(table)});
+    EXPECT_EQ(copy.current()->routeNamed("a"), before->routeNamed("a"));
+    EXPECT_EQ(copy.current()->service("s"), before->service("s"));
+    EXPECT_NE(copy.current()->routeNamed("b"), before->routeNamed("b"));
+}
+
+TEST(TableCopy, AppliesEvacuationsAndTheirEnd) {
+    Table table;
+    TableCopy copy;
+    copy.apply({{1, 1}, true, tables::put(table, route("a", "h", "/a/"))});
+    copy.apply({{1, 2}, false, {{"evacuated/hub-hall", "1"}}});
+    EXPECT_TRUE(copy.current()->evacuated("hub-hall"));
+    copy.apply({{1, 3}, false, {{"evacuated/hub-hall", std::nullopt}}});
+    EXPECT_FALSE(copy.current()->evacuated("hub-hall"));
+    copy.apply({{1, 4}, false, {{"evacuated/hub-hall", "1"}}});
+    copy.apply({{1, 5}, true, tables::wholeOf(table)});
+    EXPECT_FALSE(copy.current()->evacuated("hub-hall"));
+}
+
+// Whatever a series of configurations changes, deltas lead to the same routes as the whole table does.
+TEST(TableCopy, DeltasAgreeWithTheWholeTable) {
+    std::mt19937 random{11};
+    Table table;
+    TableCopy copy;
+    for (std::uint64_t sequence = 1; sequence <= 300; ++sequence) {
+        std::string routes;
+        std::vector<bool> placeUsed(12);
+        for (unsigned number = 0; number < 8; ++number) {
+            const unsigned place = static_cast<unsigned>(random() % placeUsed.size());
+            if (placeUsed[place] || random() % 4 == 0) continue;
+            placeUsed[place] = true;
+            routes +=
+                (routes.empty() ? "" : ",") +
+                route(fmt::format("r{}", number), fmt::format("h{}", place % 3), fmt::format("/p{}/", place));
+        }
+        copy.apply({{1, sequence}, false, tables::put(table, routes)});
+        const auto whole = RoutingTable::fromTable(table, {1, sequence});
+        ASSERT_EQ(copy.current()->routes().size(), whole->routes().size());
+        for (unsigned place = 0; place < placeUsed.size(); ++place) {
+            const std::string host = fmt::format("h{}", place % 3);
+            const auto byDelta = copy.current()->find(host, fmt::format("/p{}/x", place));
+            const auto byWhole = whole->find(host, fmt::format("/p{}/x", place));
+            ASSERT_EQ(byDelta != nullptr, byWhole != nullptr);
+            ASSERT_EQ(byDelta != nullptr, placeUsed[place]);
+            if (byDelta) {
+                ASSERT_EQ(byDelta->route, byWhole->route);
+            }
+        }
+    }
+}
+
+}  // namespace
+}  // namespace beechpoint::routing
