--- /dev/null
+++ b/tests/storage/store_test.cpp
@@ -0,0 +1,308 @@
+#include "storage/store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "folder.hpp"
+
+namespace beechpoint::storage {
+namespace {
+
+constexpr std::size_t kSmallMap = 1u << 20;
+
+Opened open(const Folder& folder, std::size_t mapBytes = kSmallMap) {
+    Result<Opened> opened = Store::open(folder.store(), mapBytes);
+    if (!opened) throw std::runtime_error(opened.error().text());
+    return std::move(opened).value();
+}
+
+void write(Store& store, const Update& update) {
+    const Result<void> written = store.write(update);
+    ASSERT_TRUE(written) << written.error().text();
+}
+
+Batch batch(std::uint64_t sequence, std::vector<Change> changes) {
+    return {{1, sequence}, std::move(changes)};
+}
+
+// A store with a record of every kind, several pages and a value on overflow pages.
+Update everything() {
+    Update update;
+    update.incarnation = 42;
+    update.view = std::string("view\0bytes", 10);
+    update.vote = "vote";
+    update.syncedEpoch = 3;
+    Snapshot snapshot;
+    snapshot.position = {3, 7};
+    snapshot.table["large"] = std::string(20'000, 'L');
+    snapshot.table[std::string(600, 'k')] = "of a long key";
+    snapshot.table[""] = "of an empty key";
+    for (int i = 0; i < 200; ++i) snapshot.table["key/" + std::to_string(i)] = std::string(60, 'v');
+    update.snapshot = std::move(snapshot);
+    update.pending = Batch{{3, 8}, {{"a", "1"}, {"b", std::nullopt}, {"c", ""}}};
+    return update;
+}
+
+void expectEverything(const Contents& contents) {
+    const Update written = everything();
+    EXPECT_FALSE(contents.lost) << contents.lossReason;
+    EXPECT_FALSE(contents.fresh);
+    EXPECT_EQ(contents.incarnation, written.incarnation);
+    EXPECT_EQ(contents.view, written.view);
+    EXPECT_EQ(contents.vote, written.vote);
+    EXPECT_EQ(contents.syncedEpoch, written.syncedEpoch);
+    EXPECT_EQ(contents.position, written.snapshot->position);
+    EXPECT_EQ(contents.table, written.snapshot->table);
+    EXPECT_EQ(contents.pending, written.pending);
+}
+
+TEST(Store, AFreshOneIsEmptyAndItsFoldersAreMade) {
+    const Folder folder;
+    const Opened opened = open(folder);
+    EXPECT_TRUE(opened.contents.fresh);
+    EXPECT_FALSE(opened.contents.lost);
+    EXPECT_FALSE(opened.contents.incarnation);
+    EXPECT_TRUE(opened.contents.table.empty());
+    EXPECT_EQ(opened.contents.position, Position{});
+    EXPECT_TRUE(std::filesystem::exists(folder.data()));
+}
+
+TEST(Store, OpenedAndNeverWrittenItIsStillFresh) {
+    const Folder folder;
+    open(folder);
+    const Opened again = open(folder);
+    EXPECT_TRUE(again.contents.fresh);
+    EXPECT_FALSE(again.contents.lost);
+}
+
+TEST(Store, WhatWasWrittenIsThereAfterReopening) {
+    const Folder folder;
+    {
+        Opened opened = open(folder);
+        write(opened.store, everything());
+    }
+    expectEverything(open(folder).contents);
+}
+
+// As after a kill: the file as the last write left it, the environment never closed.
+TEST(Store, AFileTakenWithoutClosingHoldsTheLastWrite) {
+    const Folder folder, copy;
+    Opened opened = open(folder);
+    for (int round = 0; round < 5; ++round) {
+        write(opened.store, everything());
+        open(copy);
+        Folder::write(copy.data(), Folder::read(folder.data()));
+        expectEverything(open(copy).contents);
+    }
+}
+
+TEST(Store, APendingBatchIsKeptUntilItIsFoldedAndCleared) {
+    const Folder folder;
+    const Batch first = batch(1, {{"a", "1"}, {"b", "2"}});
+    const Batch second = batch(2, {{"a", std::nullopt}, {"c", "3"}});
+    {
+        Opened opened = open(folder);
+        Update propose;
+        propose.pending = first;
+        write(opened.store, propose);
+    }
+    {
+        Opened opened = open(folder);
+        EXPECT_EQ(opened.contents.pending, first);
+        EXPECT_TRUE(opened.contents.table.empty());
+        Update foldAndPropose;
+        foldAndPropose.fold = first;
+        foldAndPropose.clearPending = true;
+        foldAndPropose.pending = second;
+        write(opened.store, foldAndPropose);
+    }
+    {
+        Opened opened = open(folder);
+        EXPECT_EQ(opened.contents.pending, second);
+        EXPECT_EQ(opened.contents.position, first.position);
+        EXPECT_EQ(opened.contents.table, (Table{{"a", "1"}, {"b", "2"}}));
+        Update fold;
+        fold.fold = second;
+        fold.clearPending = true;
+        fold.forceSync = false;
+        write(opened.store, fold);
+        write(opened.store, fold);  // the same again changes nothing
+    }
+    const Contents contents = open(folder).contents;
+    EXPECT_FALSE(contents.pending);
+    EXPECT_EQ(contents.position, second.position);
+    EXPECT_EQ(contents.table, (Table{{"b", "2"}, {"c", "3"}}));
+}
+
+TEST(Store, ASnapshotReplacesTheWholeTableAndNothingElse) {
+    const Folder folder;
+    const Table table{{"key/1", "new"}, {"other", "x"}};
+    {
+        Opened opened = open(folder);
+        write(opened.store, everything());
+        Update replace;
+        replace.snapshot = Snapshot{{9, 1}, table};
+        replace.clearPending = true;
+        write(opened.store, replace);
+    }
+    const Contents contents = open(folder).contents;
+    EXPECT_EQ(contents.table, table);
+    EXPECT_EQ(contents.position, (Position{9, 1}));
+    EXPECT_FALSE(contents.pending);
+    EXPECT_EQ(contents.vote, "vote");
+}
+
+TEST(Store, ManyRoundsOfChangesEndWhereAPlainTableEnds) {
+    const Folder folder;
+    std::mt19937 random(20261202);
+    Table expected;
+    std::optional<Opened> opened = open(folder);
+    for (std::uint64_t sequence = 1; sequence <= 300; ++sequence) {
+        std::vector<Change> changes;
+        for (int i = 0; i < 5; ++i) {
+            const std::string key = "k" + std::to_string(random() % 60);
+            if (random() % 3 == 0)
+                changes.push_back({key, std::nullopt});
+            else
+                changes.push_back(
+                    {key, std::string(random() % 5000, static_cast<char>('a' + random() % 26))});
+        }
+        beechpoint::apply(changes, expected);
+        Update fold;
+        fold.fold = batch(sequence, changes);
+        write(opened->store, fold);
+        if (sequence % 50 != 0) continue;
+        opened.reset();
+        opened = open(folder);
+        ASSERT_EQ(opened->contents.table, expected);
+        ASSERT_EQ(opened->contents.position, (Position{1, sequence}));
+    }
+}
+
+// Whatever byte of the file is altered: the store is either as it was (the byte says nothing any more) or lost, and then
+// empty and of use again. Never half of it.
+TEST(Store, AnAlteredByteIsNeverHalfBelieved) {
+    const Folder folder;
+    {
+        Opened opened = open(folder);
+        write(opened.store, everything());
+        write(opened.store, everything());
+    }
+    const std::string sound = Folder::read(folder.data());
+    std::mt19937 random(7);
+    int lost = 0;
+    constexpr int kTrials = 400;
+    for (int trial = 0; trial < kTrials; ++trial) {
+        std::string altered = sound;
+        altered[random() % altered.size()] ^= static_cast<char>(1 + random() % 255);
+        Folder::write(folder.data(), altered);
+        Opened opened = open(folder);
+        if (!opened.contents.lost) {
+            expectEverything(opened.contents);
+            continue;
+        }
+        ++lost;
+        EXPECT_TRUE(opened.contents.fresh);
+        EXPECT_FALSE(opened.contents.lossReason.empty());
+        EXPECT_TRUE(opened.contents.table.empty());
+        EXPECT_FALSE(opened.contents.incarnation || opened.contents.view || opened.contents.vote ||
+                     opened.contents.pending || opened.contents.syncedEpoch);
+    }
+    EXPECT_GT(lost, kTrials / 4);
+}
+
+// The same for the first bytes of each page, where LMDB keeps what it follows blindly.
+TEST(Store, AlteredPageHeadersAreNeverHalfBelieved) {
+    constexpr std::size_t kPage = 4096, kHead = 48;
+    const Folder folder;
+    {
+        Opened opened = open(folder);
+        write(opened.store, everything());
+    }
+    const std::string sound = Folder::read(folder.data());
+    for (std::size_t page = 0; page < sound.size(); page += kPage)
+        for (std::size_t offset = 0; offset < kHead; offset += 2) {
+            std::string altered = sound;
+            altered[page + offset] = static_cast<char>(altered[page + offset] ^ 0x81);
+            Folder::write(folder.data(), altered);
+            Opened opened = open(folder);
+            if (!opened.contents.lost) expectEverything(opened.contents);
+        }
+}
+
+TEST(Store, ALostStoreIsMovedAsideAndANewOneTakesItsPlace) {
+    const Folder folder;
+    {
+        Opened opened = open(folder);
+        write(opened.store, everything());
+    }
+    std::string torn = Folder::read(folder.data());
+    torn.resize(torn.size() / 2);
+    Folder::write(folder.data(), torn);
+    {
+        Opened opened = open(folder);
+        ASSERT_TRUE(opened.contents.lost);
+        write(opened.store, everything());
+    }
+    EXPECT_EQ(Folder::read(folder.store() / kAsideName), torn);
+    expectEverything(open(folder).contents);
+}
+
+TEST(Store, AnEmptyFileIsFreshAndOneOfAnotherKindIsLost) {
+    const Folder folder;
+    open(folder);
+    Folder::write(folder.data(), "");
+    EXPECT_FALSE(open(folder).contents.lost);
+    Folder::write(folder.data(), std::string(10'000, 'x'));
+    EXPECT_TRUE(open(folder).contents.lost);
+}
+
+TEST(Store, AFullMapRefusesWritesKeepsVotingAndTakesWritesAgainAfterARemoval) {
+    const Folder folder;
+    Table table;
+    {
+        Opened opened = open(folder);
+        Result<void> written = boost::outcome_v2::success();
+        std::uint64_t sequence = 0;
+        const std::string value(40'000, 'v');
+        while (written) {
+            ASSERT_LT(++sequence, 100u);
+            Update fold;
+            fold.fold = batch(sequence, {{"k" + std::to_string(sequence), value}});
+            written = opened.store.write(fold);
+            if (written) beechpoint::apply(fold.fold->changes, table);
+        }
+        EXPECT_EQ(written.error().kind, ErrorKind::storage);
+        EXPECT_FALSE(written.error().remedy.empty());
+        EXPECT_GT(table.size(), 10u);
+
+        Update vote;
+        vote.vote = "still heard";
+        for (int i = 0; i < 20; ++i) write(opened.store, vote);
+        Update remove;
+        remove.fold = batch(200, {{"k1", std::nullopt}, {"k2", std::nullopt}});
+        write(opened.store, remove);
+        beechpoint::apply(remove.fold->changes, table);
+        write(opened.store, vote);
+        Update add;
+        add.fold = batch(201, {{"again", value}});
+        write(opened.store, add);
+        beechpoint::apply(add.fold->changes, table);
+    }
+    const Contents contents = open(folder).contents;
+    EXPECT_EQ(contents.table, table);
+    EXPECT_EQ(contents.vote, "still heard");
+    EXPECT_LE(std::filesystem::file_size(folder.data()), kSmallMap);
+}
+
+TEST(Store, AFolderThatCannotBeMadeIsAnError) {
+    const Folder folder;
+    Folder::write(folder.path() / "deep", "a file in the way");
+    const Result<Opened> opened = Store::open(folder.store(), kSmallMap);
+    ASSERT_FALSE(opened);
+    EXPECT_EQ(opened.error().kind, ErrorKind::storage);
+}
+
+}  // namespace
+}  // namespace beechpoint::storage
