--- a/src/dispatch/selection.cpp
+++ b/src/dispatch/selection.cpp
@@ -115,9 +115,7 @@
         all.push_back(scored);
         if (!slot.cut) sound.push_back(scored);
     }
-    std::vector<policy::Scored>& list = sound.empty() ? all : sound;
-    policy::sortByScore(list);
-    return list;
+    return policy::ranking(sound.empty() ? all : sound);
 }
 
 double Selection::tokensToRead(const Request& request, const ServiceState& service, int host) const {
--- a/src/policy/score.hpp
+++ b/src/policy/score.hpp
@@ -1,11 +1,11 @@
 // Score, ranking and weighted draw of the retry design: s = t/t_user + f/f_user.
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <vector>
 
-#include "policy/mean.hpp"
-
 namespace firkeel::policy {
 
 constexpr double kDropAbove = 20;   // a, score units: a host scoring above leaves W
@@ -17,9 +17,10 @@
     double t = 0, f = 0, s = 0;
 };
 
-inline void sortByScore(std::vector<Scored>& list) {  // best first
-    std::sort(list.begin(), list.end(),
-              [](auto& a, auto& b) { return std::tie(a.s, a.server) < std::tie(b.s, b.server); });
+inline double scoreOf(double t, double f, double tUser, double fUser) { return t / tUser + f / fUser; }
+inline std::vector<Scored> ranking(std::vector<Scored> list) {  // best first
+    std::ranges::sort(list, {}, [](const Scored& r) { return std::tuple(r.s, r.server); });
+    return list;
 }
 // W: those at or below a; if none passes, the best.
 inline std::vector<Scored> passing(std::vector<Scored> list) {
--- a/src/policy/width.hpp
+++ b/src/policy/width.hpp
@@ -11,10 +11,9 @@
 
 constexpr std::size_t kLeastPairs = 8;  // fewer say nothing about T(x)
 
-// v: the largest x for which the x-th host at once still cuts the mean time T by t_user. recentOf(server) is the
-// deque of its recent times; T(x) is the mean of the least of the top x, paired from the newest back.
-template <class RecentOf>
-int width(const std::vector<Scored>& w, double gainTarget, RecentOf recentOf) {
+// v: the largest x for which the x-th host at once still cuts the mean time T by t_user. recentOf(server) is
+// the deque of its recent times; T(x) is the mean of the least of the top x, paired from the newest back.
+int width(const std::vector<Scored>& w, double gainTarget, auto recentOf) {
     std::size_t pairs = kPairs;
     double before = 0;
     int v = 1;
@@ -24,10 +23,8 @@
         double mean = 0;
         for (std::size_t i = 1; i <= pairs; ++i) {
             double least = 1e30;
-            for (std::size_t j = 0; j < x; ++j) {
-                const auto& times = recentOf(w[j].server);
-                least = std::min(least, times[times.size() - i]);
-            }
+            for (std::size_t j = 0; j < x; ++j)
+                least = std::min(least, recentOf(w[j].server).rbegin()[i - 1]);
             mean += least / static_cast<double>(pairs);
         }
         if (x > 1 && before - mean >= gainTarget) v = static_cast<int>(x);
