Make the random scenarios' small budget small enough to be pressed on

With 1 in 100 and 3 the mutated check fails in the third scenario (16 further sends against 12.8), and the real one passes all 40.

--- a/tests/dispatch/random_test.cpp
+++ b/tests/dispatch/random_test.cpp
@@ -40,7 +40,7 @@
 
     // Every third scenario has a budget that its failures would exceed many times over.
     explicit Scenario(std::uint64_t seed)
-        : random(seed), ratio(seed % 3 == 0 ? 0.03 : 0.2), slack(seed % 3 == 0 ? 6 : 40) {
+        : random(seed), ratio(seed % 3 == 0 ? 0.01 : 0.2), slack(seed % 3 == 0 ? 3 : 40) {
         const int count = 1 + static_cast<int>(random.below(6));
         Settings settings = testSettings();
         settings.retryBudgetRatio = ratio;
