Read configurations with RapidJSON, in place and without a state machine over parse events

An own scanner was ruled out: parsing JSON is a library's work. Tests: the places of five faulty list items name the item now instead of the list, and a list that is an object is named as such; the expectations follow. Needs rapidjson-dev.

--- a/src/configuration/document.cpp
+++ b/src/configuration/document.cpp
@@ -5,7 +5,9 @@
 #include <cmath>
 #include <utility>
 
+#include "configuration/configuration_fields.hpp"
 #include "configuration/items.hpp"
+#include "configuration/json_source.hpp"
 
 namespace beechpoint::configuration {
 namespace {
@@ -19,201 +21,152 @@
 constexpr std::string_view kUpsert = "upsert";
 constexpr std::string_view kRemove = "remove";
 
-// Takes the items out of a body while it is parsed.
+Result<std::uint64_t> readRevision(const Json& body) {
+    const Error unreadable{ErrorKind::invalid, "/revision", "is not a whole number above 0",
+                           "give the configuration a number above the current one"};
+    const Json* const revision = memberOf(body, kRevision);
+    if (!revision || !revision->IsNumber()) return unreadable;
+    if (revision->IsUint64()) return revision->GetUint64();
+    // A larger fraction may not be the whole number that was meant.
+    constexpr double kExactlyWhole = 9007199254740992.0;
+    const double value = revision->GetDouble();
+    if (value < 0 || value > kExactlyWhole || value != std::floor(value)) return unreadable;
+    return static_cast<std::uint64_t>(value);
+}
+
+// Takes a parsed body apart.
 class DocumentReader {
 public:
-    explicit DocumentReader(DocumentKind kind) : kind_(kind) {}
-
-    Result<Document> read(std::string_view body) {
-        Json rest;
-        try {
-            rest = Json::parse(body, [this](int depth, Json::parse_event_t event, Json& parsed) {
-                return onEvent(depth, event, parsed);
-            });
-        } catch (const Json::parse_error& error) {
-            return Error{ErrorKind::invalid, "", fmt::format("the body is not JSON, at byte {}", error.byte),
-                         "send one JSON object"};
-        }
-        if (tooDeep_)
-            return Error{ErrorKind::invalid, "", fmt::format("the body nests deeper than {}", kMaxNesting),
-                         "send a configuration"};
-        if (!rest.is_object())
-            return Error{ErrorKind::invalid, "", "the body is no object", "send one JSON object"};
-        const Result<std::uint64_t> revision = readRevision(rest);
-        if (!revision) return revision.error();
-        document_.revision = revision.value();
-        if (kind_ == DocumentKind::whole)
-            finishWhole(rest);
-        else
-            finishChanges(rest);
-        return std::move(document_);
-    }
-
-private:
-    // Depth of an item: in a whole configuration below its list, in changes below upsert and its list.
-    int itemDepth() const { return kind_ == DocumentKind::whole ? 2 : 3; }
-
-    // False takes the value out of what parse() returns.
-    bool onEvent(int depth, Json::parse_event_t event, Json& parsed) {
-        using Event = Json::parse_event_t;
-        if ((event == Event::object_start || event == Event::array_start) && depth >= kMaxNesting) {
-            tooDeep_ = true;
-            return false;
-        }
-        if (event == Event::key && depth <= 2) noteKey(depth, parsed.get_ref<const std::string&>());
-        if (event != Event::object_end || depth != itemDepth() || !inItems()) return true;
-        takeItem(parsed);
-        return false;
-    }
+    explicit DocumentReader(Document& document) : document_(document) {}
 
-    void noteKey(int depth, const std::string& key) {
-        (depth == 1 ? outerKey_ : innerKey_) = key;
-        if (depth == 1) innerKey_.clear();
-        taken_ = 0;
-    }
-
-    const std::string& listName() const { return kind_ == DocumentKind::whole ? outerKey_ : innerKey_; }
-
-    bool inItems() const {
-        if (kind_ == DocumentKind::changes && outerKey_ != kUpsert) return false;
-        return listName() == kRoutes || listName() == kServices;
-    }
-
-    void takeItem(const Json& parsed) {
+    void readWhole(const Json& body) {
         const Place top;
-        const Place upsert{&top, kUpsert, {}};
-        const Place list{kind_ == DocumentKind::whole ? &top : &upsert, listName(), {}};
-        const Place place{&list, {}, taken_++};
-        if (document_.faults.size() >= kMaxFaults) return;
-        if (listName() == kRoutes)
-            take(parsed, place, readRoute, document_.items.routes);
-        else
-            take(parsed, place, readService, document_.items.services);
+        for (const std::string_view name : {kRoutes, kServices})
+            if (!memberOf(body, name))
+                fault(Place{&top, name, {}}, "is missing", "send the whole configuration");
+        readItems(body, top, true);
     }
 
-    template <class Value, class Read>
-    void take(const Json& parsed, const Place& place, Read readItem, std::vector<Item<Value>>& items) {
-        Item<Value> item;
-        readItem(parsed, place, document_.faults, item.value);
-        item.json = parsed.dump();
-        item.place = place.text<JsonSource>();
-        items.push_back(std::move(item));
+    void readChanges(const Json& body) {
+        const Place top;
+        if (const Json* const upsert = objectMember(body, kUpsert, top))
+            readItems(*upsert, Place{&top, kUpsert, {}}, false);
+        if (const Json* const remove = objectMember(body, kRemove, top))
+            readRemovals(*remove, Place{&top, kRemove, {}});
+        if (const Json* const limits = memberOf(body, kLimits))
+            readLimitsAt(*limits, Place{&top, kLimits, {}});
     }
 
-    static Result<std::uint64_t> readRevision(const Json& body) {
-        const Error unreadable{ErrorKind::invalid, "/revision", "is not a whole number above 0",
-                               "give the configuration a number above the current one"};
-        const auto found = body.find(std::string{kRevision});
-        if (found == body.end() || !found->is_number()) return unreadable;
-        if (found->is_number_unsigned()) return found->get<std::uint64_t>();
-        // A larger float may not be a whole number that was meant.
-        constexpr double kExactlyWhole = 9007199254740992.0;
-        const double value = found->get<double>();
-        if (value < 0 || value > kExactlyWhole || value != std::floor(value)) return unreadable;
-        return static_cast<std::uint64_t>(value);
-    }
+private:
+    bool full() const { return document_.faults.size() >= kMaxFaults; }
 
-    void fault(std::string place, std::string message, std::string remedy) {
+    void fault(const Place& place, std::string message, std::string remedy) {
         document_.faults.push_back(
-            {ErrorKind::invalid, std::move(place), std::move(message), std::move(remedy)});
-    }
-
-    void finishWhole(Json& rest) {
-        for (const std::string_view name : {kRoutes, kServices})
-            if (!rest.contains(std::string{name}))
-                fault(fmt::format("/{}", name), "is missing", "send the whole configuration");
-        takeMembers(rest, "");
+            {ErrorKind::invalid, place.text<JsonSource>(), std::move(message), std::move(remedy)});
     }
 
-    void finishChanges(Json& rest) {
-        for (const auto& [name, member] : rest.items()) {
-            if (name == kUpsert && takesObject(name, member)) takeMembers(member, "/upsert");
-            if (name == kRemove && takesObject(name, member)) takeRemovals(member);
-            if (name == kLimits) takeLimits(member, "/limits");
-        }
-    }
-
-    bool takesObject(const std::string& name, const Json& member) {
-        if (member.is_object()) return true;
-        if (!member.is_null()) fault("/" + name, "is no object", "send lists by name");
-        return false;
+    // nullptr when the member is missing or null, and after the fault when it is something else.
+    const Json* objectMember(const Json& body, std::string_view name, const Place& top) {
+        const Json* const member = memberOf(body, name);
+        if (!member || member->IsNull()) return nullptr;
+        if (member->IsObject()) return member;
+        fault(Place{&top, name, {}}, "is no object", "send lists by name");
+        return nullptr;
     }
 
-    // What the pass has left of the object that holds the lists.
-    void takeMembers(Json& holder, const std::string& place) {
-        for (const auto& [name, member] : holder.items()) {
-            const std::string here = place + "/" + name;
-            if (name == kRoutes || name == kServices)
-                expectEmptyList(member, here);
+    void readItems(const Json& holder, const Place& place, bool whole) {
+        for (const auto& member : holder.GetObject()) {
+            const std::string_view name = textOf(member.name);
+            const Place here{&place, name, {}};
+            if (name == kRoutes)
+                readList(member.value, here, whole, readRoute, document_.items.routes);
+            else if (name == kServices)
+                readList(member.value, here, whole, readService, document_.items.services);
             else if (name == kLimits)
-                takeLimits(member, here);
-            else if (name != kRevision || kind_ == DocumentKind::changes)
-                takeOther(name, member, here);
+                readLimitsAt(member.value, here);
+            else if (!(whole && name == kRevision) && nameFits(name, here))
+                document_.items.others.push_back({std::string{name}, compactJson(member.value)});
         }
     }
 
-    // Items that are objects were taken out; anything left is none.
-    void expectEmptyList(const Json& member, const std::string& place) {
-        const bool absent = member.is_null() && kind_ == DocumentKind::changes;
-        if (absent || (member.is_array() && member.empty())) return;
-        fault(place, "is not a list of objects", "send a list of objects with names");
-    }
-
-    void takeLimits(const Json& member, const std::string& place) {
-        if (member.is_null()) return;
-        Limits limits;
-        const Place top;
-        readLimits(member, Place{&top, std::string_view{place}.substr(1), {}}, document_.faults, limits);
-        document_.items.limits = member.dump();
+    // A list of the whole configuration has to be there; of changes it may be null.
+    template <class Value, class Read>
+    void readList(const Json& list, const Place& place, bool needed, Read readItem,
+                  std::vector<Item<Value>>& items) {
+        if (list.IsNull() && !needed) return;
+        if (!list.IsArray())
+            return fault(place, "is not a list of objects", "send a list of objects with names");
+        items.reserve(list.Size());
+        for (std::size_t index = 0; index < list.Size() && !full(); ++index) {
+            const Json& json = list[static_cast<rapidjson::SizeType>(index)];
+            const Place here{&place, {}, index};
+            Item<Value>& item = items.emplace_back();
+            readItem(json, here, document_.faults, item.value);
+            item.json = compactJson(json);
+            item.place = here.text<JsonSource>();
+        }
     }
 
-    void takeOther(const std::string& name, Json& member, const std::string& place) {
-        if (!nameFits(name, place)) return;
-        document_.items.others.push_back({name, std::move(member)});
+    void readLimitsAt(const Json& limits, const Place& place) {
+        if (limits.IsNull()) return;
+        Limits read;
+        readLimits(limits, place, document_.faults, read);
+        document_.items.limits = compactJson(limits);
     }
 
-    bool nameFits(const std::string& name, const std::string& place) {
-        if (!name.empty() && name.size() <= kMaxMemberNameBytes) return true;
+    bool nameFits(std::string_view name, const Place& place) {
+        if (!name.empty() && name.size() <= kMaxNameBytes) return true;
         fault(place, fmt::format("has a name of {} bytes", name.size()),
-              fmt::format("use 1 to {}", kMaxMemberNameBytes));
+              fmt::format("use 1 to {}", kMaxNameBytes));
         return false;
     }
 
-    void takeRemovals(Json& holder) {
-        for (const auto& [name, member] : holder.items()) {
-            const std::string here = "/remove/" + name;
-            if (member.is_null() || !isListOfNames(member, here)) continue;
+    void readRemovals(const Json& holder, const Place& place) {
+        for (const auto& member : holder.GetObject()) {
+            const std::string_view name = textOf(member.name);
+            const Place here{&place, name, {}};
+            if (member.value.IsNull()) continue;
+            std::vector<std::string> names = readNames(member.value, here);
             if (name == kRoutes)
-                document_.removedRoutes = member.get<std::vector<std::string>>();
+                document_.removedRoutes = std::move(names);
             else if (name == kServices)
-                document_.removedServices = member.get<std::vector<std::string>>();
+                document_.removedServices = std::move(names);
             else if (nameFits(name, here))
-                document_.removedOthers.push_back({name, std::move(member)});
+                document_.removedOthers.push_back({std::string{name}, std::move(names)});
         }
     }
 
-    bool isListOfNames(const Json& member, const std::string& place) {
-        bool names = member.is_array();
-        if (names)
-            for (const Json& name : member) names = names && name.is_string();
-        if (!names) fault(place, "is not a list of names", "send a list of texts");
+    std::vector<std::string> readNames(const Json& list, const Place& place) {
+        std::vector<std::string> names;
+        settings::DescribedReader<JsonSource>{document_.faults}.read(JsonSource{list}, place,
+                                                                     settings::kNoRule, names);
         return names;
     }
 
-    static constexpr std::size_t kMaxMemberNameBytes = 256;
-
-    DocumentKind kind_;
-    Document document_;
-    std::string outerKey_;
-    std::string innerKey_;
-    std::size_t taken_ = 0;
-    bool tooDeep_ = false;
+    Document& document_;
 };
 
 }  // namespace
 
 Result<Document> readDocument(std::string_view body, DocumentKind kind) {
-    return DocumentReader{kind}.read(body);
+    JsonDocument json;
+    std::string copy{body};
+    if (const std::optional<JsonFault> fault = parseJsonInPlace(copy, json))
+        return Error{ErrorKind::invalid, "",
+                     fmt::format("the body is not JSON, at byte {}: {}", fault->byte, fault->message),
+                     "send one JSON object"};
+    if (!json.IsObject())
+        return Error{ErrorKind::invalid, "", "the body is no object", "send one JSON object"};
+    const Result<std::uint64_t> revision = readRevision(json);
+    if (!revision) return revision.error();
+    Document document;
+    document.revision = revision.value();
+    DocumentReader reader{document};
+    if (kind == DocumentKind::whole)
+        reader.readWhole(json);
+    else
+        reader.readChanges(json);
+    return document;
 }
 
 }  // namespace beechpoint::configuration
--- a/src/configuration/document.hpp
+++ b/src/configuration/document.hpp
@@ -1,6 +1,4 @@
-// The body of a PUT or PATCH of the configuration, read in one pass. Routes and services are taken out of the
-// parsed text one by one, as typed item and as compact JSON, so that the memory used beyond the body's own size
-// does not grow with the number of items.
+// The body of a PUT or PATCH of the configuration: its items, each typed and as compact JSON text.
 #pragma once
 
 #include <cstdint>
@@ -10,12 +8,10 @@
 #include <vector>
 
 #include "configuration/configuration.hpp"
-#include "configuration/json_source.hpp"
 #include "core/result.hpp"
 
 namespace beechpoint::configuration {
 
-inline constexpr int kMaxNesting = 64;         // of objects and lists in a body
 inline constexpr std::size_t kMaxFaults = 16;  // after so many a body is not looked at further
 
 template <class Value>
@@ -25,9 +21,16 @@
     std::string place;  // JSON pointer into the body
 };
 
-struct NamedJson {
+// A member that is not known here.
+struct OtherMember {
     std::string name;
-    Json value;
+    std::string json;  // compact
+};
+
+// Items to remove from a list that is not known here.
+struct OtherRemoval {
+    std::string list;
+    std::vector<std::string> names;
 };
 
 // The items of a PUT, or those of a PATCH to add or to replace.
@@ -35,7 +38,7 @@
     std::vector<Item<Route>> routes;
     std::vector<Item<Service>> services;
     std::optional<std::string> limits;  // compact JSON
-    std::vector<NamedJson> others;      // members that are not known here
+    std::vector<OtherMember> others;
 };
 
 struct Document {
@@ -43,8 +46,8 @@
     Items items;
     std::vector<std::string> removedRoutes;
     std::vector<std::string> removedServices;
-    std::vector<NamedJson> removedOthers;  // lists of names
-    std::vector<Error> faults;             // broken rules of single items
+    std::vector<OtherRemoval> removedOthers;
+    std::vector<Error> faults;  // broken rules of single items
 };
 
 enum class DocumentKind { whole, changes };
--- a/src/configuration/items.cpp
+++ b/src/configuration/items.cpp
@@ -1,5 +1,7 @@
 #include "configuration/items.hpp"
 
+#include <cstddef>
+
 #include "configuration/configuration_fields.hpp"
 
 namespace beechpoint::configuration {
@@ -24,10 +26,18 @@
                      "give one service a weight above 0");
 }
 
+// Enough for a common item; a larger one gets memory from the heap.
+constexpr std::size_t kItemBuffer = 8192;
+
 template <class Item, class Read>
 Result<Item> parseItem(std::string_view text, Read read) {
-    const Json json = Json::parse(text, nullptr, false);
-    if (json.is_discarded()) return Error{ErrorKind::invalid, "", "is not JSON", "send one JSON object"};
+    alignas(std::max_align_t) char buffer[kItemBuffer];
+    JsonDocument::AllocatorType allocator{buffer, sizeof buffer};
+    JsonDocument json{&allocator};
+    std::string copy{text};
+    if (const std::optional<JsonFault> fault = parseJsonInPlace(copy, json))
+        return Error{ErrorKind::invalid, "", fmt::format("is not JSON: {}", fault->message),
+                     "send one JSON object"};
     std::vector<Error> faults;
     Item item;
     read(json, Place{}, faults, item);
@@ -61,13 +71,6 @@
     Reader{faults}.read(JsonSource{json}, place, kNoRule, out);
 }
 
-std::vector<std::string_view> backendsOf(const Route& route) {
-    std::vector<std::string_view> names;
-    for (const WeightedBackend& part : route.trafficSplit) names.push_back(part.backend);
-    if (!route.backend.empty()) names.push_back(route.backend);
-    return names;
-}
-
 Result<Route> parseRoute(std::string_view json) { return parseItem<Route>(json, readRoute); }
 Result<Service> parseService(std::string_view json) { return parseItem<Service>(json, readService); }
 Result<Limits> parseLimits(std::string_view json) { return parseItem<Limits>(json, readLimits); }
--- a/src/configuration/items.hpp
+++ b/src/configuration/items.hpp
@@ -19,7 +19,4 @@
 void readService(const Json& json, const settings::Place& place, std::vector<Error>& faults, Service& out);
 void readLimits(const Json& json, const settings::Place& place, std::vector<Error>& faults, Limits& out);
 
-// The services that a route may lead to, a split before the single backend.
-std::vector<std::string_view> backendsOf(const Route& route);
-
 }  // namespace beechpoint::configuration
--- a/src/configuration/json_source.hpp
+++ b/src/configuration/json_source.hpp
@@ -1,14 +1,13 @@
 // A JSON value as source of settings::DescribedReader. Places are JSON pointers.
 #pragma once
 
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace beechpoint::configuration {
+#include "configuration/json_text.hpp"
 
-using Json = nlohmann::ordered_json;  // keeps the order of members as sent
+namespace beechpoint::configuration {
 
 class JsonSource {
 public:
@@ -17,36 +16,35 @@
 
     explicit JsonSource(const Json& value) : value_(&value) {}
 
-    bool null() const { return value_->is_null(); }
-    bool isObject() const { return value_->is_object(); }
-    bool isList() const { return value_->is_array(); }
+    bool null() const { return value_->IsNull(); }
+    bool isObject() const { return value_->IsObject(); }
+    bool isList() const { return value_->IsArray(); }
 
-    std::optional<JsonSource> member(const std::string& name) const {
-        const auto found = value_->find(name);
-        return found == value_->end() ? std::nullopt : std::optional{JsonSource{*found}};
+    std::optional<JsonSource> member(std::string_view name) const {
+        const Json* const found = memberOf(*value_, name);
+        return found ? std::optional{JsonSource{*found}} : std::nullopt;
     }
 
     std::optional<double> number() const {
-        return value_->is_number() ? std::optional{value_->get<double>()} : std::nullopt;
+        return value_->IsNumber() ? std::optional{value_->GetDouble()} : std::nullopt;
     }
 
     std::optional<bool> boolean() const {
-        return value_->is_boolean() ? std::optional{value_->get<bool>()} : std::nullopt;
+        return value_->IsBool() ? std::optional{value_->GetBool()} : std::nullopt;
     }
 
     std::optional<std::string_view> text() const {
-        if (!value_->is_string()) return std::nullopt;
-        return std::string_view{value_->get_ref<const std::string&>()};
+        return value_->IsString() ? std::optional{textOf(*value_)} : std::nullopt;
     }
 
     template <class Visitor>
     void eachElement(const Visitor& visit) const {
-        for (const Json& element : *value_) visit(JsonSource{element});
+        for (const Json& element : value_->GetArray()) visit(JsonSource{element});
     }
 
     template <class Visitor>
     void eachMember(const Visitor& visit) const {
-        for (const auto& [name, member] : value_->items()) visit(std::string_view{name}, JsonSource{member});
+        for (const auto& member : value_->GetObject()) visit(textOf(member.name), JsonSource{member.value});
     }
 
 private:
--- a/src/configuration/partial_change.cpp
+++ b/src/configuration/partial_change.cpp
@@ -6,6 +6,7 @@
 
 #include "configuration/host_name.hpp"
 #include "configuration/item_checks.hpp"
+#include "configuration/json_text.hpp"
 #include "configuration/ordering.hpp"
 #include "configuration/stored_item.hpp"
 #include "configuration/table_ranges.hpp"
@@ -13,8 +14,6 @@
 namespace beechpoint::configuration {
 namespace {
 
-std::string quoted(const std::string& text) { return Json(text).dump(); }
-
 std::optional<Route> storedRoute(const Table& table, const std::string& name) {
     const auto found = table.find(joinedKey(kRoutePrefix, name));
     if (found == table.end()) return std::nullopt;
@@ -52,7 +51,7 @@
     void run() {
         for (const Item<Route>& item : document_.items.routes) checkUpserted(item);
         for (const std::string& name : document_.removedServices)
-            if (!upsertedServices_.contains(name)) lostServices_.push_back(quoted(name));
+            if (!upsertedServices_.contains(name)) lostServices_.push_back(quotedJson(name));
         if (lostServices_.empty() && quotedPrefixes_.empty()) return;
         eachWithPrefix(table_, kRoutePrefix, [this](std::string_view name, std::string_view value) {
             const auto stored = parseStoredItem(value);
@@ -69,7 +68,7 @@
         const std::optional<Route> before = storedRoute(table_, item.value.name);
         const bool samePlace = before && before->pathPrefix == item.value.pathPrefix &&
                                comparableHost(before->hostname) == comparableHost(item.value.hostname);
-        if (!samePlace) quotedPrefixes_.insert(quoted(item.value.pathPrefix));
+        if (!samePlace) quotedPrefixes_.insert(quotedJson(item.value.pathPrefix));
     }
 
     bool isService(const std::string& name) const {
@@ -149,51 +148,62 @@
     }
 }
 
-std::string nameOf(const Json& item) {
-    const auto found = item.is_object() ? item.find("name") : item.end();
-    return item.is_object() && found != item.end() && found->is_string() ? found->get<std::string>() : "";
+std::string_view nameOf(const Json& item) {
+    const Json* const name = item.IsObject() ? memberOf(item, "name") : nullptr;
+    return name && name->IsString() ? textOf(*name) : std::string_view{};
 }
 
-void upsertByName(Json& list, Json item) {
-    const std::string name = nameOf(item);
-    for (Json& present : list)
-        if (!name.empty() && nameOf(present) == name) {
-            present = std::move(item);
+// A member that is not known here, while it is changed.
+class OtherMemberChange {
+public:
+    OtherMemberChange(const Table& table, const std::string& name) {
+        const auto found = table.find(joinedKey(kMemberPrefix, name));
+        if (found == table.end() || parseJson(found->second, value_)) value_.SetArray();
+    }
+
+    void remove(const std::vector<std::string>& names) {
+        if (!value_.IsArray()) return;
+        for (auto item = value_.Begin(); item != value_.End();) {
+            const bool gone = std::find(names.begin(), names.end(), nameOf(*item)) != names.end();
+            item = gone ? value_.Erase(item) : item + 1;
+        }
+    }
+
+    // Lists are changed by name, as the known ones; other values are replaced.
+    void upsert(const std::string& json) {
+        JsonDocument sent{&value_.GetAllocator()};
+        if (parseJson(json, sent)) return;
+        if (!value_.IsArray() || !sent.IsArray()) {
+            static_cast<Json&>(value_) = static_cast<Json&>(sent);
             return;
         }
-    list.push_back(std::move(item));
-}
+        for (Json& item : sent.GetArray()) placeOf(item) = item;
+    }
 
-Json storedMember(const Table& table, const std::string& name) {
-    const auto found = table.find(joinedKey(kMemberPrefix, name));
-    if (found == table.end()) return Json::array();
-    return Json::parse(found->second, nullptr, false);
-}
+    std::string text() const { return compactJson(value_); }
 
-// Lists that are not known here are changed by name, as the known ones; other values are replaced.
-void changeOthers(const Table& table, Document& document, std::vector<Change>& changes) {
-    std::map<std::string, Json> changed;
-    const auto current = [&](const std::string& name) -> Json& {
-        return changed.try_emplace(name, storedMember(table, name)).first->second;
-    };
-    for (const NamedJson& removal : document.removedOthers) {
-        Json& list = current(removal.name);
-        if (!list.is_array()) continue;
-        const auto gone = [&](const Json& item) {
-            return std::find(removal.value.begin(), removal.value.end(), nameOf(item)) != removal.value.end();
-        };
-        list.erase(std::remove_if(list.begin(), list.end(), gone), list.end());
-    }
-    for (NamedJson& upsert : document.items.others) {
-        Json& list = current(upsert.name);
-        if (!list.is_array() || !upsert.value.is_array()) {
-            list = std::move(upsert.value);
-            continue;
-        }
-        for (Json& item : upsert.value) upsertByName(list, std::move(item));
+private:
+    // Where an item goes: the one of its name, or a new place behind the last.
+    Json& placeOf(const Json& item) {
+        const std::string_view name = nameOf(item);
+        for (Json& present : value_.GetArray())
+            if (!name.empty() && nameOf(present) == name) return present;
+        value_.PushBack(Json{}, value_.GetAllocator());
+        return value_[value_.Size() - 1];
     }
-    for (const auto& [name, value] : changed)
-        changes.push_back({joinedKey(kMemberPrefix, name), value.dump()});
+
+    JsonDocument value_;
+};
+
+void changeOthers(const Table& table, const Document& document, std::vector<Change>& changes) {
+    std::map<std::string, OtherMemberChange> changed;
+    const auto change = [&](const std::string& name) -> OtherMemberChange& {
+        return changed.try_emplace(name, table, name).first->second;
+    };
+    for (const OtherRemoval& removal : document.removedOthers) change(removal.list).remove(removal.names);
+    for (const OtherMember& other : document.items.others) change(other.name).upsert(other.json);
+    for (const auto& [name, member] : changed)
+        changes.push_back({joinedKey(kMemberPrefix, name), member.text()});
 }
 
 }  // namespace
--- a/src/configuration/rendering.cpp
+++ b/src/configuration/rendering.cpp
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "configuration/editing.hpp"
-#include "configuration/json_source.hpp"
+#include "configuration/json_text.hpp"
 #include "configuration/stored_item.hpp"
 #include "configuration/table_ranges.hpp"
 
@@ -46,8 +46,6 @@
     out += ']';
 }
 
-std::string printed(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
-
 }  // namespace
 
 std::string renderConfiguration(const Table& table) {
@@ -57,19 +55,19 @@
     if (const auto limits = table.find(std::string{kLimitsKey}); limits != table.end())
         out.append(",\"limits\":").append(limits->second);
     eachWithPrefix(table, kMemberPrefix, [&out](std::string_view name, std::string_view value) {
-        out.append(",").append(printed(std::string{name})).append(":").append(value);
+        out.append(",").append(quotedJson(name)).append(":").append(value);
     });
     out += '}';
     return out;
 }
 
 std::string renderError(const Error& error) {
-    Json body;
-    body["error"] = {{"kind", kindName(error.kind)},
-                     {"place", error.place},
-                     {"message", error.message},
-                     {"remedy", error.remedy}};
-    return printed(body);
+    std::string out = "{\"error\":{\"kind\":";
+    out.append(quotedJson(kindName(error.kind)));
+    out.append(",\"place\":").append(quotedJson(error.place));
+    out.append(",\"message\":").append(quotedJson(error.message));
+    out.append(",\"remedy\":").append(quotedJson(error.remedy));
+    return out + "}}";
 }
 
 int httpStatus(ErrorKind kind) {
--- a/src/configuration/whole_change.cpp
+++ b/src/configuration/whole_change.cpp
@@ -57,11 +57,11 @@
         changes.push_back({key, std::nullopt});
 }
 
-void replaceOthers(const Table& table, const std::vector<NamedJson>& others, std::vector<Change>& changes) {
+void replaceOthers(const Table& table, const std::vector<OtherMember>& others, std::vector<Change>& changes) {
     NameSet names;
-    for (const NamedJson& other : others) {
+    for (const OtherMember& other : others) {
         names.insert(other.name);
-        setIfOther(table, joinedKey(kMemberPrefix, other.name), other.value.dump(), changes);
+        setIfOther(table, joinedKey(kMemberPrefix, other.name), other.json, changes);
     }
     eachWithPrefix(table, kMemberPrefix, [&](std::string_view name, std::string_view) {
         if (!names.contains(name)) changes.push_back({joinedKey(kMemberPrefix, name), std::nullopt});
--- a/tests/configuration/put_test.cpp
+++ b/tests/configuration/put_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <random>
 
 #include "configuration/editing.hpp"
 #include "configuration/stored_item.hpp"
@@ -179,6 +180,19 @@
         Invalid{"cutAtTheEnd", whole(9).substr(0, whole(9).size() - 1), ""},
         Invalid{"bytesBehind", whole(9) + "}", ""}, Invalid{"list", "[" + whole(9) + "]", ""},
         Invalid{"badUtf8", with(whole(9), "r-split", "r-\xff"), ""},
+        Invalid{"badUtf8Overlong", with(whole(9), "r-split", "r-\xc0\xaf"), ""},
+        Invalid{"loneSurrogate", with(whole(9), "r-split", "r-\\ud800"), ""},
+        Invalid{"zeroByte", whole(9) + std::string(1, '\0'), ""},
+        Invalid{"zeroByteInText", with(whole(9), "r-split", std::string_view("r-\0x", 4)), ""},
+        Invalid{"controlInText", with(whole(9), "r-split", "r-\n"), ""},
+        Invalid{"trailingComma", with(whole(9), "\"services\":[", "\"services\":[,"), ""},
+        Invalid{"comment", with(whole(9), "\"services\"", "/* */\"services\""), ""},
+        Invalid{"singleQuotes", with(whole(9), "\"services\"", "'services'"), ""},
+        Invalid{"leadingZero", with(whole(9), "5000", "05000"), ""},
+        Invalid{"hugeNumber", with(whole(9), "5000", "1e999"), ""},
+        Invalid{"veryDeep", std::string(1 << 20, '['), ""},
+        Invalid{"veryDeepClosed", with(whole(9), "5000", std::string(100000, '[') + std::string(100000, ']')),
+                ""},
         Invalid{"nan", with(whole(9), "5000", "NaN"), ""},
         Invalid{"deep", with(whole(9), "5000", std::string(100, '[') + std::string(100, ']')), ""},
         Invalid{"noRevision", with(whole(9), "\"revision\":9,", ""), "/revision"},
@@ -187,13 +201,13 @@
         Invalid{"revisionFraction", with(whole(9), "\"revision\":9,", "\"revision\":9.5,"), "/revision"},
         Invalid{"noRoutes", with(whole(9), "\"routes\"", "\"ruotes\""), "/routes"},
         Invalid{"noServices", with(whole(9), "\"services\"", "\"servcies\""), "/services"},
-        Invalid{"routesObject", R"({"revision":9,"routes":{"a":{}},"services":[]})", "/routes/0/name"},
+        Invalid{"routesObject", R"({"revision":9,"routes":{"a":{}},"services":[]})", "/routes"},
         Invalid{"routesText", R"({"revision":9,"routes":"","services":[]})", "/routes"},
         Invalid{"routesNull", R"({"revision":9,"routes":null,"services":[]})", "/routes"},
-        Invalid{"routeNumber", whole(9, "5", kModelService), "/routes"},
-        Invalid{"routeList", whole(9, "[]", kModelService), "/routes"},
-        Invalid{"routeNested", whole(9, "[" + kPlainRoute + "]", kModelService), "/routes"},
-        Invalid{"serviceText", whole(9, "", "\"huvo\""), "/services"},
+        Invalid{"routeNumber", whole(9, "5", kModelService), "/routes/0"},
+        Invalid{"routeList", whole(9, "[]", kModelService), "/routes/0"},
+        Invalid{"routeNested", whole(9, "[" + kPlainRoute + "]", kModelService), "/routes/0"},
+        Invalid{"serviceText", whole(9, "", "\"huvo\""), "/services/0"},
         Invalid{"limitsList", with(whole(9), kLimits, "[]"), "/limits"},
         Invalid{"limitsText", with(whole(9), "16384", "\"16384\""), "/limits/max_header_bytes"},
         Invalid{"unknownService", twoRoutes(route("a", "/a/"), route("b", "/b/", "none")),
@@ -228,6 +242,39 @@
     EXPECT_TRUE(putConfiguration(table, "7", R"({"revision":9.0,"routes":[],"services":[],"limits":null})"));
 }
 
+TEST(Put, TakesMembersUpToTheDepthBound) {
+    const Table table = started();
+    // The body, the list and the route are three levels.
+    const auto nested = [](int levels) {
+        return with(whole(9), "5000", "5000,\"x\":" + std::string(levels, '[') + std::string(levels, ']'));
+    };
+    EXPECT_TRUE(putConfiguration(table, "7", nested(61)));
+    EXPECT_EQ(refusal(putConfiguration(table, "7", nested(62))), ErrorKind::invalid);
+}
+
+TEST(Put, RefusesABodyCutAnywhere) {
+    const Table table = started();
+    const std::string body = whole(9);
+    for (std::size_t size = 0; size < body.size(); ++size)
+        ASSERT_EQ(refusal(putConfiguration(table, "7", body.substr(0, size))), ErrorKind::invalid) << size;
+}
+
+// Whatever bytes are changed, the call is decided, and what is taken can be read back.
+TEST(Put, DecidesOnAnyBytes) {
+    std::mt19937 random{3};
+    const Table table = started();
+    for (int round = 0; round < 3000; ++round) {
+        std::string body = whole(9);
+        for (int changes = 0; changes < 3; ++changes)
+            body[random() % body.size()] = static_cast<char>(random());
+        Table copy = table;
+        const Result<Decision> decision = putConfiguration(copy, "7", body);
+        if (!decision) continue;
+        take(copy, decision);
+        ASSERT_EQ(json::parse(renderConfiguration(copy)), json::parse(body));
+    }
+}
+
 TEST(Put, CountsTheOtherFaults) {
     const Table table = started();
     const Result<Decision> result =
