Carry calls over nng's byte streams instead of its request sockets

Frames with call numbers on nng_stream keep every operation under our own state; a refused peer is now told within 200 ms. Tests added: closing under traffic, bytes that are no frames, bound on connections.

--- a/src/rpc/client.cpp
+++ b/src/rpc/client.cpp
@@ -1,13 +1,10 @@
 #include "rpc/client.hpp"
 
-#include <nng/nng.h>
-#include <nng/protocol/reqrep0/req.h>  // needs nng.h before it
-
 #include <algorithm>
 #include <asio/post.hpp>
-#include <cmath>
 #include <utility>
 
+#include "rpc/address.hpp"
 #include "rpc/client_state.hpp"
 #include "rpc/server.hpp"
 
@@ -15,52 +12,36 @@
 
 namespace {
 
-constexpr std::size_t kIdleCalls = 8;         // contexts kept for a peer's next calls
-constexpr nng_duration kRedialAfterMs = 100;  // while calls wait for a peer that refuses connections
-constexpr nng_duration kRedialAtMostMs = 400;
-
-nng_duration millisUntil(std::chrono::steady_clock::time_point deadline) {
-    const std::chrono::duration<double, std::milli> left = deadline - std::chrono::steady_clock::now();
-    // nng takes 0 for "at once, without waiting"; the longest wait is cut to what its type holds.
-    return static_cast<nng_duration>(std::clamp(std::ceil(left.count()), 1.0, 1e9));
-}
+constexpr std::chrono::milliseconds kRedialAfter{100};
+constexpr int kDialAttempts = 3;  // refused that often in a row, the calls that wait fail
 
 Error unavailable(const std::string& address, std::string message) {
     return {ErrorKind::unavailable, address, std::move(message), "call again later, or another peer"};
 }
 
-Error failureOf(const std::string& address, int error) {
-    if (error == NNG_ETIMEDOUT)
-        return {ErrorKind::timedOut, address, "no answer in time", "call again, or another peer"};
-    return unavailable(address, nng_strerror(error));
-}
-
-Result<std::string> resultOf(const std::string& address, const Message& answer) {
-    const std::string_view bytes = body(answer);
-    if (bytes.empty()) return unavailable(address, "the answer is empty");
-    if (static_cast<AnswerKind>(bytes.front()) != AnswerKind::answered)
-        return unavailable(address, "the peer is at its limit of requests");
-    return std::string(bytes.substr(1));
+Error timedOut(const std::string& address) {
+    return {ErrorKind::timedOut, address, "no answer in time", "call again, or another peer"};
 }
 
 }  // namespace
 
 // --- ClientState
 
-ClientState::~ClientState() { close(); }
+// A handler that does nothing once the client is gone.
+template <class Method>
+auto ClientState::later(Method method) {
+    return [weak = weak_from_this(), method = std::move(method)](auto&&... arguments) mutable {
+        const std::shared_ptr<ClientState> self = weak.lock();
+        if (self && !self->closed_) method(*self, std::forward<decltype(arguments)>(arguments)...);
+    };
+}
 
 void ClientState::close() {
     if (std::exchange(closed_, true)) return;
-    for (auto& [address, peer] : peers_) closePeer(*peer);
+    timer_.cancel();
     peers_.clear();
-}
-
-template <class Action>
-void ClientState::postToLoop(Action action) {
-    asio::post(io_, [self = self_, action = std::move(action)]() mutable {
-        const std::shared_ptr<ClientState> state = self.lock();
-        if (state && !state->closed_) action(*state);
-    });
+    calls_.clear();
+    deadlines_.clear();
 }
 
 void ClientState::call(const std::string& address, std::string bytes, Millis timeout,
@@ -69,55 +50,59 @@
         return failLater(
             {ErrorKind::invalid, address, "the request is above the limit of a message", "send less"},
             std::move(callback));
-    if (outstanding_ >= kMaxOutstandingCalls)
+    if (calls_.size() >= kMaxOutstandingCalls)
         return failLater(unavailable(address, "too many calls are outstanding"), std::move(callback));
-    Result<Peer*> peer = peerOf(address);
-    if (!peer) return failLater(std::move(peer).error(), std::move(callback));
-    Message message = requestMessage(bytes);
-    std::unique_ptr<Call> call = message ? newCall(*peer.value()) : nullptr;
-    if (!call) return failLater(unavailable(address, "no memory for a call"), std::move(callback));
-    call->callback = std::move(callback);
+    const Result<Peer*> found = peerOf(address);
+    if (!found) return failLater(found.error(), std::move(callback));
+    Peer& peer = *found.value();
     const std::chrono::duration<double, std::milli> within(std::clamp(timeout, 1.0, 1e9));
-    call->deadline = std::chrono::steady_clock::now() +
-                     std::chrono::duration_cast<std::chrono::steady_clock::duration>(within);
-    begin(*peer.value(), std::move(call), std::move(message));
+    Call call;
+    call.peer = &peer;
+    call.deadline = std::chrono::steady_clock::now() +
+                    std::chrono::duration_cast<std::chrono::steady_clock::duration>(within);
+    call.generation = peer.generation;
+    call.unsent = std::move(bytes);
+    call.callback = std::move(callback);
+    const CallNumber number = nextNumber();
+    deadlines_.emplace(call.deadline, number);
+    calls_.emplace(number, std::move(call));
+    armTimer();
+    if (!peer.connection) return startDial(peer);
+    Endings endings;
+    send(number, endings);
+    for (Ended& ended : endings) failLater(ended.result.error(), std::move(ended.callback));
+}
+
+ClientState::CallNumber ClientState::nextNumber() {
+    do ++lastNumber_;
+    while (calls_.contains(lastNumber_));
+    return lastNumber_;
 }
 
 void ClientState::failLater(Error error, Client::Callback callback) {
-    postToLoop([error = std::move(error), callback = std::move(callback)](ClientState&) { callback(error); });
+    asio::post(io_, later([error = std::move(error), callback = std::move(callback)](ClientState&) {
+                   callback(error);
+               }));
 }
 
-Result<ClientState::Peer*> ClientState::peerOf(const std::string& address) {
-    const auto found = peers_.find(address);
-    if (found != peers_.end()) {
-        found->second->lastUse = ++uses_;
-        return found->second.get();
+void ClientState::tell(Endings endings) {
+    const std::shared_ptr<ClientState> self = shared_from_this();
+    for (Ended& ended : endings) {
+        if (closed_) return;
+        ended.callback(std::move(ended.result));
     }
-    Result<std::string> url = urlOf(address);
-    if (!url) return std::move(url).error();
-    if (peers_.size() >= kMaxPeers) dropLeastRecentlyUsed();
-    auto peer = std::make_unique<Peer>();
-    peer->owner = this;
-    peer->address = address;
-    peer->url = std::move(url).value();
-    peer->lastUse = ++uses_;
-    Result<void> opened = openPeer(*peer);
-    if (!opened) return std::move(opened).error();
-    return peers_.emplace(address, std::move(peer)).first->second.get();
 }
 
-Result<void> ClientState::openPeer(Peer& peer) {
-    int error = nng_req0_open(&peer.socket);
-    if (error != 0) return unavailable(peer.address, nng_strerror(error));
-    error = limitMessages(peer.socket);
-    // Never resend: a call that was lost is the caller's to repeat, and a lost connection is told at once.
-    if (error == 0) error = nng_socket_set_ms(peer.socket, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
-    if (error == 0) error = nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMINT, kRedialAfterMs);
-    if (error == 0) error = nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMAXT, kRedialAtMostMs);
-    if (error == 0) error = nng_pipe_notify(peer.socket, NNG_PIPE_EV_REM_POST, connectionLost, &peer);
-    if (error == 0) return boost::outcome_v2::success();
-    nng_close(peer.socket);
-    return unavailable(peer.address, nng_strerror(error));
+Result<ClientState::Peer*> ClientState::peerOf(const std::string& address) {
+    auto found = peers_.find(address);
+    if (found == peers_.end()) {
+        Result<std::string> url = urlOf(address);
+        if (!url) return std::move(url).error();
+        if (peers_.size() >= kMaxPeers) dropLeastRecentlyUsed();
+        found = peers_.emplace(address, std::make_unique<Peer>(io_, address, std::move(url).value())).first;
+    }
+    found->second->lastUse = ++uses_;
+    return found->second.get();
 }
 
 void ClientState::dropLeastRecentlyUsed() {
@@ -126,138 +111,169 @@
     });
     log_.seldom("rpc peers", "rpc: more than {} peers, {} is dropped", field("limit", kMaxPeers),
                 field("peer", oldest->first));
-    const std::unique_ptr<Peer> peer = std::move(oldest->second);
+    Endings endings;
+    failCalls(*oldest->second, Which::all, "dropped for a peer used more recently", endings);
+    for (Ended& ended : endings) failLater(ended.result.error(), std::move(ended.callback));
     peers_.erase(oldest);
-    for (auto& [pointer, call] : peer->calls)
-        failLater(unavailable(peer->address, "dropped for a peer used more recently"),
-                  std::move(call->callback));
-    closePeer(*peer);
 }
 
-void ClientState::closePeer(Peer& peer) {
-    outstanding_ -= peer.calls.size();
-    for (auto& [pointer, call] : peer.calls) retire(std::move(call));
-    for (std::unique_ptr<Call>& call : peer.idle) retire(std::move(call));
-    peer.calls.clear();
-    peer.idle.clear();
-    nng_close(peer.socket);
+void ClientState::startDial(Peer& peer) {
+    if (peer.dial || peer.connection || peer.waiting) return;
+    Result<std::shared_ptr<Dial>> begun =
+        Dial::begin(io_, peer.url, [this, address = peer.address](Stream stream, const std::string& reason) {
+            dialEnded(address, std::move(stream), reason);
+        });
+    if (begun) {
+        peer.dial = std::move(begun).value();
+        return;
+    }
+    asio::post(io_, later([address = peer.address, reason = begun.error().message](ClientState& self) {
+                   self.dialEnded(address, nullptr, reason);
+               }));
 }
 
-int ClientState::dial(Peer& peer) {
-    if (peer.dialing) return 0;
-    const int error = nng_dial(peer.socket, peer.url.c_str(), &peer.dialer, NNG_FLAG_NONBLOCK);
-    peer.dialing = error == 0;
-    return error;
+void ClientState::dialEnded(const std::string& at, Stream stream, const std::string& reason) {
+    const std::shared_ptr<ClientState> self = shared_from_this();
+    const std::string address = at;  // `at` ends with the dial
+    const auto found = peers_.find(address);
+    if (found == peers_.end()) return;
+    Peer& peer = *found->second;
+    const std::shared_ptr<Dial> dial = std::move(peer.dial);
+    if (stream)
+        connected(peer, std::move(stream));
+    else
+        dialFailed(peer, reason);
 }
 
-void ClientState::hangUp(Peer& peer) {
-    if (!std::exchange(peer.dialing, false)) return;
-    nng_dialer_close(peer.dialer);
-    ++peer.generation;
+void ClientState::dialFailed(Peer& peer, const std::string& reason) {
+    if (!hasCalls(peer)) return hangUp(peer);
+    if (++peer.refusals >= kDialAttempts) {
+        Endings endings;
+        hangUp(peer);
+        failCalls(peer, Which::all, reason, endings);
+        return tell(std::move(endings));
+    }
+    peer.waiting = true;
+    peer.redial.expires_after(kRedialAfter);
+    peer.redial.async_wait(later([address = peer.address](ClientState& self, asio::error_code cancelled) {
+        const auto found = self.peers_.find(address);
+        if (cancelled || found == self.peers_.end() || !found->second->waiting) return;
+        found->second->waiting = false;
+        self.startDial(*found->second);
+    }));
 }
 
-std::unique_ptr<ClientState::Call> ClientState::newCall(Peer& peer) {
-    if (!peer.idle.empty()) {
-        std::unique_ptr<Call> call = std::move(peer.idle.back());
-        peer.idle.pop_back();
-        return call;
+void ClientState::connected(Peer& peer, Stream stream) {
+    const auto framesCome = [this, address = peer.address](std::vector<Frame> frames) {
+        framesCame(address, std::move(frames));
+    };
+    const auto ends = [this, address = peer.address](const std::string& reason) {
+        Endings endings;
+        const auto found = peers_.find(address);
+        if (found == peers_.end()) return;
+        hangUp(*found->second);
+        failCalls(*found->second, Which::sent, reason, endings);
+        tell(std::move(endings));
+    };
+    peer.refusals = 0;
+    peer.connection = Connection::make(io_, std::move(stream), framesCome, ends);
+    if (!peer.connection) return dialFailed(peer, "no memory for a connection");
+    peer.connection->start();
+    std::vector<CallNumber> waiting;
+    for (const auto& [number, call] : calls_)
+        if (call.peer == &peer) waiting.push_back(number);
+    Endings endings;
+    for (const CallNumber number : waiting) send(number, endings);
+    tell(std::move(endings));
+}
+
+void ClientState::framesCame(const std::string& address, std::vector<Frame> frames) {
+    const std::string peer = address;
+    Endings endings;
+    for (Frame& frame : frames) {
+        const auto call = calls_.find(frame.number);
+        if (call == calls_.end() || call->second.peer->address != peer)
+            continue;  // late: the call has timed out
+        if (frame.kind == FrameKind::answer)
+            end(frame.number, std::move(frame.body), endings);
+        else
+            end(frame.number, unavailable(peer, "the peer is at its limit of requests"), endings);
     }
-    auto call = std::make_unique<Call>();
-    call->owner = this;
-    call->address = peer.address;
-    if (nng_ctx_open(&call->context, peer.socket) != 0) return nullptr;
-    if (nng_aio_alloc(&call->operation, completed, call.get()) == 0) return call;
-    nng_ctx_close(call->context);
-    return nullptr;
+    tell(std::move(endings));
 }
 
-void ClientState::retire(std::unique_ptr<Call> call) {
-    nng_aio_stop(call->operation);
-    takeMessage(call->operation);
-    nng_ctx_close(call->context);
-    nng_aio_free(call->operation);
+void ClientState::hangUp(Peer& peer) {
+    ++peer.generation;
+    peer.dial.reset();
+    peer.connection.reset();
+    peer.waiting = false;
+    peer.redial.cancel();
+    peer.refusals = 0;
 }
 
-void ClientState::begin(Peer& peer, std::unique_ptr<Call> call, Message message) {
-    const int error = dial(peer);
-    if (error != 0) {
-        failLater(failureOf(peer.address, error), std::move(call->callback));
-        return retire(std::move(call));
-    }
-    Call& started = *call;
-    started.phase = Phase::sending;
-    started.generation = peer.generation;
-    peer.calls.emplace(&started, std::move(call));
-    ++outstanding_;
-    nng_aio_set_timeout(started.operation, millisUntil(started.deadline));
-    nng_aio_set_msg(started.operation, message.release());
-    nng_ctx_send(started.context, started.operation);
+void ClientState::send(CallNumber number, Endings& endings) {
+    Call& call = calls_.at(number);
+    call.sent = true;
+    const std::string request = std::exchange(call.unsent, {});
+    if (!call.peer->connection->send(FrameKind::request, number, request))
+        end(number, unavailable(call.peer->address, "the peer does not read its requests"), endings);
 }
 
-void ClientState::completed(void* argument) {
-    Call& call = *static_cast<Call*>(argument);
-    if (call.phase == Phase::sending && nng_aio_result(call.operation) == 0) return receiveAnswer(call);
-    call.owner->postToLoop(
-        [address = call.address, pointer = &call](ClientState& state) { state.ended(address, pointer); });
+void ClientState::end(CallNumber number, Result<std::string> result, Endings& endings) {
+    const auto call = calls_.find(number);
+    deadlines_.erase({call->second.deadline, number});
+    endings.push_back({std::move(call->second.callback), std::move(result)});
+    calls_.erase(call);
 }
 
-void ClientState::receiveAnswer(Call& call) {
-    call.phase = Phase::receiving;
-    nng_aio_set_msg(call.operation, nullptr);
-    nng_aio_set_timeout(call.operation, millisUntil(call.deadline));
-    nng_ctx_recv(call.context, call.operation);
+void ClientState::failCalls(Peer& peer, Which which, const std::string& reason, Endings& endings) {
+    std::vector<CallNumber> failing;
+    for (const auto& [number, call] : calls_)
+        if (call.peer == &peer && (which == Which::all || call.sent)) failing.push_back(number);
+    for (const CallNumber number : failing) end(number, unavailable(peer.address, reason), endings);
 }
 
-void ClientState::ended(const std::string& address, Call* pointer) {
-    const auto peer = peers_.find(address);
-    if (peer == peers_.end()) return;
-    const auto found = peer->second->calls.find(pointer);
-    if (found == peer->second->calls.end()) return;
-    std::unique_ptr<Call> call = std::move(found->second);
-    peer->second->calls.erase(found);
-    --outstanding_;
-    finish(*peer->second, std::move(call));
+bool ClientState::hasCalls(const Peer& peer) const {
+    return std::any_of(calls_.begin(), calls_.end(),
+                       [&](const auto& entry) { return entry.second.peer == &peer; });
 }
 
-void ClientState::finish(Peer& peer, std::unique_ptr<Call> call) {
-    const Client::Callback callback = std::move(call->callback);
-    const int error = nng_aio_result(call->operation);
-    const Message message = takeMessage(call->operation);
-    if (error == 0) {
-        Result<std::string> result = resultOf(peer.address, message);
-        if (peer.idle.size() < kIdleCalls)
-            peer.idle.push_back(std::move(call));
-        else
-            retire(std::move(call));
-        return callback(std::move(result));
-    }
-    const Error failure = failureOf(peer.address, error);
-    if (call->generation == peer.generation) hangUp(peer);
-    retire(std::move(call));
-    if (!peer.calls.empty()) dial(peer);
-    callback(failure);
+// One timer for all deadlines; it stays armed when the call that it was armed for ends, and then fires for nothing once.
+void ClientState::armTimer() {
+    if (deadlines_.empty()) return;
+    const TimePoint next = deadlines_.begin()->first;
+    if (armedFor_ && *armedFor_ <= next) return;
+    armedFor_ = next;
+    timer_.expires_at(next);
+    timer_.async_wait(later([](ClientState& self, asio::error_code cancelled) {
+        if (!cancelled) self.timerFired();
+    }));
 }
 
-void ClientState::connectionLost(nng_pipe connection, nng_pipe_ev, void* argument) {
-    Peer& peer = *static_cast<Peer*>(argument);
-    const nng_dialer dialer = nng_pipe_dialer(connection);
-    peer.owner->postToLoop([address = peer.address, number = nng_dialer_id(dialer)](ClientState& state) {
-        state.lost(address, static_cast<std::uint32_t>(number));
-    });
+void ClientState::timerFired() {
+    armedFor_.reset();
+    const TimePoint now = std::chrono::steady_clock::now();
+    Endings endings;
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now)
+        timeOut(deadlines_.begin()->second, endings);
+    armTimer();
+    tell(std::move(endings));
 }
 
-void ClientState::lost(const std::string& address, std::uint32_t dialer) {
-    const auto found = peers_.find(address);
-    if (found == peers_.end()) return;
-    Peer& peer = *found->second;
-    if (peer.dialing && peer.calls.empty() && peer.dialer.id == dialer) hangUp(peer);
+void ClientState::timeOut(CallNumber number, Endings& endings) {
+    const Call& call = calls_.at(number);
+    Peer& peer = *call.peer;
+    const bool present = call.generation == peer.generation;
+    end(number, timedOut(peer.address), endings);
+    if (!present) return;
+    hangUp(peer);
+    failCalls(peer, Which::sent, "the connection was closed because a call on it timed out", endings);
+    if (hasCalls(peer)) startDial(peer);
 }
 
 // --- Client
 
-Client::Client(asio::io_context& io, Logger& log) : state_(std::make_shared<ClientState>(io, log)) {
-    state_->start();
-}
+Client::Client(asio::io_context& io, Logger& log) : state_(std::make_shared<ClientState>(io, log)) {}
 
 Client::~Client() { state_->close(); }
 
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -1,222 +1,162 @@
 #include "rpc/server.hpp"
 
-#include <nng/nng.h>
-#include <nng/protocol/reqrep0/rep.h>  // needs nng.h before it
-
 #include <algorithm>
 #include <asio/post.hpp>
+#include <utility>
 
+#include "rpc/address.hpp"
 #include "rpc/server_state.hpp"
 
 namespace beechpoint::rpc {
 
 namespace {
 
-constexpr std::size_t kReceivers =
-    4;  // contexts that wait for a request, so that one burst needs no turn of the loop
-constexpr std::size_t kMaxSlots = kMaxHandledRequests + 32;  // the rest receive, or send answers and refusals
-constexpr nng_duration kSendWithinMs = 10'000;  // a caller that doesn't read its answer is cut off
-
-Error refusedBy(const std::string& address, int error) {
-    return {ErrorKind::unavailable, address, nng_strerror(error),
-            "check that the address is this machine's and free"};
-}
+constexpr std::chrono::milliseconds kAcceptAgainAfter{100};  // when no descriptor or no memory is left
 
 }  // namespace
 
 // --- ServerState
 
-ServerState::~ServerState() { close(); }
-
 Result<void> ServerState::listen(const std::string& address) {
-    if (nng_socket_id(socket_) > 0)
+    if (listener_)
         return Error{ErrorKind::invalid, address, "the server listens already", "make another server"};
     const Result<std::string> url = urlOf(address);
     if (!url) return url.error();
-    self_ = weak_from_this();
-    int error = nng_rep0_open(&socket_);
-    if (error == 0) error = limitMessages(socket_);
-    if (error == 0) error = nng_pipe_notify(socket_, NNG_PIPE_EV_ADD_POST, connectionEvent, this);
-    if (error == 0) error = nng_pipe_notify(socket_, NNG_PIPE_EV_REM_POST, connectionEvent, this);
-    nng_listener listener = NNG_LISTENER_INITIALIZER;
-    if (error == 0) error = nng_listen(socket_, url.value().c_str(), &listener, 0);
-    int port = 0;
-    if (error == 0) error = nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
-    if (error != 0) {
-        nng_close(socket_);
-        socket_ = NNG_SOCKET_INITIALIZER;
-        return refusedBy(address, error);
+    if (const int error = open(url.value()); error != 0) {
+        close();
+        return Error{ErrorKind::unavailable, address, nng_strerror(error),
+                     "check that the address is this machine's and free"};
     }
-    port_ = static_cast<std::uint16_t>(port);
-    keepReceiving();
+    accept();
     return boost::outcome_v2::success();
 }
 
-void ServerState::close() {
-    if (closed_.exchange(true)) return;
-    for (const auto& slot : slots_) nng_aio_stop(slot->operation);
-    if (nng_socket_id(socket_) > 0) nng_close(socket_);
-    for (const auto& slot : slots_) {
-        takeMessage(slot->operation);
-        nng_aio_free(slot->operation);
-    }
-    slots_.clear();
-    connections_.clear();
+int ServerState::open(const std::string& url) {
+    int error = nng_stream_listener_alloc(&listener_, url.c_str());
+    if (error == 0) error = nng_aio_alloc(&accepting_, accepted, this);
+    if (error == 0) error = nng_stream_listener_listen(listener_);
+    int port = 0;
+    if (error == 0) error = nng_stream_listener_get_int(listener_, NNG_OPT_TCP_BOUND_PORT, &port);
+    port_ = static_cast<std::uint16_t>(port);
+    return error;
 }
 
-template <class Action>
-void ServerState::postToLoop(Action action) {
-    asio::post(io_, [self = self_, action = std::move(action)]() mutable {
-        const std::shared_ptr<ServerState> state = self.lock();
-        if (state && !state->closed_) action(*state);
-    });
+void ServerState::close() {
+    if (std::exchange(closed_, true)) return;
+    if (listener_) nng_stream_listener_close(listener_);
+    if (accepting_) nng_aio_stop(accepting_);
+    if (accepting_) nng_aio_free(accepting_);
+    if (listener_) nng_stream_listener_free(listener_);
+    acceptAgain_.cancel();
+    connections_.clear();
 }
 
-void ServerState::completed(void* argument) {
-    Slot& slot = *static_cast<Slot*>(argument);
-    if (slot.phase == Phase::receiving)
-        slot.owner->receiveCompleted(slot);
-    else
-        slot.owner->sendCompleted(slot);
-}
+void ServerState::accept() { nng_stream_listener_accept(listener_, accepting_); }
 
-void ServerState::receiveCompleted(Slot& slot) {
-    --receiving_;
-    const int error = nng_aio_result(slot.operation);
-    if (closed_ || error == NNG_ECLOSED || error == NNG_ECANCELED) return;
-    if (error != 0) return receive(slot);
-    Message message = takeMessage(slot.operation);
-    slot.phase = Phase::handling;
-    slot.connection = static_cast<std::uint32_t>(nng_pipe_id(nng_msg_get_pipe(message.get())));
-    postToLoop([number = slot.number, message = std::move(message)](ServerState& state) mutable {
-        state.requestCame(number, std::move(message));
+void ServerState::accepted(void* argument) {
+    ServerState& self = *static_cast<ServerState*>(argument);
+    const int error = nng_aio_result(self.accepting_);
+    Stream stream(error == 0 ? static_cast<nng_stream*>(nng_aio_get_output(self.accepting_, 0)) : nullptr);
+    asio::post(self.io_, [weak = self.weak_from_this(), stream = std::move(stream), error]() mutable {
+        const std::shared_ptr<ServerState> state = weak.lock();
+        if (state && !state->closed_) state->acceptEnded(std::move(stream), error);
     });
 }
 
-void ServerState::sendCompleted(Slot& slot) {
-    const int error = nng_aio_result(slot.operation);
-    if (error != 0) {
-        takeMessage(slot.operation);
-        postToLoop([connection = slot.connection](ServerState& state) { state.closeConnection(connection); });
+void ServerState::acceptEnded(Stream stream, int error) {
+    if (stream) {
+        adopt(std::move(stream));
+        return accept();
     }
-    if (!closed_) receive(slot);
-}
-
-void ServerState::receive(Slot& slot) {
-    slot.phase = Phase::receiving;
-    ++receiving_;
-    nng_aio_set_timeout(slot.operation, NNG_DURATION_INFINITE);
-    nng_ctx_recv(slot.context, slot.operation);
+    if (error == NNG_ECLOSED || error == NNG_ECANCELED) return;
+    log_.seldom("rpc accept", "rpc: no connection can be accepted: {}", field("reason", nng_strerror(error)));
+    acceptAgain_.expires_after(kAcceptAgainAfter);
+    acceptAgain_.async_wait([weak = weak_from_this()](asio::error_code failure) {
+        const std::shared_ptr<ServerState> state = weak.lock();
+        if (!failure && state && !state->closed_) state->accept();
+    });
 }
 
-void ServerState::transmit(Slot& slot, Message message) {
-    slot.phase = Phase::sending;
-    nng_aio_set_timeout(slot.operation, kSendWithinMs);
-    nng_aio_set_msg(slot.operation, message.release());
-    nng_ctx_send(slot.context, slot.operation);
+void ServerState::adopt(Stream stream) {
+    if (connections_.size() >= kMaxConnections) closeTheMostSilent();
+    const std::uint64_t number = ++lastConnection_;
+    const auto framesCome = [this, number](std::vector<Frame> frames) {
+        framesCame(number, std::move(frames));
+    };
+    const auto ends = [this, number](const std::string&) { connections_.erase(number); };
+    std::shared_ptr<Connection> connection = Connection::make(io_, std::move(stream), framesCome, ends);
+    if (!connection) return;
+    connection->start();
+    connections_.emplace(number, Peer{std::move(connection), std::chrono::steady_clock::now()});
+}
+
+void ServerState::closeTheMostSilent() {
+    const auto silent =
+        std::min_element(connections_.begin(), connections_.end(),
+                         [](const auto& a, const auto& b) { return a.second.heard < b.second.heard; });
+    log_.seldom("rpc connections", "rpc: more than {} connections, the one silent longest is closed",
+                field("limit", kMaxConnections));
+    connections_.erase(silent);
+}
+
+void ServerState::framesCame(std::uint64_t connection, std::vector<Frame> frames) {
+    const std::shared_ptr<ServerState> self = shared_from_this();  // a handler may destroy the server
+    for (Frame& frame : frames) {
+        const auto peer = connections_.find(connection);
+        if (closed_ || peer == connections_.end()) return;
+        peer->second.heard = std::chrono::steady_clock::now();
+        if (frame.kind != FrameKind::request) {
+            connections_.erase(peer);
+            return;
+        }
+        requestCame(connection, std::move(frame));
+    }
 }
 
-void ServerState::requestCame(std::size_t number, Message message) {
-    Slot& slot = *slots_[number];
-    keepReceiving();
-    if (const auto connection = connections_.find(slot.connection); connection != connections_.end())
-        connection->second = std::chrono::steady_clock::now();
+void ServerState::requestCame(std::uint64_t connection, Frame frame) {
     if (handled_ >= kMaxHandledRequests) {
         log_.seldom("rpc refused", "rpc: {} requests are being handled, one more is refused",
                     field("limit", handled_));
-        Message refusal = answerMessage(AnswerKind::refused, {});
-        return refusal ? transmit(slot, std::move(refusal)) : receive(slot);
+        return send(connection, FrameKind::refusal, frame.number, {});
     }
     ++handled_;
-    std::string bytes(body(message));
-    message.reset();
-    Reply reply(self_, number);
-    if (handler_) handler_(std::move(bytes), std::move(reply));
-}
-
-void ServerState::send(std::size_t number, std::string bytes) {
-    if (closed_) return;
-    if (bytes.size() > kMaxMessageBytes) {
-        log_.seldom("rpc answer size", "rpc: an answer of {} bytes is above the limit and is not sent",
-                    field("bytes", bytes.size()));
-        return drop(number);
-    }
-    Message message = answerMessage(AnswerKind::answered, bytes);
-    if (!message) return drop(number);
-    --handled_;
-    transmit(*slots_[number], std::move(message));
+    Reply reply(weak_from_this(), connection, frame.number);
+    if (handler_) handler_(std::move(frame.body), std::move(reply));
 }
 
-void ServerState::drop(std::size_t number) {
-    if (closed_) return;
+void ServerState::answer(std::uint64_t connection, std::uint32_t number, const std::string& bytes) {
     --handled_;
-    receive(*slots_[number]);
+    if (bytes.size() <= kMaxMessageBytes) return send(connection, FrameKind::answer, number, bytes);
+    log_.seldom("rpc answer size", "rpc: an answer of {} bytes is above the limit and is not sent",
+                field("bytes", bytes.size()));
 }
 
-void ServerState::keepReceiving() {
-    while (receiving_ < kReceivers && slots_.size() < kMaxSlots)
-        if (!addSlot()) return;
-}
-
-bool ServerState::addSlot() {
-    auto slot = std::make_unique<Slot>();
-    slot->owner = this;
-    slot->number = slots_.size();
-    if (nng_ctx_open(&slot->context, socket_) != 0) return false;
-    if (nng_aio_alloc(&slot->operation, completed, slot.get()) != 0) {
-        nng_ctx_close(slot->context);
-        return false;
-    }
-    slots_.push_back(std::move(slot));
-    receive(*slots_.back());
-    return true;
-}
-
-void ServerState::connectionEvent(nng_pipe pipe, nng_pipe_ev event, void* argument) {
-    ServerState& self = *static_cast<ServerState*>(argument);
-    const auto connection = static_cast<std::uint32_t>(nng_pipe_id(pipe));
-    self.postToLoop([connection, event](ServerState& state) {
-        if (event == NNG_PIPE_EV_ADD_POST)
-            state.connectionOpened(connection);
-        else
-            state.connectionClosed(connection);
-    });
-}
-
-void ServerState::connectionOpened(std::uint32_t connection) {
-    if (connections_.size() >= kMaxConnections) {
-        const auto silentLongest =
-            std::min_element(connections_.begin(), connections_.end(),
-                             [](const auto& a, const auto& b) { return a.second < b.second; });
-        log_.seldom("rpc connections", "rpc: more than {} connections, the one silent longest is closed",
-                    field("limit", kMaxConnections));
-        closeConnection(silentLongest->first);
-    }
-    connections_.emplace(connection, std::chrono::steady_clock::now());
-}
-
-void ServerState::connectionClosed(std::uint32_t connection) { connections_.erase(connection); }
-
-void ServerState::closeConnection(std::uint32_t connection) {
-    if (connections_.erase(connection) == 0) return;
-    nng_pipe pipe = NNG_PIPE_INITIALIZER;
-    pipe.id = connection;
-    nng_pipe_close(pipe);
+void ServerState::send(std::uint64_t connection, FrameKind kind, std::uint32_t number,
+                       std::string_view body) {
+    const auto peer = connections_.find(connection);
+    if (closed_ || peer == connections_.end()) return;
+    if (peer->second.connection->send(kind, number, body)) return;
+    log_.seldom("rpc unread", "rpc: a caller that does not read its answers is cut off");
+    connections_.erase(peer);
 }
 
 // --- Reply
 
-Reply::Reply(std::weak_ptr<ServerState> server, std::size_t slot)
-    : server_(std::move(server)), slot_(slot), open_(true) {}
+Reply::Reply(std::weak_ptr<ServerState> server, std::uint64_t connection, std::uint32_t number)
+    : server_(std::move(server)), connection_(connection), number_(number), open_(true) {}
 
 Reply::Reply(Reply&& other) noexcept
-    : server_(std::move(other.server_)), slot_(other.slot_), open_(std::exchange(other.open_, false)) {}
+    : server_(std::move(other.server_)),
+      connection_(other.connection_),
+      number_(other.number_),
+      open_(std::exchange(other.open_, false)) {}
 
 Reply& Reply::operator=(Reply&& other) noexcept {
     if (this == &other) return *this;
     drop();
     server_ = std::move(other.server_);
-    slot_ = other.slot_;
+    connection_ = other.connection_;
+    number_ = other.number_;
     open_ = std::exchange(other.open_, false);
     return *this;
 }
@@ -225,12 +165,13 @@
 
 void Reply::drop() {
     if (!std::exchange(open_, false)) return;
-    if (const std::shared_ptr<ServerState> server = server_.lock()) server->drop(slot_);
+    if (const std::shared_ptr<ServerState> server = server_.lock()) server->drop();
 }
 
 void Reply::send(std::string bytes) {
     if (!std::exchange(open_, false)) return;
-    if (const std::shared_ptr<ServerState> server = server_.lock()) server->send(slot_, std::move(bytes));
+    if (const std::shared_ptr<ServerState> server = server_.lock())
+        server->answer(connection_, number_, bytes);
 }
 
 // --- Server
@@ -247,4 +188,6 @@
 
 std::size_t Server::handled() const { return state_->handled(); }
 
+std::size_t Server::connections() const { return state_->connections(); }
+
 }  // namespace beechpoint::rpc
--- a/src/rpc/server.hpp
+++ b/src/rpc/server.hpp
@@ -43,11 +43,12 @@
 
 private:
     friend class ServerState;
-    Reply(std::weak_ptr<ServerState> server, std::size_t slot);
+    Reply(std::weak_ptr<ServerState> server, std::uint64_t connection, std::uint32_t number);
     void drop();
 
     std::weak_ptr<ServerState> server_;
-    std::size_t slot_ = 0;
+    std::uint64_t connection_ = 0;
+    std::uint32_t number_ = 0;
     bool open_ = false;
 };
 
@@ -69,6 +70,8 @@
     std::uint16_t port() const;
     // Requests taken and not yet answered.
     std::size_t handled() const;
+    // Connections that are open.
+    std::size_t connections() const;
 
 private:
     std::shared_ptr<ServerState> state_;
--- a/tests/rpc/rpc_test.cpp
+++ b/tests/rpc/rpc_test.cpp
@@ -3,9 +3,12 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -337,5 +340,109 @@
     EXPECT_FALSE(client);
 }
 
+// Connections are closed by time-outs while answers arrive on them; each call ends once, and the peer is reached after.
+TEST_F(RpcTest, ConnectionsClosedUnderTrafficLeaveNothingBehind) {
+    constexpr std::size_t kCalls = 2000, kAtOnce = 50;
+    std::mt19937 random(20261202);
+    std::vector<std::pair<std::string, Reply>> held;
+    const auto server = serve([&](std::string bytes, Reply reply) {
+        held.emplace_back(std::move(bytes), std::move(reply));
+        if (random() % 4 != 0) return;
+        for (auto& [request, waiting] : held)
+            if (random() % 50 != 0) waiting.send("re:" + request);  // the others are dropped
+        held.clear();
+    });
+    Client client(io_, log_);
+    std::vector<int> ended(kCalls);
+    std::size_t begun = 0, done = 0, answered = 0;
+    std::function<void()> callNext = [&] {
+        if (begun == kCalls) return;
+        const std::size_t number = begun++;
+        const std::string request(random() % 9000, static_cast<char>('a' + number % 26));
+        client.call(addressOf(*server), request, 5 + random() % 10, [&, number, request](Answer answer) {
+            ++ended[number];
+            ++done;
+            answered += answer ? 1 : 0;
+            EXPECT_EQ(answer ? answer.value() : "re:" + request, "re:" + request);
+            callNext();
+        });
+    };
+    for (std::size_t i = 0; i < kAtOnce; ++i) callNext();
+    ASSERT_TRUE(runUntil([&] { return done == kCalls; }));
+    for (std::size_t i = 0; i < kCalls; ++i) EXPECT_EQ(ended[i], 1) << i;
+    EXPECT_GT(answered, 0u);
+    EXPECT_LT(answered, kCalls);
+    held.clear();
+    EXPECT_EQ(server->handled(), 0u);
+}
+
+class PlainSocketTest : public RpcTest {
+protected:
+    asio::ip::tcp::socket connectTo(const Server& server) {
+        asio::ip::tcp::socket socket(io_);
+        socket.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+        return socket;
+    }
+};
+
+TEST_F(PlainSocketTest, AServerClosesAConnectionThatCarriesNoFrames) {
+    const auto server = serve(echo);
+    asio::ip::tcp::socket socket = connectTo(*server);
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    char byte = 0;
+    std::optional<asio::error_code> ended;
+    socket.async_read_some(asio::buffer(&byte, 1),
+                           [&](asio::error_code error, std::size_t) { ended = error; });
+    ASSERT_TRUE(runUntil([&] { return ended.has_value(); }));
+    EXPECT_TRUE(*ended);
+}
+
+TEST_F(PlainSocketTest, ACallWhoseAnswerIsNoFrameFails) {
+    asio::ip::tcp::acceptor acceptor(io_, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::ip::tcp::socket accepted(io_);
+    acceptor.async_accept(accepted, [&](asio::error_code) {
+        asio::write(accepted, asio::buffer(std::string("HTTP/1.1 400 Bad Request\r\n\r\n")));
+    });
+    Client client(io_, log_);
+    const Answer answer =
+        callAndWait(client, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), "a");
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().kind, ErrorKind::unavailable);
+}
+
+TEST_F(PlainSocketTest, ConnectionsAreBoundedAndTheOneSilentLongestIsClosed) {
+    const auto server = serve(echo);
+    Client client(io_, log_);
+    std::vector<asio::ip::tcp::socket> sockets;
+    sockets.push_back(connectTo(*server));
+    char byte = 0;
+    std::optional<asio::error_code> ended;
+    sockets.front().async_read_some(asio::buffer(&byte, 1),
+                                    [&](asio::error_code error, std::size_t) { ended = error; });
+    ASSERT_TRUE(runUntil([&] { return server->connections() == 1; }));
+    EXPECT_TRUE(callAndWait(client, addressOf(*server), "a"));
+    while (server->connections() < kMaxConnections) {
+        const std::size_t before = server->connections();
+        sockets.push_back(connectTo(*server));
+        ASSERT_TRUE(runUntil([&] { return server->connections() > before; }));
+    }
+    EXPECT_TRUE(callAndWait(client, addressOf(*server), "b"));
+    EXPECT_FALSE(ended);
+    sockets.push_back(connectTo(*server));
+    ASSERT_TRUE(runUntil([&] { return ended.has_value(); }));
+    EXPECT_EQ(server->connections(), kMaxConnections);
+    EXPECT_TRUE(callAndWait(client, addressOf(*server), "c"));
+}
+
+TEST_F(RpcTest, APeerThatRefusesConnectionsFailsItsCallsLongBeforeTheirTimeOut) {
+    auto server = serve(echo);
+    const std::string address = addressOf(*server);
+    server.reset();
+    Client client(io_, log_);
+    const Answer answer = callAndWait(client, address, "a", 10 * kLong);
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().kind, ErrorKind::unavailable);
+}
+
 }  // namespace
 }  // namespace beechpoint::rpc
