Tests of the control role over loopback sockets

Cause: the role had none. Found by them: the replica's read barrier is the tail's alone, so a head passes an empty batch down the chain before it refuses. Ruled out: refusing on the head's own table, which may be out of date behind a cut.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -5,7 +5,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
-#include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -148,6 +148,7 @@
 
     const replica::Replica* replica() const { return driver_.replica(); }
     bool readsHosts() const { return gateways_.readsHosts(); }
+    std::size_t waitingPolls() const { return gateways_.waitingPolls(); }
 
 private:
     struct Listener {
@@ -176,13 +177,14 @@
         return server_.listen(internalAddress());
     }
 
-    // Without an address the part is not served.
-    static Result<void> listen(net::HttpServer& server, const std::string& address, const char* place) {
-        if (address.empty()) return boost::outcome_v2::success();
+    // Without an address the part is not served. A start that is tried again finds some listening already.
+    Result<void> listen(net::HttpServer& server, const std::string& address, const char* place) {
+        if (address.empty() || listening_.contains(&server)) return boost::outcome_v2::success();
         const auto endpoint = endpointOf(address, place);
         if (!endpoint) return endpoint.error();
         try {
             server.listen(endpoint.value());
+            listening_.insert(&server);
         } catch (const std::exception& failure) {
             return Error{ErrorKind::unavailable, place,
                          fmt::format("can't listen on {}: {}", address, failure.what()),
@@ -315,6 +317,7 @@
     GatewayService gateways_;
     DirectoryService directory_;
     net::HttpServer operators_, clients_, probers_;
+    std::set<const net::HttpServer*> listening_;
     asio::steady_timer tick_;
     std::function<void()> stopped_;
     Millis leaveBy_ = 0;
@@ -335,5 +338,6 @@
 void Control::stop(std::function<void()> done) { impl_->stop(std::move(done)); }
 const replica::Replica* Control::replica() const { return impl_->replica(); }
 bool Control::readsHosts() const { return impl_->readsHosts(); }
+std::size_t Control::waitingPolls() const { return impl_->waitingPolls(); }
 
 }  // namespace beechpoint::control
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -126,9 +126,13 @@
 
     void passBarrier(Iterator pending) {
         pending->stage = Stage::inHand;
-        driver_.readBarrier([weak = weak_from_this(), pending](bool ok) {
+        auto done = [weak = weak_from_this(), pending](bool ok) {
             if (const auto self = weak.lock()) self->onBarrier(pending, ok);
-        });
+        };
+        if (pending->call.writes())
+            driver_.write({}, std::move(done));
+        else
+            driver_.readBarrier(std::move(done));
     }
 
     void onBarrier(Iterator pending, bool ok) {
--- a/src/control/operator_api.hpp
+++ b/src/control/operator_api.hpp
@@ -8,8 +8,9 @@
 //   decided  --accepted--> committing                      --anything else--> barrier, unless that was passed: then answered
 //   committing --committed--> 200                          --else--> 503: not known, the operator sends it again
 //
-// One write is in hand at a time, the others wait in order. What is refused is refused only by a head that has passed a barrier:
-// one that was cut off would refuse by a table that is out of date.
+// The barrier shows that the table is the newest since the call came: of a read, a heartbeat round of the tail; of a write, an empty
+// batch that the whole chain commits. One write is in hand at a time, the others wait in order. Only behind its barrier is a write
+// refused or called taken: a head that was cut off would do so by a table that is out of date.
 #pragma once
 
 #include <cstddef>
--- /dev/null
+++ b/tests/control/codec_test.cpp
@@ -0,0 +1,242 @@
+#include "control/codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include "control/durable_records.hpp"
+#include "control/replica_codec.hpp"
+
+namespace beechpoint::control {
+namespace {
+
+leases::Gateway gateway() {
+    leases::Gateway gateway;
+    gateway.name = "g1";
+    gateway.session = 0xffffffffffffffffu;
+    gateway.zone = "z";
+    gateway.region = "r";
+    gateway.frontAddress = "10.0.0.1:80";
+    gateway.ready = true;
+    gateway.draining = true;
+    gateway.load = {{"i-1", 7}};
+    return gateway;
+}
+
+SharedHostList hostList() {
+    SharedHostList list;
+    list.version = {3, 4, 5};
+    list.readAge = 12.5;
+    instances::Host host;
+    host.instanceId = "i-1";
+    host.service = "s";
+    host.address = "10.0.0.9:80";
+    host.zone = "z";
+    host.revision = "v1";
+    host.capacity = 64;
+    host.state = instances::HostState::draining;
+    host.warmupLeft = 100;
+    host.remaining = 5;
+    host.phase = "both";
+    host.models = {{"m", -1, {"a", "b"}}};
+    list.hosts = {host, {}};
+    return list;
+}
+
+TEST(Codec, APollGoesThereAndBack) {
+    PollRequest request;
+    request.gateway = gateway();
+    request.position = {7, 9};
+    request.hostList = {1, 2, 3};
+    request.waitMs = 1000;
+    request.wantsLoad = true;
+    const std::string bytes = encode(request);
+    const auto envelope = openEnvelope(bytes);
+    ASSERT_TRUE(envelope.has_value());
+    EXPECT_EQ(envelope.value().kind, RequestKind::poll);
+    const auto read = decodePollRequest(envelope.value().body);
+    ASSERT_TRUE(read.has_value()) << read.error().text();
+    EXPECT_EQ(read.value().gateway, request.gateway);
+    EXPECT_EQ(read.value().position, request.position);
+    EXPECT_EQ(read.value().hostList, request.hostList);
+    EXPECT_EQ(read.value().waitMs, request.waitMs);
+    EXPECT_TRUE(read.value().wantsLoad);
+}
+
+TEST(Codec, AReplyGoesThereAndBack) {
+    PollReply reply;
+    reply.table = TableUpdate{{2, 3}, true, {{"a", "1"}, {"b", std::nullopt}}};
+    reply.hostList = hostList();
+    reply.hostListVersion = {3, 4, 5};
+    reply.hostListAge = 1.5;
+    reply.liveGateways = 4;
+    reply.largestLive = 5;
+    reply.members = {"10.0.0.1:7000", "10.0.0.2:7000"};
+    reply.othersLoad = {{"i-1", 9}};
+    reply.leaseMs = 3000;
+    const auto read = decodePollReply(encode(reply));
+    ASSERT_TRUE(read.has_value()) << read.error().text();
+    EXPECT_EQ(read.value().status, PollStatus::ok);
+    ASSERT_TRUE(read.value().table.has_value());
+    EXPECT_EQ(read.value().table->position, reply.table->position);
+    EXPECT_TRUE(read.value().table->whole);
+    EXPECT_EQ(read.value().table->changes, reply.table->changes);
+    ASSERT_TRUE(read.value().hostList.has_value());
+    EXPECT_EQ(read.value().hostList->hosts, reply.hostList->hosts);
+    EXPECT_EQ(read.value().hostList->readAge, 12.5);
+    EXPECT_EQ(read.value().hostListVersion, reply.hostListVersion);
+    EXPECT_EQ(read.value().hostListAge, reply.hostListAge);
+    EXPECT_EQ(read.value().liveGateways, reply.liveGateways);
+    EXPECT_EQ(read.value().largestLive, reply.largestLive);
+    EXPECT_EQ(read.value().members, reply.members);
+    EXPECT_EQ(read.value().othersLoad, reply.othersLoad);
+    EXPECT_EQ(read.value().leaseMs, reply.leaseMs);
+}
+
+TEST(Codec, AShareGoesThereAndBack) {
+    Share share;
+    share.member = "c1";
+    share.session = 5;
+    share.epoch = 6;
+    share.leases = {{gateway(), 250}};
+    share.hostListVersion = {1, 1, 1};
+    share.hostListAge = 40;
+    share.hostList = hostList();
+    share.readsHosts = true;
+    const std::string bytes = encode(share);
+    const auto envelope = openEnvelope(bytes);
+    ASSERT_TRUE(envelope.has_value());
+    EXPECT_EQ(envelope.value().kind, RequestKind::share);
+    const auto read = decodeShare(envelope.value().body);
+    ASSERT_TRUE(read.has_value()) << read.error().text();
+    EXPECT_EQ(read.value().member, "c1");
+    ASSERT_EQ(read.value().leases.size(), 1u);
+    EXPECT_EQ(read.value().leases.front().gateway, gateway());
+    EXPECT_EQ(read.value().leases.front().age, 250);
+    EXPECT_EQ(read.value().hostList->hosts, share.hostList->hosts);
+    EXPECT_TRUE(read.value().readsHosts);
+    const auto answer = decodeShareReply(encode(ShareReply{{1, 2, 3}}));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer.value().hostListVersion, (instances::HostListVersion{1, 2, 3}));
+}
+
+TEST(Codec, RefusesWhatIsNoMessage) {
+    EXPECT_FALSE(openEnvelope("").has_value());
+    EXPECT_FALSE(openEnvelope(std::string("\0x", 2)).has_value());
+    EXPECT_FALSE(openEnvelope("\x09x").has_value());
+    const std::string request = encode(PollRequest{});
+    for (std::size_t size = 0; size + 1 < request.size(); size++)
+        EXPECT_FALSE(decodePollRequest(request.substr(1, size)).has_value()) << size;
+    EXPECT_FALSE(decodePollReply("\xff").has_value());
+    EXPECT_FALSE(decodePollReply("\x91\x07").has_value());  // a status that is not known
+    EXPECT_FALSE(decodeShare("nonsense").has_value());
+}
+
+replica::Member member(const std::string& name) {
+    return {name, 11, 12, "10.0.0.1:7000", "10.0.0.1:8146", "z"};
+}
+
+replica::View view() { return {4, {member("a"), member("b")}, {3, 9}}; }
+
+std::vector<replica::Body> bodies() {
+    const replica::Ballot ballot{2, "a", 12};
+    replica::Status status;
+    status.sealed = status.diskFailing = true;
+    status.syncedEpoch = 4;
+    status.chained = 2;
+    status.committed = {4, 5};
+    status.reached = {"a"};
+    status.unheard = {"b"};
+    status.stalledAt = "b";
+    const Batch batch{{4, 6}, {{"k", "v"}, {"gone", std::nullopt}}};
+    replica::Promise promise;
+    promise.ballot = ballot;
+    promise.target = 5;
+    promise.value = view();
+    promise.position = {4, 6};
+    return {replica::Heartbeat{1, 2.5},
+            replica::HeartbeatReply{1, 2.5, 3, status},
+            replica::Join{},
+            replica::Prepare{ballot, view(), {"s1", "s2"}, true},
+            promise,
+            replica::Refuse{ballot, 5, ballot},
+            replica::Accept{ballot, view(), {}, view()},
+            replica::Accepted{ballot, 5},
+            replica::Decided{view()},
+            replica::Propose{true, {4, 5}, batch},
+            replica::Commit{{4, 6}},
+            replica::SyncRequest{{1, 1}},
+            replica::SyncReply{{1, 1}, TableUpdate{{4, 6}, false, batch.changes}}};
+}
+
+TEST(ReplicaCodec, EveryMessageGoesThereAndBack) {
+    std::vector<replica::Message> messages;
+    for (const replica::Body& body : bodies()) messages.push_back({member("a"), 4, body});
+    ASSERT_EQ(messages.size(), std::variant_size_v<replica::Body>);
+    const std::string bytes = encodeMessages(messages);
+    const auto read = decodeMessages(bytes);
+    ASSERT_TRUE(read.has_value()) << read.error().text();
+    ASSERT_EQ(read.value().size(), messages.size());
+    for (std::size_t place = 0; place < messages.size(); place++) {
+        EXPECT_EQ(read.value()[place].from, member("a"));
+        EXPECT_EQ(read.value()[place].body.index(), place);
+    }
+    EXPECT_EQ(encodeMessages(read.value()), bytes);
+    const auto& promise = std::get<replica::Promise>(read.value()[4].body);
+    EXPECT_EQ(promise.value, view());
+}
+
+TEST(ReplicaCodec, RefusesWhatIsNoMessage) {
+    EXPECT_FALSE(decodeMessages("").has_value());
+    EXPECT_FALSE(decodeMessages("\x91\x93").has_value());
+    const std::vector<replica::Message> many(kMaxReplicaMessages + 1, {member("a"), 1, replica::Join{}});
+    EXPECT_FALSE(decodeMessages(encodeMessages(many)).has_value());
+    EXPECT_FALSE(decodeView("x").has_value());
+    EXPECT_FALSE(decodeVote("x").has_value());
+}
+
+TEST(DurableRecords, WhatIsStoredIsWhatIsReadAgain) {
+    replica::DurableUpdate update;
+    update.table = TableUpdate{{4, 5}, true, {{"k", "v"}}};
+    update.pending = Batch{{4, 6}, {{"l", "w"}}};
+    update.syncedEpoch = 4;
+    update.control = replica::ControlRecord{7, {"s1"}, view(), {5, {2, "a", 12}, {}, view()}};
+    const storage::Update stored = storeUpdate(update);
+    storage::Contents contents;
+    contents.incarnation = stored.incarnation;
+    contents.view = stored.view;
+    contents.vote = stored.vote;
+    contents.syncedEpoch = stored.syncedEpoch;
+    contents.position = stored.snapshot->position;
+    contents.table = stored.snapshot->table;
+    contents.pending = stored.pending;
+    const auto state = durableState(contents);
+    ASSERT_TRUE(state.has_value()) << state.error().text();
+    EXPECT_EQ(state.value().control, *update.control);
+    EXPECT_EQ(state.value().syncedEpoch, 4u);
+    EXPECT_EQ(state.value().table, (Table{{"k", "v"}}));
+    EXPECT_EQ(state.value().position, (Position{4, 5}));
+    EXPECT_EQ(state.value().pending, update.pending);
+}
+
+TEST(DurableRecords, ADeltaIsFoldedAndClearsItsBatch) {
+    replica::DurableUpdate update;
+    update.table = TableUpdate{{4, 6}, false, {{"l", "w"}, {"k", std::nullopt}}};
+    update.clearPending = true;
+    update.force = false;
+    const storage::Update stored = storeUpdate(update);
+    ASSERT_TRUE(stored.fold.has_value());
+    EXPECT_EQ(*stored.fold, (Batch{{4, 6}, update.table->changes}));
+    EXPECT_FALSE(stored.snapshot.has_value());
+    EXPECT_TRUE(stored.clearPending);
+    EXPECT_FALSE(stored.forceSync);
+    EXPECT_FALSE(stored.view.has_value());
+}
+
+TEST(DurableRecords, ARecordThatCanNotBeReadIsAnError) {
+    storage::Contents contents;
+    contents.view = "x";
+    ASSERT_FALSE(durableState(contents).has_value());
+    EXPECT_EQ(durableState(contents).error().kind, ErrorKind::storage);
+}
+
+}  // namespace
+}  // namespace beechpoint::control
--- /dev/null
+++ b/tests/control/directory_test.cpp
@@ -0,0 +1,64 @@
+#include "control/directory.hpp"
+
+#include <gtest/gtest.h>
+
+namespace beechpoint::control {
+namespace {
+
+leases::Gateway gateway(const std::string& address, const std::string& zone, const std::string& region) {
+    leases::Gateway gateway;
+    gateway.name = address;
+    gateway.frontAddress = address;
+    gateway.zone = zone;
+    gateway.region = region;
+    gateway.ready = true;
+    return gateway;
+}
+
+using Addresses = std::vector<std::string>;
+
+std::vector<leases::Gateway> three() {
+    return {gateway("a1", "za", "r1"), gateway("a2", "za", "r1"), gateway("b1", "zb", "r1"),
+            gateway("c1", "zc", "r2")};
+}
+
+TEST(Directory, NamesTheOwnZoneWhereItIsEnough) {
+    EXPECT_EQ(resolve(three(), "za", "r1"), (Addresses{"a1", "a2"}));
+}
+
+TEST(Directory, GoesOnToTheRegionAndThenToAll) {
+    EXPECT_EQ(resolve(three(), "zb", "r1"), (Addresses{"b1", "a1", "a2"}));
+    EXPECT_EQ(resolve(three(), "zc", "r2"), (Addresses{"c1", "a1", "a2", "b1"}));
+    EXPECT_EQ(resolve(three(), "zd", "r1"), (Addresses{"a1", "a2", "b1"}));
+    EXPECT_EQ(resolve(three(), "", ""), (Addresses{"a1", "a2", "b1", "c1"}));
+}
+
+TEST(Directory, LeavesOutTheUnreadyAndTheDraining) {
+    auto gateways = three();
+    gateways[0].ready = false;
+    gateways[2].draining = true;
+    EXPECT_EQ(resolve(gateways, "za", "r1"), (Addresses{"a2", "c1"}));
+    for (auto& each : gateways) each.ready = false;
+    EXPECT_TRUE(resolve(gateways, "za", "r1").empty());
+}
+
+TEST(Directory, NamesABoundedNumber) {
+    std::vector<leases::Gateway> many;
+    for (int number = 0; number < 100; number++) many.push_back(gateway(std::to_string(number), "za", "r1"));
+    EXPECT_EQ(resolve(many, "za", "r1").size(), kMaxResolved);
+}
+
+TEST(Directory, ReadsTheQuery) {
+    EXPECT_EQ(queryValue("name=x&region=r%201&zone=za", "region"), "r 1");
+    EXPECT_EQ(queryValue("name=x&zone=za", "zone"), "za");
+    EXPECT_EQ(queryValue("name=x&zone", "zone"), "");
+    EXPECT_EQ(queryValue("", "zone"), "");
+    EXPECT_EQ(queryValue("zone=%2", "zone"), "");
+}
+
+TEST(Directory, RendersTheAnswerOfTheProtocol) {
+    EXPECT_EQ(renderResolved({"10.1.0.12:8144"}, 2), R"({"addresses":["10.1.0.12:8144"],"ttl_s":2.0})");
+}
+
+}  // namespace
+}  // namespace beechpoint::control
