A listener may end while its timer is due

Ruled out: a fault of the new test alone, since a process that swaps listeners would meet it too. The calls now hold a token of the server's life.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -432,8 +432,8 @@
 }
 
 void HttpServer::accept() {
-    acceptor_.async_wait(tcp::acceptor::wait_read, [this](asio::error_code error) {
-        if (error == asio::error::operation_aborted || !accepting_) return;
+    acceptor_.async_wait(tcp::acceptor::wait_read, [this, alive = aliveToken()](asio::error_code error) {
+        if (alive.expired() || error == asio::error::operation_aborted || !accepting_) return;
         acceptSome();
     });
 }
@@ -457,8 +457,8 @@
 
 void HttpServer::acceptLater() {
     timerAccept_.expires_after(kAcceptPause);
-    timerAccept_.async_wait([this](asio::error_code error) {
-        if (!error && accepting_) accept();
+    timerAccept_.async_wait([this, alive = aliveToken()](asio::error_code error) {
+        if (!alive.expired() && !error && accepting_) accept();
     });
 }
 
@@ -499,8 +499,8 @@
 // What never comes whole, is not read or is not used must not hold a descriptor for ever.
 void HttpServer::sweep() {
     timer_.expires_after(kSweepEvery);
-    timer_.async_wait([this](asio::error_code error) {
-        if (error) return;
+    timer_.async_wait([this, alive = aliveToken()](asio::error_code error) {
+        if (alive.expired() || error) return;
         std::vector<std::shared_ptr<HttpConnection>> late;
         const Millis now = clock_.now();
         for (const auto& c : connections_)
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -177,6 +177,8 @@
     void adopt(asio::ip::tcp::socket socket);
     bool makeRoom();
     void sweep();
+    // Of the loop's calls that were due already when the server ended: cancelling does not take those back.
+    std::weak_ptr<void> aliveToken() const { return alive_; }
 
     asio::io_context& io_;
     const Clock& clock_;
@@ -190,6 +192,7 @@
     bool closing_ = false, accepting_ = false;
     std::function<void()> farAhead_;
     std::list<std::shared_ptr<HttpConnection>> connections_;  // longest idle first
+    std::shared_ptr<void> alive_ = std::make_shared<char>();
 };
 
 }  // namespace beechpoint::net
--- a/tests/upstream/server_test.cpp
+++ b/tests/upstream/server_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include <map>
+#include <thread>
 
 #include "loopback.hpp"
 
@@ -470,5 +470,17 @@
     EXPECT_FALSE(peer->has("0\r\n\r\n"));
 }
 
+// What the loop was about to call when the server ended does not touch it: here its timer has run out.
+TEST_F(StrictServer, MayEndWithItsTimerDue) {
+    const auto sweepDue = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+    const PeerPtr peer = connect();
+    while (std::chrono::steady_clock::now() < sweepDue) std::this_thread::yield();
+    io.restart();
+    io.poll_one();  // finds what is due, and carries out only the first of it
+    server.reset();
+    settle(io);
+    EXPECT_TRUE(until(io, [&] { return peer->ended; }));
+}
+
 }  // namespace
 }  // namespace beechpoint
