--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,8 @@
 #include <random>
 #include <stdexcept>
 
+#include "back/pool.hpp"
+
 namespace beechpoint::gateway {
 
 namespace {
@@ -33,10 +35,10 @@
 }
 
 asio::ip::tcp::endpoint endpointOf(const std::string& text, const char* field) {
-    const auto address = upstream::HostAddress::parse(text);
-    if (!address)
-        throw std::runtime_error(fmt::format("listen_addresses.{}: {}", field, address.error().text()));
-    return {asio::ip::make_address(address.value().ip), address.value().port};
+    const auto endpoint = back::readEndpoint(text);
+    if (!endpoint)
+        throw std::runtime_error(fmt::format("listen_addresses.{} must be ADDRESS:PORT, not {}", field, text));
+    return *endpoint;
 }
 
 dispatch::Settings dispatchSettings(const settings::ProcessSettings& settings) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -31,9 +31,11 @@
     void reload(const settings::ProcessSettings& settings);
     // Drains; `ended` is called once, inside the grace time.
     void stop(std::function<void()> ended);
+    // Where clients connect.
+    asio::ip::tcp::endpoint frontEndpoint() const { return front_.endpoint(); }
+    bool ready() const;
 
 private:
-    bool ready() const;
     control::PollRequest pollRequest() const;
     void onPollReply(const control::PollReply& reply, Millis sentAt);
     void takeTable(const TableUpdate& update);
