--- a/src/replica/settings.hpp
+++ b/src/replica/settings.hpp
@@ -15,6 +15,7 @@
 inline constexpr Millis kReachableFor = 600;    // an answer proves a link for so long
 inline constexpr Millis kFreshFor = 600;        // an answer of a majority lets polls be answered for so long
 inline constexpr Millis kWakeGap = 500;         // no event for so long: the process was frozen
+inline constexpr Millis kAssessEvery = 20;      // whether the view must change
 inline constexpr Millis kProposalRankDelay = 300;  // between the members that may propose a view
 inline constexpr Millis kViewChangeEvery = 300;    // at most one view change in so long
 inline constexpr Millis kPromiseWait = 400;        // for the members beyond the majority
--- a/src/replica/view_change.cpp
+++ b/src/replica/view_change.cpp
@@ -181,8 +181,8 @@
             resend(now);
         }
     }
-    const bool dirty = controlsInFlight_ == 0 && durable_ != control();
-    if (dirty && now >= controlRetryAt_) persistControl();
+    const bool written = durable_.vote == acceptor_.vote() && durable_.view == membership_.view;
+    if (!written && controlsInFlight_ == 0 && now >= controlRetryAt_) persistControl();
 }
 
 void ViewChange::wake(Millis now) {
@@ -211,7 +211,8 @@
 }
 
 void ViewChange::considerChange(Millis now) {
-    if (membership_.view.epoch == 0 || membership_.diskFailing) return;
+    if (membership_.view.epoch == 0 || membership_.diskFailing || now < assessAt_) return;
+    assessAt_ = now + kAssessEvery;
     const Assessment assessment = planner_.assess(now);
     if (!assessment.actionable() || !planner_.hearsMajority(now)) {
         troubleSince_ = 0;
--- a/src/replica/view_change.hpp
+++ b/src/replica/view_change.hpp
@@ -84,6 +84,7 @@
     unsigned controlsInFlight_ = 0;
     bool observed_ = false;  // of the present proposal
     std::uint64_t highestRound_ = 0;
+    Millis assessAt_ = 0;
     Millis troubleSince_ = 0;  // 0: none
     Millis resendAt_ = 0;
     Millis backOffUntil_ = 0;
--- a/tests/replica/simulated_cluster.cpp
+++ b/tests/replica/simulated_cluster.cpp
@@ -11,8 +11,7 @@
 
 constexpr std::size_t kTraceLines = 400;
 constexpr Millis kForcedLow = 1;
-constexpr Millis kForcedHigh = 4;
-constexpr Millis kWriteEvery = 40;
+constexpr Millis kWriteEvery = 60;
 // A fresh member shows all that was acknowledged so long ago.
 constexpr Millis kFreshLag = 1'300;
 
@@ -78,6 +77,7 @@
     settings.tolerance = options_.tolerance;
     ++node.life;
     node.shown = Position{};
+    checkDisk(index);
     node.replica = std::make_unique<Replica>(settings, node.written, random_.bits(), now_);
     note(fmt::format("start {}", index));
     deliver(index, Tick{});
@@ -121,6 +121,7 @@
     if (node.replica) return;
     note(fmt::format("wipe {}", index));
     node.written = node.synced = DurableState{};
+    ++counters_.wipes;
 }
 
 std::size_t Cluster::addReplacement(std::size_t index, bool sameName) {
@@ -180,7 +181,7 @@
     if (node.diskBusy || node.persists.empty()) return;
     node.diskBusy = true;
     Millis done = std::max(now_, node.diskStalledUntil);
-    done += node.persists.front().update.force ? draw(kForcedLow, kForcedHigh) : draw(0.05, 0.3);
+    done += node.persists.front().update.force ? draw(kForcedLow, disks_.slowest) : draw(0.05, 0.3);
     at(done, [this, index, order = ++node.diskOrder] {
         if (nodes_[index].diskOrder == order && nodes_[index].diskBusy) finishPersist(index);
     });
@@ -196,11 +197,11 @@
     const QueuedPersist persist = std::move(node.persists.front());
     node.persists.pop_front();
     node.diskBusy = false;
-    const bool fails = node.diskFails;
+    const bool fails = node.diskFails || random_() < disks_.failure;
     if (!fails) {
         apply(persist.update, node.written);
         if (persist.update.force) node.synced = node.written;
-    } else if (random_() < 0.1) {
+    } else if (random_() < disks_.failedThere) {
         apply(persist.update, node.written);  // a sync that failed: it may be there
         if (random_() < 0.5) node.synced = node.written;
     }
@@ -226,6 +227,8 @@
 void Cluster::heal() {
     note("heal");
     network_ = NetworkTrouble{};
+    disks_ = DiskTrouble{};
+    onSend_ = nullptr;
     joinAll();
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
         nodes_[index].diskFails = false;
@@ -243,11 +246,13 @@
     const auto found = byAddress_.find(send.address);
     if (found == byAddress_.end()) return;
     const std::size_t to = found->second;
+    if (onSend_) onSend_(from, send.message.body);
     const int copies = random_() < network_.duplicate ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
         if (random_() < network_.loss) continue;
         const bool sameZone = nodes_[from].member.zone == nodes_[to].member.zone;
-        const Millis delay = (sameZone ? 0.5 : draw(0.9, 13)) + draw(0, 0.5) + draw(0, network_.extraDelay);
+        const Millis delay = (sameZone ? 0.5 : draw(0.9, 13)) + draw(0, 0.5) + draw(0, network_.extraDelay) +
+                             (random_() < network_.late ? draw(0, 3'000) : 0);
         at(now_ + delay, [this, from, to, message = send.message] {
             if (!cuts_.contains({from, to})) deliver(to, MessageReceived{message});
         });
@@ -284,6 +289,7 @@
         if (const auto* timer = std::get_if<SetTimer>(&action)) armTimer(index, timer->at);
         if (const auto* changed = std::get_if<ViewChanged>(&action)) {
             ++counters_.viewChanges;
+            if (afterView_) at(now_ + draw(0, 60), std::exchange(afterView_, nullptr));
             std::string names;
             for (const Member& member : changed->view.members)
                 names += fmt::format(" {}", byAddress_[member.internalAddress]);
@@ -311,7 +317,7 @@
 void Cluster::clientStep() {
     if (!clientRuns_) return;
     write();
-    readOnce();
+    if (++clientSteps_ % 2 == 0) readOnce();
     at(now_ + draw(kWriteEvery / 2, kWriteEvery * 1.5), [this] { clientStep(); });
 }
 
@@ -415,6 +421,15 @@
                          text(entry->second.position)));
 }
 
+// The table on disk is the one of its position, if that was ever committed.
+void Cluster::checkDisk(std::size_t index) {
+    const DurableState& disk = nodes_[index].written;
+    const auto known = canon_.find(disk.position.sequence);
+    if (known == canon_.end() || known->second.position != disk.position) return;
+    if (known->second.table != disk.table)
+        fail(fmt::format("the disk of node {} holds another table at {}", index, text(disk.position)));
+}
+
 void Cluster::checkNode(std::size_t index) {
     Node& node = nodes_[index];
     const Position position = node.replica->committedPosition();
@@ -431,12 +446,13 @@
                          text(acknowledgements_.front().second)));
 }
 
-std::optional<std::size_t> Cluster::settledTail() const {
-    for (std::size_t index = 0; index < nodes_.size(); ++index)
-        if (up(index) && !frozen(index) && nodes_[index].replica->isTail() &&
-            nodes_[index].replica->fresh(now_))
-            return index;
-    return std::nullopt;
+bool Cluster::whole() const {
+    return std::ranges::all_of(nodes_, [&](const Node& node) {
+        if (node.gone) return true;
+        const bool vouches = node.replica && !node.frozen && node.replica->fresh(now_);
+        const std::size_t size = vouches ? node.replica->view().members.size() : 0;
+        return vouches && size == options_.nodes;
+    });
 }
 
 void Cluster::fail(const std::string& text) {
--- a/tests/replica/simulated_cluster.hpp
+++ b/tests/replica/simulated_cluster.hpp
@@ -32,6 +32,14 @@
     double loss = 0;
     double duplicate = 0;
     Millis extraDelay = 0;  // at most, drawn for each message
+    double late = 0;        // share that arrives only after up to 3 s
+};
+
+// What of all disks is harmed at present.
+struct DiskTrouble {
+    Millis slowest = 4;        // a forced write takes 1 ms to this
+    double failure = 0;        // share of the writes that fail
+    double failedThere = 0.1;  // share of the failed writes that took effect all the same
 };
 
 struct Counters {
@@ -41,6 +49,7 @@
     std::uint64_t faults = 0;
     std::uint64_t faultsWithWriteInFlight = 0;
     std::uint64_t viewChanges = 0;
+    std::uint64_t wipes = 0;
 };
 
 class Cluster {
@@ -69,6 +78,11 @@
     void cut(std::size_t from, std::size_t to, bool cut);
     void joinAll();  // no cuts
     NetworkTrouble& network() { return network_; }
+    DiskTrouble& disks() { return disks_; }
+    // Called for each message as it is sent.
+    void onSend(std::function<void(std::size_t from, const Body& body)> action) {
+        onSend_ = std::move(action);
+    }
     // Ends all troubles but machines that are down for good.
     void heal();
     bool up(std::size_t node) const { return nodes_[node].replica != nullptr; }
@@ -86,9 +100,12 @@
     // Done once, right after the next acknowledgement, or a moment after the next write was taken.
     void onNextAcknowledgement(std::function<void()> action) { afterAcknowledgement_ = std::move(action); }
     void onNextWrite(std::function<void()> action) { afterWrite_ = std::move(action); }
+    // The same, when some process next puts a view in force.
+    void onNextView(std::function<void()> action) { afterView_ = std::move(action); }
     std::uint64_t acknowledged() const { return counters_.writesAcknowledged; }
     Position lastAcknowledged() const { return acknowledged_; }
-    std::optional<std::size_t> settledTail() const;
+    // Every process that is not gone runs, is listed in the same view and vouches for it.
+    bool whole() const;
 
     Counters& counters() { return counters_; }
     void countFault();
@@ -161,6 +178,7 @@
     void clientStep();
     void checkNode(std::size_t node);
     void checkState(std::size_t node);
+    void checkDisk(std::size_t node);
     void onWriteDone(std::size_t node, const WriteDone& done);
     void onReadDone(std::size_t node, const ReadDone& done);
     void onCommitted(std::size_t node, const Batch& batch);
@@ -177,6 +195,8 @@
     std::map<std::string, std::size_t> byAddress_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
     NetworkTrouble network_;
+    DiskTrouble disks_;
+    std::function<void(std::size_t, const Body&)> onSend_;
 
     bool clientRuns_ = false;
     std::uint64_t nextToken_ = 1;
@@ -185,6 +205,8 @@
     std::map<std::uint64_t, OpenRead> openReads_;
     std::function<void()> afterAcknowledgement_;
     std::function<void()> afterWrite_;
+    std::function<void()> afterView_;
+    std::uint64_t clientSteps_ = 0;
     Position acknowledged_;
     std::deque<std::pair<Millis, Position>> acknowledgements_;
     std::map<std::uint64_t, Canon> canon_;  // by sequence: the one history
--- a/tests/replica/simulation_test.cpp
+++ b/tests/replica/simulation_test.cpp
@@ -66,10 +66,11 @@
         total.faults += cluster.counters().faults;
         total.faultsWithWriteInFlight += cluster.counters().faultsWithWriteInFlight;
         total.viewChanges += cluster.counters().viewChanges;
+        total.wipes += cluster.counters().wipes;
     }
     std::cout << name << ": " << total.writesAcknowledged << " writes, " << total.readsDone << " reads, "
-              << total.viewChanges << " views put in force, " << total.faults << " faults, "
-              << total.faultsWithWriteInFlight << " of them with a write in flight\n";
+              << total.viewChanges << " views put in force, " << total.wipes << " wipes, " << total.faults
+              << " faults, " << total.faultsWithWriteInFlight << " of them with a write in flight\n";
     EXPECT_GT(total.faultsWithWriteInFlight, 0u);
 }
 
@@ -82,9 +83,9 @@
         done = true;
     };
     const double kind = cluster.random()();
-    if (kind < 0.4)
+    if (kind < 0.45)
         cluster.onNextWrite(counted);
-    else if (kind < 0.7)
+    else if (kind < 0.75)
         cluster.onNextAcknowledgement([&] { cluster.at(cluster.now(), counted); });
     else
         counted();
@@ -204,41 +205,185 @@
     });
 }
 
+// A second fault while the first one is being repaired: right as a view comes into force.
+TEST(Simulation, FaultsDuringRepair) {
+    play("faults during repair", [](Cluster& cluster) {
+        for (int round = 0; round < 3 && !cluster.failed(); ++round) {
+            const std::size_t first = anyNode(cluster);
+            strike(cluster, [&] {
+                const bool whole = cluster.whole();
+                cluster.losePower(first);
+                if (whole && cluster.random()() < 0.6) cluster.wipe(first);
+            });
+            cluster.at(cluster.now() + cluster.draw(50, 1'500), [&cluster, first] { cluster.start(first); });
+            for (int count = 0; count < 3 && !cluster.failed(); ++count) {
+                bool done = false;
+                const std::size_t next = anyNode(cluster);
+                const double kind = cluster.random()();
+                cluster.onNextView([&] {
+                    cluster.countFault();
+                    done = true;
+                    if (kind < 0.4)
+                        cluster.losePower(next);
+                    else if (kind < 0.7)
+                        cluster.kill(next);
+                    else if (kind < 0.85)
+                        cluster.freeze(next);
+                    else
+                        cluster.stallDisk(next, cluster.now() + 1'500);
+                });
+                cluster.runUntil(4'000, [&] { return done; });
+                cluster.onNextView(nullptr);
+                cluster.runFor(cluster.draw(0, 1'200));
+                cluster.thaw(next);
+                cluster.start(next);
+            }
+            cluster.heal();
+            if (!recovers(cluster) && !cluster.failed()) cluster.fail("no write within 3 s of the repair");
+            cluster.runUntil(3'000, [&] { return cluster.whole(); });
+        }
+    });
+}
+
+void anyFault(Cluster& cluster) {
+    const std::size_t node = anyNode(cluster);
+    const std::size_t other = anyNode(cluster);
+    const double kind = cluster.random()();
+    if (cluster.whole() && cluster.random()() < 0.3) {
+        cluster.losePower(node);
+        cluster.wipe(node);
+    } else if (kind < 0.1) {
+        cluster.kill(node);
+    } else if (kind < 0.2) {
+        cluster.losePower(node);
+    } else if (kind < 0.25) {
+        cluster.freeze(node);
+    } else if (kind < 0.3) {
+        cluster.stallDisk(node, cluster.now() + cluster.draw(0, 2'000));
+    } else if (kind < 0.34) {
+        cluster.failDisk(node, true);
+    } else if (kind < 0.4) {
+        cluster.cut(node, other, true);
+    } else if (kind < 0.45) {
+        cluster.joinAll();
+    } else if (kind < 0.55) {
+        cluster.failDisk(node, false);
+        cluster.thaw(node);
+    } else {
+        cluster.start(node);
+    }
+}
+
 TEST(Simulation, ManyFaultsAtOnceAndABadNetwork) {
     play("many faults at once", [](Cluster& cluster) {
-        const Millis end = cluster.now() + 8'000;
-        cluster.network() = {cluster.draw(0, 0.15), 0.05, cluster.draw(0, 60)};
+        const Millis end = cluster.now() + 12'000;
+        cluster.network() = {cluster.draw(0, 0.1), 0.05, cluster.draw(0, 40), 0.02};
         while (cluster.now() < end && !cluster.failed()) {
-            cluster.runFor(cluster.draw(5, 400));
-            const std::size_t node = anyNode(cluster);
-            const std::size_t other = anyNode(cluster);
-            const double kind = cluster.random()();
+            bool struck = false;
+            if (cluster.random()() < 0.3) cluster.onNextWrite([&] { struck = true; });
+            cluster.runUntil(cluster.draw(5, 600), [&] { return struck; });
+            cluster.onNextWrite(nullptr);
             cluster.countFault();
-            if (kind < 0.15)
-                cluster.kill(node);
-            else if (kind < 0.3)
-                cluster.losePower(node);
-            else if (kind < 0.35)
-                cluster.freeze(node);
-            else if (kind < 0.45)
-                cluster.thaw(node);
-            else if (kind < 0.5)
-                cluster.stallDisk(node, cluster.now() + cluster.draw(0, 2'000));
-            else if (kind < 0.55)
-                cluster.failDisk(node, true);
-            else if (kind < 0.6)
-                cluster.failDisk(node, false);
-            else if (kind < 0.7)
-                cluster.cut(node, other, true);
-            else if (kind < 0.75)
-                cluster.joinAll();
-            else
-                cluster.start(node);
+            anyFault(cluster);
         }
         cluster.heal();
     });
 }
 
+// Whatever fails, and however many lose their disks: the system may stop for good, but it never forks, goes back, or
+// forgets what it acknowledged. Faults strike the sender of a message of the agreement or of the chain as it sends it.
+void strikeSenders(Cluster& cluster) {
+    cluster.onSend([&cluster](std::size_t from, const Body& body) {
+        const bool vote = std::holds_alternative<Promise>(body) || std::holds_alternative<Accepted>(body);
+        const bool proposal = std::holds_alternative<Accept>(body) || std::holds_alternative<Decided>(body);
+        const bool chain = std::holds_alternative<Commit>(body) || std::holds_alternative<Propose>(body);
+        const double odds = vote ? 0.05 : proposal ? 0.02 : chain ? 0.005 : 0;
+        if (cluster.random()() >= odds) return;
+        cluster.countFault();
+        const Millis when = cluster.now() + cluster.draw(0, 6);
+        const double kind = cluster.random()();
+        cluster.at(when, [&cluster, from, kind] {
+            if (kind < 0.5) return cluster.losePower(from);
+            if (kind < 0.6) return cluster.freeze(from);
+            for (std::size_t peer = 0; peer < cluster.nodes(); ++peer) {
+                if (kind < 0.9) cluster.cut(from, peer, peer != from);
+                if (kind > 0.7) cluster.cut(peer, from, peer != from);
+            }
+        });
+        cluster.at(when + cluster.draw(30, 1'500), [&cluster, from] {
+            for (std::size_t peer = 0; peer < cluster.nodes(); ++peer) {
+                cluster.cut(from, peer, false);
+                cluster.cut(peer, from, false);
+            }
+            cluster.thaw(from);
+            cluster.start(from);
+        });
+    });
+}
+
+void wipeOrReplace(Cluster& cluster) {
+    const std::size_t node = anyNode(cluster);
+    cluster.losePower(node);
+    if (cluster.random()() < 0.5) {
+        cluster.wipe(node);
+        cluster.at(cluster.now() + cluster.draw(20, 600), [&cluster, node] { cluster.start(node); });
+        return;
+    }
+    cluster.setGone(node);
+    const std::size_t added = cluster.addReplacement(node, cluster.random()() < 0.5);
+    cluster.at(cluster.now() + cluster.draw(20, 600), [&cluster, added] { cluster.start(added); });
+}
+
+ClusterOptions harshOptions(std::uint64_t seed) {
+    ClusterOptions options;
+    options.seed = seed;
+    options.nodes = 2 + seed % 4;
+    options.tolerance = {seed % 3, seed % 2};
+    return options;
+}
+
+TEST(Simulation, NeverWrongWhateverFails) {
+    Counters total;
+    for (std::uint64_t seed = firstSeed(); seed < firstSeed() + 2 * seedsPerMix(); ++seed) {
+        Cluster cluster(harshOptions(seed));
+        cluster.startClient();
+        if (!cluster.runUntil(4'000, [&] { return cluster.acknowledged() > 0; }) && !cluster.failed())
+            continue;
+        cluster.network() = {cluster.draw(0, 0.2), 0.1, cluster.draw(0, 30), 0.05};
+        cluster.disks() = {cluster.draw(4, 80), cluster.draw(0, 0.06), 0.4};
+        strikeSenders(cluster);
+        const Millis end = cluster.now() + 10'000;
+        while (cluster.now() < end && !cluster.failed()) {
+            cluster.runFor(cluster.draw(5, 800));
+            cluster.countFault();
+            const bool whole = cluster.whole();
+            if (cluster.random()() < (whole ? 0.5 : 0.1))
+                wipeOrReplace(cluster);
+            else if (cluster.random()() < 0.15)
+                for (std::size_t node = 0; node < cluster.nodes(); ++node) cluster.losePower(node);
+            else
+                anyFault(cluster);
+            for (std::size_t node = 0; node < cluster.nodes(); ++node)
+                if (cluster.random()() < 0.5) cluster.start(node);
+        }
+        cluster.heal();
+        cluster.runFor(3'000);
+        cluster.stopClient();
+        cluster.runFor(1'500);
+        EXPECT_FALSE(cluster.failed())
+            << "whatever fails seed " << seed << ": " << cluster.failure() << "\n"
+            << (std::getenv("REPLICA_TRACE") ? cluster.trace() : "") << cluster.describe();
+        total.writesAcknowledged += cluster.counters().writesAcknowledged;
+        total.faults += cluster.counters().faults;
+        total.faultsWithWriteInFlight += cluster.counters().faultsWithWriteInFlight;
+        total.wipes += cluster.counters().wipes;
+        total.viewChanges += cluster.counters().viewChanges;
+    }
+    std::cout << "whatever fails: " << total.writesAcknowledged << " writes, " << total.viewChanges
+              << " views put in force, " << total.wipes << " wipes, " << total.faults << " faults, "
+              << total.faultsWithWriteInFlight << " of them with a write in flight\n";
+}
+
 TEST(Simulation, FoundingUnderFaults) {
     for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seedsPerMix(); ++seed) {
         ClusterOptions options = optionsOf(seed);
@@ -250,6 +395,8 @@
         for (int count = 0; count < 6; ++count) {
             cluster.runFor(cluster.draw(10, 400));
             const std::size_t node = anyNode(cluster);
+            cluster.cut(node, anyNode(cluster), true);
+            if (cluster.random()() < 0.2) cluster.joinAll();
             const bool power = cluster.random()() < 0.5;
             if (!cluster.up(node)) continue;
             power ? cluster.losePower(node) : cluster.kill(node);
@@ -260,6 +407,7 @@
         }
         cluster.runFor(options.startSpread + 900);
         cluster.network() = {};
+        cluster.joinAll();
         if (!cluster.failed()) settleAndCheck(cluster);
         EXPECT_FALSE(cluster.failed())
             << "founding seed " << seed << ": " << cluster.failure() << "\n"
