--- a/src/leases/lease_table.cpp
+++ b/src/leases/lease_table.cpp
@@ -72,6 +72,13 @@
     return static_cast<std::uint32_t>(std::count_if(leases_.begin(), leases_.end(), isRunning));
 }
 
+std::vector<SharedLease> LeaseTable::liveLeases(Millis now) const {
+    std::vector<SharedLease> live;
+    for (const auto& [name, lease] : leases_)
+        if (runs(lease, now)) live.push_back({lease.gateway, now - lease.grantedAt});
+    return live;
+}
+
 std::vector<Gateway> LeaseTable::live(Millis now) const {
     std::vector<Gateway> gateways;
     for (const auto& [name, lease] : leases_)
@@ -79,9 +86,9 @@
     return gateways;
 }
 
-bool LeaseTable::isLive(const std::string& name, Millis now) const {
+const Gateway* LeaseTable::find(const std::string& name, Millis now) const {
     const auto found = leases_.find(name);
-    return found != leases_.end() && runs(found->second, now);
+    return found != leases_.end() && runs(found->second, now) ? &found->second.gateway : nullptr;
 }
 
 std::optional<std::uint32_t> LeaseTable::count(Millis now) const {
--- a/src/leases/lease_table.hpp
+++ b/src/leases/lease_table.hpp
@@ -48,9 +48,9 @@
 public:
     struct Settings {
         Millis leaseMs = 3000;
-        Millis windowMs = 10000;        // over which largestLive() looks back
-        Millis lateWakeMs = 1000;       // longer between two looks: the process did not run
-        std::size_t maxGateways = 256;  // beyond, a new name is refused and counted
+        Millis windowMs = 10000;         // over which largestLive() looks back
+        Millis lateWakeMs = 1000;        // longer between two looks: the process did not run
+        std::size_t maxGateways = 1024;  // beyond, a new name is refused and counted
     };
 
     LeaseTable(Settings settings, Millis now);
@@ -65,7 +65,10 @@
     void look(Millis now);
 
     std::vector<Gateway> live(Millis now) const;  // by name
-    bool isLive(const std::string& name, Millis now) const;
+    std::vector<SharedLease> liveLeases(Millis now) const;  // the same, with their ages
+    bool isLive(const std::string& name, Millis now) const { return find(name, now) != nullptr; }
+    // What a gateway said last, while its lease runs; else nullptr. Holds until the next call that is not const.
+    const Gateway* find(const std::string& name, Millis now) const;
     // How many gateways hold a lease; nothing while that is not known.
     std::optional<std::uint32_t> count(Millis now) const;
     // The largest count within the window; nothing while not known.
--- a/tests/leases/lease_table_test.cpp
+++ b/tests/leases/lease_table_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+
 namespace beechpoint::leases {
 namespace {
 
@@ -137,6 +139,27 @@
     EXPECT_TRUE(table.renew(kStart + 3050, gateway("g5")));
 }
 
+// The deployment is to grow to 350 gateways; a gateway that is refused gets no configuration. Twice as many leave room for those
+// that restart under other names while the old leases still run.
+TEST(LeaseTable, ItsDefaultBoundHoldsTwiceThePlannedGateways) {
+    constexpr int kPlanned = 350;
+    LeaseTable table(LeaseTable::Settings{}, kStart);
+    for (int number = 0; number < 2 * kPlanned; number++)
+        ASSERT_TRUE(table.renew(kStart, gateway("g" + std::to_string(number)))) << number;
+    EXPECT_EQ(table.live(kStart).size(), 2u * kPlanned);
+    EXPECT_EQ(table.refused(), 0u);
+}
+
+TEST(LeaseTable, FindsWhatAGatewaySaidLastWhileItsLeaseRuns) {
+    LeaseTable table(settings(), kStart);
+    EXPECT_EQ(table.find("g1", kStart), nullptr);
+    table.renew(kStart, gateway("g1", 1));
+    table.merge(kStart + 100, {{gateway("g1", 2), 0}});
+    ASSERT_NE(table.find("g1", kStart + 3099), nullptr);
+    EXPECT_EQ(table.find("g1", kStart + 3099)->session, 2u);
+    EXPECT_EQ(table.find("g1", kStart + 3100), nullptr);
+}
+
 TEST(LeaseTable, SumsTheLoadOfTheOthers) {
     LeaseTable table(settings(), kStart);
     Gateway one = gateway("g1"), two = gateway("g2"), three = gateway("g3");
