Make each missing folder of a store durable, and test a refusing disk

Cause: only the last folder's name was synced when several were missing. Ruled out by new tests: a write refused by the disk leaves the store as it was and later writes succeed; a file that vanished under a running store is an error, not a fresh store.

--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -59,12 +59,18 @@
     return boost::outcome_v2::success();
 }
 
+// Makes the folder and those above it that are missing, each name durable before the next is made.
 Result<void> makeFolder(const fs::path& folder) {
     std::error_code code;
-    const bool made = fs::create_directories(folder, code);
+    if (fs::is_directory(folder, code)) return boost::outcome_v2::success();
+    const fs::path parent = folder.parent_path();
+    if (parent != folder && !parent.empty()) {
+        Result<void> made = makeFolder(parent);
+        if (!made) return made;
+    }
+    fs::create_directory(folder, code);
     if (code) return failure(folder, code);
-    if (!made) return boost::outcome_v2::success();
-    return syncFolder(fs::absolute(folder).lexically_normal().parent_path());
+    return syncFolder(parent);
 }
 
 Result<void> moveAside(const fs::path& directory) {
@@ -179,20 +185,23 @@
 Store::~Store() = default;
 
 Result<Opened> Store::open(const fs::path& directory, std::size_t mapBytes) {
-    Result<void> made = makeFolder(directory);
+    std::error_code code;
+    const fs::path whole = fs::absolute(directory, code).lexically_normal();
+    if (code) return failure(directory, code);
+    Result<void> made = makeFolder(whole);
     if (!made) return std::move(made).error();
-    auto state = std::make_unique<State>(directory, mapBytes);
+    auto state = std::make_unique<State>(whole, mapBytes);
     Result<State::Attempt> first = state->attempt();
     if (!first) return std::move(first).error();
     state->written = !first.value().contents.fresh;
     if (!first.value().fault) return Opened{Store(std::move(state)), std::move(first.value().contents)};
 
-    Result<void> aside = moveAside(directory);
+    Result<void> aside = moveAside(whole);
     if (!aside) return std::move(aside).error();
     Result<State::Attempt> second = state->attempt();
     if (!second) return std::move(second).error();
     if (second.value().fault)
-        return Error{ErrorKind::storage, directory.string(), *second.value().fault, "check the disk"};
+        return Error{ErrorKind::storage, whole.string(), *second.value().fault, "check the disk"};
     state->written = false;
     Contents empty;
     empty.fresh = true;
--- a/tests/storage/store_test.cpp
+++ b/tests/storage/store_test.cpp
@@ -1,7 +1,9 @@
 #include "storage/store.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
+#include <csignal>
 #include <random>
 
 #include "folder.hpp"
@@ -296,6 +298,68 @@
     EXPECT_LE(std::filesystem::file_size(folder.data()), kSmallMap);
 }
 
+// A disk that refuses to let the file grow: as a full one does.
+class FullDisk {
+public:
+    explicit FullDisk(std::uintmax_t most) {
+        std::signal(SIGXFSZ, SIG_IGN);
+        ::getrlimit(RLIMIT_FSIZE, &before_);
+        const rlimit limit{most, before_.rlim_max};
+        ::setrlimit(RLIMIT_FSIZE, &limit);
+    }
+    ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &before_); }
+    FullDisk(const FullDisk&) = delete;
+    FullDisk& operator=(const FullDisk&) = delete;
+
+private:
+    rlimit before_{};
+};
+
+Update growing(std::uint64_t sequence) {
+    Update fold;
+    fold.fold = batch(sequence, {{"grown", std::string(100'000, 'g')}});
+    return fold;
+}
+
+TEST(Store, ADiskThatRefusesAWriteLeavesTheStoreAsItWasAndUsableLater) {
+    const Folder folder;
+    Opened opened = open(folder);
+    write(opened.store, everything());
+    {
+        const FullDisk full(std::filesystem::file_size(folder.data()));
+        for (int i = 0; i < 3; ++i) {
+            const Result<void> refused = opened.store.write(growing(9));
+            ASSERT_FALSE(refused);
+            EXPECT_EQ(refused.error().kind, ErrorKind::storage);
+        }
+    }
+    const Folder copy;
+    open(copy);
+    Folder::write(copy.data(), Folder::read(folder.data()));
+    expectEverything(open(copy).contents);
+    write(opened.store, growing(9));
+    write(opened.store, everything());
+    const Store closed = std::move(opened.store);
+    Folder::write(copy.data(), Folder::read(folder.data()));
+    expectEverything(open(copy).contents);
+}
+
+TEST(Store, AFileThatVanishedUnderARunningStoreIsNotStartedAnew) {
+    const Folder folder;
+    Opened opened = open(folder);
+    write(opened.store, everything());
+    {
+        const FullDisk full(std::filesystem::file_size(folder.data()));
+        ASSERT_FALSE(opened.store.write(growing(9)));  // it will be opened anew
+    }
+    std::filesystem::remove(folder.data());
+    for (int i = 0; i < 2; ++i) {
+        const Result<void> refused = opened.store.write(growing(9));
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().kind, ErrorKind::storage);
+    }
+}
+
 TEST(Store, AFolderThatCannotBeMadeIsAnError) {
     const Folder folder;
     Folder::write(folder.path() / "deep", "a file in the way");
