Changes between two versions of the host list, so that copies need not be sent whole

Ruled out: dropping moments within a tolerance, since such drifts add up over many changes. Change: HostListHistory keeps the last lists, gives what differs, and applyChanges() makes the next list from the held one; not wired into the polls yet.

--- /dev/null
+++ b/src/instances/host_list_changes.cpp
@@ -0,0 +1,98 @@
+#include "instances/host_list_changes.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace beechpoint::instances {
+namespace {
+
+constexpr Millis kSameMoment = 1;  // rounding; a drift must not add up over many changes
+
+bool byId(const Host& one, const Host& other) { return one.instanceId < other.instanceId; }
+
+// What is left of a time after so much more has passed.
+Millis leftAfter(Millis left, Millis passed) { return std::max(0.0, left - passed); }
+
+// The host as it was read first, told from a later reading on.
+Host later(const Host& host, Millis passed) {
+    Host out = host;
+    out.warmupLeft = leftAfter(host.warmupLeft, passed);
+    if (host.remaining) out.remaining = leftAfter(*host.remaining, passed);
+    return out;
+}
+
+bool sameSpan(Millis one, Millis other) { return std::abs(one - other) <= kSameMoment; }
+
+bool sameAs(Host expected, const Host& host) {
+    if (!sameSpan(expected.warmupLeft, host.warmupLeft)) return false;
+    if (expected.remaining.has_value() != host.remaining.has_value()) return false;
+    if (host.remaining && !sameSpan(*expected.remaining, *host.remaining)) return false;
+    expected.warmupLeft = host.warmupLeft;
+    expected.remaining = host.remaining;
+    return expected == host;
+}
+
+}  // namespace
+
+HostListChanges changesBetween(const HostList& base, const HostList& list) {
+    HostListChanges changes{base.version, list.version, list.readAt - base.readAt, {}, {}};
+    auto old = base.hosts.begin();
+    const auto passOver = [&](const auto& isBefore) {
+        for (; old != base.hosts.end() && isBefore(*old); ++old) changes.gone.push_back(old->instanceId);
+    };
+    for (const Host& host : list.hosts) {
+        passOver([&](const Host& other) { return byId(other, host); });
+        const bool known = old != base.hosts.end() && old->instanceId == host.instanceId;
+        if (!known || !sameAs(later(*old, changes.sinceBase), host)) changes.changed.push_back(host);
+        if (known) ++old;
+    }
+    passOver([](const Host&) { return true; });
+    return changes;
+}
+
+std::shared_ptr<const HostList> applyChanges(const HostList& held, const HostListChanges& changes,
+                                             Millis readAt) {
+    if (held.version != changes.base) return nullptr;
+    auto list = std::make_shared<HostList>();
+    list->version = changes.version;
+    list->readAt = readAt;
+    auto changed = changes.changed.begin();
+    auto gone = changes.gone.begin();
+    for (const Host& host : held.hosts) {
+        for (; changed != changes.changed.end() && byId(*changed, host); ++changed)
+            list->hosts.push_back(*changed);
+        if (gone != changes.gone.end() && *gone == host.instanceId) {
+            ++gone;
+            continue;
+        }
+        const bool replaced = changed != changes.changed.end() && changed->instanceId == host.instanceId;
+        list->hosts.push_back(replaced ? *changed : later(host, changes.sinceBase));
+        if (replaced) ++changed;
+    }
+    list->hosts.insert(list->hosts.end(), changed, changes.changed.end());
+    return gone == changes.gone.end() ? list : nullptr;
+}
+
+void HostListHistory::take(std::shared_ptr<const HostList> list) {
+    if (!list || (!lists_.empty() && lists_.back()->version == list->version)) return;
+    hosts_ += list->hosts.size();
+    lists_.push_back(std::move(list));
+    while (lists_.size() > 1 && (lists_.size() > kMostLists || hosts_ > kMostHosts)) {
+        hosts_ -= lists_.front()->hosts.size();
+        lists_.pop_front();
+    }
+}
+
+std::optional<HostListChanges> HostListHistory::since(const HostListVersion& version) const {
+    const auto isIt = [&](const auto& list) { return list->version == version; };
+    const auto base = std::find_if(lists_.begin(), lists_.end(), isIt);
+    if (base == lists_.end() || *base == lists_.back()) return std::nullopt;
+    const HostList& newest = *lists_.back();
+    HostListChanges changes = changesBetween(**base, newest);
+    const auto count = static_cast<double>(changes.changed.size() + changes.gone.size());
+    if (count > kMostShare * static_cast<double>(newest.hosts.size())) return std::nullopt;
+    return changes;
+}
+
+}  // namespace beechpoint::instances
