Serve the directory at gateways, pack tables on the wire, hold polls while not fresh

Cause: after all processes of the core ended, clients waited for a directory that had no leases yet, and gateways asked members in a storm; a configuration of 1,280 more routes took over 3 s to reach 61 gateways over links of 30 Mbit/s (CONFIG on the grown site). Change: gateways answer /resolve from what control told and their own state; updates are packed with zstd once a position; a member that can't vouch yet holds polls for 300 ms; each gateway has its own order of the members.

--- /dev/null
+++ b/src/cli/operator_commands.hpp
@@ -0,0 +1,75 @@
+// The operators' sub-commands, a file each: calls to a running control member, and what its answer comes to. Each adds itself to
+// the program's commands, and its run() returns the exit status.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "cli/operator_options.hpp"
+#include "core/clock.hpp"
+
+namespace beechpoint::cli {
+
+// config get | put FILE | patch FILE | check FILE | diff FILE
+class ConfigCommand {
+public:
+    explicit ConfigCommand(CLI::App& app);
+    bool given() const { return static_cast<bool>(*command_); }
+    int run(Clock& clock) const;
+
+private:
+    CLI::App* add(const std::string& name, const std::string& help, bool file, bool calls);
+    int get(Clock& clock) const;
+    int write(Clock& clock, const std::string& method) const;
+    int check() const;
+    int diff(Clock& clock) const;
+
+    CLI::App* command_;
+    OperatorOptions options_;
+    std::string file_;
+    std::optional<std::uint64_t> ifMatch_;
+    CLI::App *get_, *put_, *patch_, *check_, *diff_;
+};
+
+// evacuate ZONE [--back]
+class EvacuateCommand {
+public:
+    explicit EvacuateCommand(CLI::App& app);
+    bool given() const { return static_cast<bool>(*command_); }
+    int run(Clock& clock) const;
+
+private:
+    CLI::App* command_;
+    OperatorOptions options_;
+    std::string zone_;
+    bool back_ = false;
+};
+
+// resolve NAME [--zone ZONE] [--region REGION]
+class ResolveCommand {
+public:
+    explicit ResolveCommand(CLI::App& app);
+    bool given() const { return static_cast<bool>(*command_); }
+    int run(Clock& clock) const;
+
+private:
+    CLI::App* command_;
+    OperatorOptions options_;
+    std::string name_, zone_, region_;
+};
+
+// status
+class StatusCommand {
+public:
+    explicit StatusCommand(CLI::App& app);
+    bool given() const { return static_cast<bool>(*command_); }
+    int run(Clock& clock) const;
+
+private:
+    CLI::App* command_;
+    OperatorOptions options_;
+};
+
+}  // namespace beechpoint::cli
--- a/src/cli/system.cpp
+++ b/src/cli/system.cpp
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-SystemCommands::SystemCommands(CLI::App& app) {
+SystemCommands::SystemCommands(CLI::App& app) : config_(app), evacuate_(app), resolve_(app), status_(app) {
     settingsPath_ = settings::settingsPath();
     gateway_ = app.add_subcommand("gateway", "serves clients: routes requests to hosts, until SIGTERM");
     control_ = app.add_subcommand("control", "keeps the configuration and knows the gateways, until SIGTERM");
@@ -35,11 +35,18 @@
                             "the settings file; $BEECHPOINT_NODE_FILE where absent");
 }
 
-bool SystemCommands::given() const { return *gateway_ || *control_ || *checkSettings_; }
+bool SystemCommands::given() const {
+    const bool process = *gateway_ || *control_ || *checkSettings_;
+    return process || config_.given() || evacuate_.given() || resolve_.given() || status_.given();
+}
 
 int SystemCommands::run(Clock& clock) {
     std::signal(SIGPIPE, SIG_IGN);
     if (*checkSettings_) return checkSettings(settingsPath_);
+    if (config_.given()) return config_.run(clock);
+    if (evacuate_.given()) return evacuate_.run(clock);
+    if (resolve_.given()) return resolve_.run(clock);
+    if (status_.given()) return status_.run(clock);
     Logger log(clock, logging::Format::json);
     return *gateway_ ? gateway::run(settingsPath_, clock, log) : control::run(settingsPath_, clock, log);
 }
--- a/src/cli/system.hpp
+++ b/src/cli/system.hpp
@@ -4,6 +4,7 @@
 #include <CLI/CLI.hpp>
 #include <string>
 
+#include "cli/operator_commands.hpp"
 #include "core/clock.hpp"
 
 namespace beechpoint::cli {
@@ -20,6 +21,10 @@
     CLI::App* control_;
     CLI::App* checkSettings_;
     std::string settingsPath_;
+    ConfigCommand config_;
+    EvacuateCommand evacuate_;
+    ResolveCommand resolve_;
+    StatusCommand status_;
 };
 
 }  // namespace beechpoint::cli
--- a/src/control/codec.cpp
+++ b/src/control/codec.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "control/field_codec.hpp"
+#include "control/table_packing.hpp"
 
 namespace beechpoint::control {
 
@@ -45,15 +46,15 @@
 struct Fields<PollRequest> {
     static auto of(auto& request) {
         return std::tie(request.gateway, request.position, request.hostList, request.waitMs,
-                        request.wantsLoad);
+                        request.wantsLoad, request.directoryDigest);
     }
 };
 template <>
 struct Fields<PollReply> {
     static auto of(auto& reply) {
-        return std::tie(reply.status, reply.table, reply.hostList, reply.hostListVersion, reply.hostListAge,
-                        reply.liveGateways, reply.largestLive, reply.members, reply.othersLoad,
-                        reply.leaseMs);
+        return std::tie(reply.status, reply.packedTable, reply.hostList, reply.hostListVersion,
+                        reply.hostListAge, reply.liveGateways, reply.largestLive, reply.members,
+                        reply.othersLoad, reply.leaseMs, reply.directoryDigest, reply.directory);
     }
 };
 template <>
@@ -88,7 +89,12 @@
 
 std::string encode(const PollRequest& request) { return enveloped(RequestKind::poll, request); }
 std::string encode(const Share& share) { return enveloped(RequestKind::share, share); }
-std::string encode(const PollReply& reply) { return rpc::pack(reply); }
+std::string encode(const PollReply& reply) {
+    if (!reply.table || !reply.packedTable.empty()) return rpc::pack(reply);
+    PollReply packed = reply;
+    packed.packedTable = packTable(*reply.table);
+    return rpc::pack(packed);
+}
 std::string encode(const ShareReply& reply) { return rpc::pack(reply); }
 
 Result<Envelope> openEnvelope(std::string_view bytes) {
@@ -102,7 +108,15 @@
 }
 
 Result<PollRequest> decodePollRequest(std::string_view body) { return rpc::unpack<PollRequest>(body); }
-Result<PollReply> decodePollReply(std::string_view bytes) { return rpc::unpack<PollReply>(bytes); }
+Result<PollReply> decodePollReply(std::string_view bytes) {
+    auto reply = rpc::unpack<PollReply>(bytes);
+    if (!reply || reply.value().packedTable.empty()) return reply;
+    auto table = unpackTable(reply.value().packedTable);
+    if (!table) return table.error();
+    reply.value().table = std::move(table.value());
+    reply.value().packedTable.clear();
+    return reply;
+}
 Result<Share> decodeShare(std::string_view body) { return rpc::unpack<Share>(body); }
 Result<ShareReply> decodeShareReply(std::string_view bytes) { return rpc::unpack<ShareReply>(bytes); }
 
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -15,6 +15,8 @@
 #include "control/gateway_service.hpp"
 #include "control/operator_api.hpp"
 #include "control/replica_driver.hpp"
+#include "control/status.hpp"
+#include "core/metrics_text.hpp"
 #include "net/server.hpp"
 #include "replica/replica.hpp"
 #include "rpc/client.hpp"
@@ -28,6 +30,7 @@
 constexpr std::size_t kMaxProbers = 16;     // connections to the readiness address
 constexpr Millis kBodyPause = 2000;
 constexpr auto kTick = std::chrono::milliseconds(static_cast<int>(kServiceTick));
+constexpr auto kFreshnessLook = std::chrono::milliseconds(25);
 constexpr auto kLeavingLook = std::chrono::milliseconds(20);
 constexpr Millis kLeavingMost = 3000;
 constexpr Millis kOpenAgain = 500;  // the store, while the disk refuses
@@ -198,6 +201,10 @@
             [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
                 if (message.path() == "/resolve") return directory_.handle(message, connection);
                 if (message.path() == "/readiness") return answerReadiness(connection);
+                if (message.path() == kStatusPath)
+                    return connection->respond(200, kJson, renderStatus(memberStatus()));
+                if (message.path() == kMetricsPath)
+                    return connection->respond(200, kMetricsContentType, renderMetrics(memberStatus()));
                 operatorApi_.handle(message, connection);
             };
     }
@@ -207,6 +214,24 @@
         connection->respond(ready ? 200 : 503, kJson, ready ? R"({"ready":true})" : R"({"ready":false})");
     }
 
+    MemberStatus memberStatus() const {
+        MemberStatus status;
+        status.member = settings_.nodeName;
+        status.zone = settings_.zone;
+        gateways_.describe(status);
+        status.writesTaken = operatorApi_.writesTaken();
+        const replica::Replica* replica = driver_.replica();
+        if (!replica) return status;
+        status.inView = replica->inView();
+        status.fresh = replica->fresh(clock_.now());
+        status.writable = replica->writable();
+        status.view = replica->view();
+        status.position = replica->committedPosition();
+        status.revision = configuration::currentRevision(replica->committedTable());
+        status.evacuatedZones = evacuatedZonesOf(replica->committedTable());
+        return status;
+    }
+
     void onRequest(const std::string& bytes, rpc::Reply reply) {
         const auto envelope = openEnvelope(bytes);
         if (!envelope) return tellUnreadable(envelope.error(), reply);
@@ -273,7 +298,7 @@
         }
         directory_.look();
         if (leaving_ && hasLeft()) return end();
-        tick_.expires_after(leaving_ ? kLeavingLook : kTick);
+        tick_.expires_after(leaving_ ? kLeavingLook : gateways_.waitsForFreshness() ? kFreshnessLook : kTick);
         tick_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
             const auto self = weak.lock();
             if (!error && self) self->onTick();
--- a/src/control/gateway_service.cpp
+++ b/src/control/gateway_service.cpp
@@ -8,6 +8,7 @@
 
 #include "control/codec.hpp"
 #include "control/replica_driver.hpp"
+#include "control/table_packing.hpp"
 #include "leases/duty.hpp"
 #include "replica/replica.hpp"
 #include "rpc/client.hpp"
@@ -22,11 +23,17 @@
 constexpr Millis kListWorthSending =
     1500;  // an older list of another reader is sent to a gateway only where confirmed lately
 constexpr std::size_t kMaxPeers = replica::kMaxPeers;
+constexpr Millis kNotFreshWait = 300;  // then a waiting gateway is sent to another member
+constexpr std::size_t kPackedUpdates =
+    16;  // kept for the present position, by the position that they start from
 
 struct WaitingPoll {
     PollRequest request;
     rpc::Reply reply;
     Millis deadline = 0;
+    bool anyAnswer =
+        false;            // came while this member could not vouch for its table: answered as soon as it can
+    Millis refuseAt = 0;  // 0: this member can vouch for its table
 };
 
 struct Peer {
@@ -35,6 +42,17 @@
     Millis readHostsAt = 0;               // when it last said that it reads the list
 };
 
+// Of what clients are told of gateways; never 0.
+std::uint64_t digestOf(const std::vector<leases::Gateway>& gateways) {
+    std::uint64_t digest = 1;
+    for (const leases::Gateway& gateway : gateways) {
+        const auto text = fmt::format("{} {} {} {} {} {}", gateway.name, gateway.zone, gateway.region,
+                                      gateway.frontAddress, gateway.ready, gateway.draining);
+        digest = leases::rendezvousWeight(fmt::format("{}", digest), text) | 1;
+    }
+    return digest;
+}
+
 bool differsForClients(const leases::Gateway& one, const leases::Gateway& other) {
     return one.session != other.session || one.ready != other.ready || one.draining != other.draining ||
            one.frontAddress != other.frontAddress;
@@ -60,13 +78,17 @@
     void onPoll(PollRequest request, rpc::Reply reply) {
         const Millis now = clock_.now();
         answerEarlierPoll(request.gateway.name);
-        if (!mayAnswer(now)) return refuse(reply, PollStatus::notFresh);
+        if (leaving_ || !driver_.replica()) return refuse(reply, PollStatus::notFresh);
         if (!renewLease(now, request.gateway)) return refuse(reply, PollStatus::full);
+        const bool may = mayAnswer(now);
         const Millis wait = std::clamp(request.waitMs, 0.0, kMaxPollWait);
-        if (hasNews(request) || wait == 0 || polls_.size() >= kMaxWaitingPolls)
-            return answer(now, request, reply);
-        const std::string name = request.gateway.name;
-        polls_.emplace(name, WaitingPoll{std::move(request), std::move(reply), now + wait});
+        const bool hold = may ? !hasNews(request) && wait > 0 : true;
+        if (!hold || polls_.size() >= kMaxWaitingPolls) return answer(now, request, reply);
+        WaitingPoll poll{std::move(request), std::move(reply), now + wait};
+        poll.anyAnswer = !may;
+        poll.refuseAt = may ? 0 : now + kNotFreshWait;
+        const std::string name = poll.request.gateway.name;
+        polls_.emplace(name, std::move(poll));
     }
 
     void onShare(const Share& share, rpc::Reply reply) {
@@ -117,6 +139,20 @@
     bool readsHosts() const { return poller_.running(); }
     std::size_t waitingPolls() const { return polls_.size(); }
 
+    void describe(MemberStatus& status) const {
+        const Millis now = clock_.now();
+        status.leases = leases_.liveLeases(now);
+        status.leaseLength = leaseMs_;
+        if (hosts_.list()) status.hostList = HostListStatus{hosts_.list()->hosts.size(), *hosts_.age(now)};
+        status.readsHosts = readsHosts();
+        status.waitingPolls = waitingPolls();
+    }
+    // Whether a poll waits for this member to be able to vouch for its table.
+    bool waitsForFreshness() const {
+        return std::any_of(polls_.begin(), polls_.end(),
+                           [](const auto& poll) { return poll.second.refuseAt > 0; });
+    }
+
 private:
     bool mayAnswer(Millis now) const {
         const replica::Replica* replica = driver_.replica();
@@ -137,11 +173,8 @@
     }
 
     bool renewLease(Millis now, const leases::Gateway& gateway) {
-        const auto live = leases_.live(now);
-        const auto known = std::find_if(live.begin(), live.end(), [&](const leases::Gateway& other) {
-            return other.name == gateway.name;
-        });
-        const bool matters = known == live.end() || differsForClients(*known, gateway);
+        const leases::Gateway* known = leases_.find(gateway.name, now);
+        const bool matters = !known || differsForClients(*known, gateway);
         if (!leases_.renew(now, gateway)) {
             logger_.seldom("leases", "the lease table is full: gateway {} is refused",
                            field("gateway", gateway.name));
@@ -167,9 +200,10 @@
         const replica::Replica& replica = *driver_.replica();
         PollReply message;
         if (replica.committedPosition() > request.position) {
-            message.table = replica.updateSince(request.position);
-            if (!message.table) return refuse(reply, PollStatus::notFresh);
+            message.packedTable = packedSince(replica, request.position);
+            if (message.packedTable.empty()) return refuse(reply, PollStatus::notFresh);
         }
+        addDirectory(now, request, message);
         addHostList(now, request, message);
         message.liveGateways = leases_.count(now);
         message.largestLive = leases_.largestLive(now);
@@ -179,6 +213,24 @@
         reply.send(encode(message));
     }
 
+    // Many gateways ask from the same position: the update is packed once.
+    std::string packedSince(const replica::Replica& replica, Position held) {
+        if (packedAt_ != replica.committedPosition() || packed_.size() >= kPackedUpdates) packed_.clear();
+        packedAt_ = replica.committedPosition();
+        const auto known = packed_.find(held);
+        if (known != packed_.end()) return known->second;
+        const auto update = replica.updateSince(held);
+        if (!update) return {};
+        return packed_[held] = packTable(*update);
+    }
+
+    void addDirectory(Millis now, const PollRequest& request, PollReply& message) const {
+        auto gateways = leases_.live(now);
+        for (leases::Gateway& gateway : gateways) gateway.load.clear();
+        message.directoryDigest = digestOf(gateways);
+        if (message.directoryDigest != request.directoryDigest) message.directory = std::move(gateways);
+    }
+
     void addHostList(Millis now, const PollRequest& request, PollReply& message) const {
         message.hostListVersion = hosts_.version();
         message.hostListAge = hosts_.age(now);
@@ -212,14 +264,23 @@
         for (WaitingPoll& poll : due) answer(now, poll.request, poll.reply);
     }
 
-    void wakePolls() {
-        const bool may = mayAnswer(clock_.now());
-        answerWhere([&](const WaitingPoll& poll) { return !may || hasNews(poll.request); });
-    }
+    void wakePolls() { lookAtPolls(0); }
 
-    void answerDue(Millis now) {
+    void answerDue(Millis) { lookAtPolls(kServiceTick); }
+
+    // Answers the polls that have waited long enough, or would have within `ahead`, and those that there is news for. While this
+    // member can't vouch for its table, they wait a little: it may be able to again before they had found another.
+    void lookAtPolls(Millis ahead) {
+        const Millis now = clock_.now();
         const bool may = mayAnswer(now);
-        answerWhere([&](const WaitingPoll& poll) { return !may || poll.deadline - now < kServiceTick; });
+        for (auto& [name, poll] : polls_) {
+            if (may) poll.refuseAt = 0;
+            if (!may && poll.refuseAt == 0) poll.refuseAt = now + kNotFreshWait;
+        }
+        answerWhere([&](const WaitingPoll& poll) {
+            if (!may) return now >= poll.refuseAt;
+            return poll.anyAnswer || hasNews(poll.request) || poll.deadline - now < ahead;
+        });
     }
 
     // More gateways share the budgets from now on: all must know soon.
@@ -350,6 +411,8 @@
     std::map<std::string, Peer> peers_;         // by member's name
     std::uint64_t fence_ = 0;
     std::optional<std::uint32_t> toldCount_;
+    std::map<Position, std::string> packed_;  // updates to packedAt_, by the position that they start from
+    Position packedAt_;
     Millis sharedAt_ = 0;
     bool shareSoon_ = false, leaving_ = false;
 };
@@ -373,7 +436,9 @@
 void GatewayService::tick() { impl_->tick(); }
 void GatewayService::leave() { impl_->leave(); }
 std::vector<leases::Gateway> GatewayService::liveGateways() const { return impl_->liveGateways(); }
+bool GatewayService::waitsForFreshness() const { return impl_->waitsForFreshness(); }
 bool GatewayService::readsHosts() const { return impl_->readsHosts(); }
 std::size_t GatewayService::waitingPolls() const { return impl_->waitingPolls(); }
+void GatewayService::describe(MemberStatus& status) const { impl_->describe(status); }
 
 }  // namespace beechpoint::control
--- a/src/control/gateway_service.hpp
+++ b/src/control/gateway_service.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "control/messages.hpp"
+#include "control/status.hpp"
 #include "core/logger.hpp"
 #include "instances/poller.hpp"
 #include "leases/lease_table.hpp"
@@ -27,11 +28,12 @@
 
 class ReplicaDriver;
 
-inline constexpr Millis kServiceTick = 250;  // tick() is to be called so often
+inline constexpr Millis kServiceTick = 100;  // tick() is to be called so often
 inline constexpr Millis kShareEvery = 500;   // to each other member of the view
 inline constexpr Millis kTakeoverAfter =
     2000;  // an unconfirmed list, for each place in the order of the duty
-inline constexpr std::size_t kMaxWaitingPolls = 256;
+// One more is answered at once and asks again at once: as many as there are connections (rpc::kMaxConnections).
+inline constexpr std::size_t kMaxWaitingPolls = 512;
 
 class GatewayService {
 public:
@@ -57,8 +59,12 @@
     void leave();
 
     std::vector<leases::Gateway> liveGateways() const;
+    // A poll waits until this member can vouch for its table: tick() is wanted often.
+    bool waitsForFreshness() const;
     bool readsHosts() const;  // holds the duty
     std::size_t waitingPolls() const;
+    // Its part of what the member says of itself: leases, list of hosts, polls.
+    void describe(MemberStatus& status) const;
 
 private:
     class Impl;
--- a/src/control/messages.hpp
+++ b/src/control/messages.hpp
@@ -28,6 +28,7 @@
     instances::HostListVersion hostList;  // held; {0, 0, 0}: none
     Millis waitMs = 0;                    // at most; the member bounds it by kMaxPollWait
     bool wantsLoad = false;               // send the other gateways' load by host
+    std::uint64_t directoryDigest = 0;    // of the gateways held for the directory; 0: none
 };
 
 inline constexpr Millis kMaxPollWait = 2000;
@@ -49,6 +50,7 @@
 struct PollReply {
     PollStatus status = PollStatus::ok;
     std::optional<TableUpdate> table;            // where newer than the position held
+    std::string packedTable;  // the same on the wire (table_packing.hpp); a sender that has it leaves `table` out
     std::optional<SharedHostList> hostList;      // where another than the one held
     instances::HostListVersion hostListVersion;  // the member's
     std::optional<Millis> hostListAge;          // since it was last read or confirmed; nothing: no list known
@@ -57,6 +59,8 @@
     std::vector<std::string> members;  // internal addresses (IP:PORT) of the control members, this one first
     std::vector<leases::InstanceLoad> othersLoad;  // where asked for
     Millis leaseMs = 0;                            // counted by the gateway from when it sent the poll
+    std::uint64_t directoryDigest = 0;             // of the gateways with a lease, as far as clients care
+    std::optional<std::vector<leases::Gateway>> directory;  // those, without load, where the digest differs
 };
 
 // What one control member tells each other member of the view every half second, and at once where something changed that can't wait.
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -76,6 +76,7 @@
     }
 
     std::size_t inHand() const { return pending_.size(); }
+    std::uint64_t writesTaken() const { return writesTaken_; }
 
 private:
     using Iterator = std::list<Pending>::iterator;
@@ -95,7 +96,7 @@
             if (!place.elsewhere.empty()) {
                 redirect(pending, place.elsewhere);
             } else if (leaving_ || clock_.now() >= pending->deadline) {
-                sendAway(pending, leaving_ ? "this member is leaving" : waitReason(place));
+                sendAway(pending, leaving_ ? "this member is leaving" : waitReason(place, pending->call));
             } else if (place.here && !pending->call.writes()) {
                 passBarrier(pending);
             } else if (place.here && !writeAhead && driver_.replica()->writable()) {
@@ -107,9 +108,10 @@
         }
     }
 
-    static const char* waitReason(const Place& place) {
-        return place.here ? "the write can't be kept by enough members at the moment"
-                          : "no member that could answer is in reach";
+    static const char* waitReason(const Place& place, const OperatorCall& call) {
+        if (!place.here) return "no member that could answer is in reach";
+        return call.writes() ? "the write can't be kept by enough members at the moment"
+                             : "whether this is the newest configuration can't be told at the moment";
     }
 
     Place placeOf(const Pending& pending) const {
@@ -171,6 +173,7 @@
 
     void onCommit(Iterator pending, std::uint64_t revision, bool committed) {
         if (committed) {
+            writesTaken_++;
             logger_.info("took an operator's call, revision {}: {}", field("revision", revision),
                          field("target", pending->call.target));
             answerTaken(pending, revision);
@@ -248,6 +251,7 @@
     ReplicaDriver& driver_;
     asio::steady_timer timer_;
     std::list<Pending> pending_;  // in the order in which they came
+    std::uint64_t writesTaken_ = 0;
     bool looking_ = false, again_ = false, armed_ = false, leaving_ = false;
 };
 
@@ -263,5 +267,6 @@
 void OperatorApi::look() { impl_->look(); }
 void OperatorApi::leave() { impl_->leave(); }
 std::size_t OperatorApi::inHand() const { return impl_->inHand(); }
+std::uint64_t OperatorApi::writesTaken() const { return impl_->writesTaken(); }
 
 }  // namespace beechpoint::control
--- a/src/control/operator_api.hpp
+++ b/src/control/operator_api.hpp
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string_view>
 
@@ -50,6 +51,7 @@
     // Calls that wait are sent away; those in hand are finished.
     void leave();
     std::size_t inHand() const;
+    std::uint64_t writesTaken() const;  // committed by this process
 
 private:
     class Impl;
--- /dev/null
+++ b/src/control/table_packing.hpp
@@ -0,0 +1,19 @@
+// A table update as bytes: msgpack, compressed where that pays. Routes repeat each other's words, so that a whole table shrinks to a
+// tenth, and links of control members are narrow when every gateway asks at once.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/replicated_table.hpp"
+#include "core/result.hpp"
+
+namespace beechpoint::control {
+
+inline constexpr std::size_t kMostUnpackedBytes = 64u << 20;
+
+std::string packTable(const TableUpdate& update);
+// Error (invalid): bytes that are no packed update, or that unpack to more than kMostUnpackedBytes.
+Result<TableUpdate> unpackTable(std::string_view bytes);
+
+}  // namespace beechpoint::control
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 
 #include "control/codec.hpp"
+#include "leases/duty.hpp"
 
 namespace beechpoint::gateway {
 
@@ -14,8 +15,9 @@
 constexpr Millis kFirstTimeout = 600;  // for a member that has not answered before: it is asked not to wait
 constexpr Millis kSpacing =
     20;  // between an answer and the next poll: changes that come together travel together
-constexpr Millis kRetryFirst = 50;  // after a failure; doubles with each further round of all members
+constexpr Millis kRetryFirst = 60;  // after a failure; doubles with each further round of all members
 constexpr Millis kRetryMost = 800;
+constexpr Millis kReturnAfter = 5000;  // to the first member of the order
 
 std::chrono::microseconds microseconds(Millis ms) {
     return std::chrono::microseconds(static_cast<long long>(std::max(ms, 0.0) * 1000) + 1);
@@ -23,15 +25,23 @@
 
 }  // namespace
 
-ControlLink::ControlLink(asio::io_context& io, const Clock& clock, Logger& log, std::uint64_t seed,
-                         Handlers handlers)
-    : clock_(clock), log_(log), handlers_(std::move(handlers)), random_(seed), client_(io, log), timer_(io) {}
-
-void ControlLink::seeds(std::vector<std::string> addresses) { seeds_ = std::move(addresses); }
+ControlLink::ControlLink(asio::io_context& io, const Clock& clock, Logger& log, std::string name,
+                         std::uint64_t seed, Handlers handlers)
+    : clock_(clock),
+      log_(log),
+      handlers_(std::move(handlers)),
+      random_(seed),
+      client_(io, log),
+      timer_(io),
+      name_(std::move(name)) {}
+
+void ControlLink::seeds(std::vector<std::string> addresses) {
+    seeds_ = std::move(addresses);
+    orderMembers();
+}
 
 void ControlLink::start() {
     running_ = true;
-    turn_ = static_cast<std::size_t>(random_.below(64));
     poll();
 }
 
@@ -45,15 +55,19 @@
     if (running_) poll();
 }
 
-std::string ControlLink::nextAddress() {
-    if (!current_.empty()) return current_;
+void ControlLink::orderMembers() {
     std::vector<std::string> all = members_;
     for (const std::string& seed : seeds_)
-        if (std::find(all.begin(), all.end(), seed) == all.end()) all.push_back(seed);
-    if (all.empty()) return {};
-    return all[turn_ % all.size()];
+        if (members_.empty() || std::find(all.begin(), all.end(), seed) == all.end()) all.push_back(seed);
+    std::vector<std::string> next = leases::rendezvousOrder(name_, std::move(all));
+    if (next == order_) return;
+    order_ = std::move(next);
+    const auto place = std::find(order_.begin(), order_.end(), current_);
+    turn_ = place == order_.end() ? 0 : static_cast<std::size_t>(place - order_.begin());
 }
 
+std::string ControlLink::nextAddress() const { return order_.empty() ? "" : order_[turn_ % order_.size()]; }
+
 void ControlLink::poll() {
     const std::string address = nextAddress();
     if (address.empty()) return pollAfter(kRetryMost);
@@ -98,18 +112,22 @@
     if (late || !running_ || number != asked_) return;
     failures_ = 0;
     current_ = address;
+    if (clock_.now() - failedAt_ > kReturnAfter) turn_ = 0;
     pollAfter(kSpacing);
 }
 
 void ControlLink::learnMembers(const std::vector<std::string>& members) {
-    if (!members.empty()) members_ = members;
+    if (members.empty()) return;
+    members_ = members;
+    orderMembers();
 }
 
 void ControlLink::failed(const std::string& address) {
     if (current_ == address) current_.clear();
     ++turn_;
     ++failures_;
-    const std::size_t candidates = std::max<std::size_t>(members_.size() + seeds_.size(), 1);
+    failedAt_ = clock_.now();
+    const std::size_t candidates = std::max<std::size_t>(order_.size(), 1);
     const auto rounds = std::min<std::size_t>(static_cast<std::size_t>(failures_) / candidates, 6);
     const Millis pause = std::min(kRetryFirst * static_cast<double>(1u << rounds), kRetryMost);
     pollAfter(pause * (0.5 + random_()));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,22 +7,26 @@
 #include <stdexcept>
 
 #include "back/pool.hpp"
+#include "core/metrics_text.hpp"
 
 namespace beechpoint::gateway {
 
 namespace {
 
+constexpr std::string_view kMetricsPath = "/metrics";
 constexpr Millis kLook = 250;  // between looks at what depends on time
 constexpr Millis kControlSilent =
     2500;                             // without an answer of control: the platform's list is read from here
 constexpr Millis kOwnReading = 2500;  // between own readings of the platform's list
 constexpr Millis kFleetMemory = 20'000;        // the number of gateways last heard of counts so long
-constexpr Millis kAcceptWhileStopping = 3000;  // clients may hold the directory's answer so long
+constexpr Millis kAcceptWhileStopping = 4000;  // clients may hold the directory's answer so long
 constexpr Millis kIdleWhileStopping = 500;     // a kept connection is closed after being idle so long
 constexpr Millis kBeforeKill = 400;            // the process has ended by then
 constexpr Millis kStopLook = 50;
 constexpr std::size_t kReservedDescriptors = 232;  // 200 are the platform's; listeners, control, platform
 constexpr std::size_t kReadinessClients = 16;
+constexpr std::size_t kDirectoryClients = 256;
+constexpr double kMostTtlS = 2;          // of the directory's answers
 constexpr Millis kClientPause = 10'000;  // between bytes of a body
 
 std::uint64_t drawSeed() {
@@ -37,7 +41,8 @@
 asio::ip::tcp::endpoint endpointOf(const std::string& text, const char* field) {
     const auto endpoint = back::readEndpoint(text);
     if (!endpoint)
-        throw std::runtime_error(fmt::format("listen_addresses.{} must be ADDRESS:PORT, not {}", field, text));
+        throw std::runtime_error(
+            fmt::format("listen_addresses.{} must be ADDRESS:PORT, not {}", field, text));
     return *endpoint;
 }
 
@@ -85,22 +90,31 @@
       log_(log),
       session_(drawSeed()),
       exchange_(io, clock, log, dispatchSettings(settings_), drawSeed()),
-      control_(io, clock, log, drawSeed(),
+      control_(io, clock, log, settings_.nodeName, drawSeed(),
                {[this] { return pollRequest(); },
                 [this](const control::PollReply& reply, Millis sentAt) { onPollReply(reply, sentAt); }}),
       platform_(io, clock, log, platformSettings(settings_), drawSeed(), session_,
                 [this](const std::shared_ptr<const instances::HostList>& list, Millis confirmedAt, bool) {
                     takeHosts(list, confirmedAt);
                 }),
+      directory_(
+          clock, [this] { return knownGateways(); }, std::min(settings_.timingBounds.ttlMaxS, kMostTtlS)),
       front_(io, clock, log, clientConnections(settings_),
              [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
                  exchange_.take(message, client);
              }),
       readiness_(io, clock, log, kReadinessClients,
-                 [this](const net::HttpMessage&, const std::shared_ptr<net::HttpConnection>& client) {
+                 [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
+                     if (message.path() == kMetricsPath)
+                         return client->respond(200, kMetricsContentType, metrics());
                      client->respond(ready() ? 200 : 503, "application/json",
                                      ready() ? R"({"ready":true})" : R"({"ready":false})");
                  }),
+      directoryServer_(
+          io, clock, log, kDirectoryClients,
+          [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
+              directory_.handle(message, client);
+          }),
       timer_(io) {
     net::HttpLimits limits;
     limits.strict = true;
@@ -114,6 +128,8 @@
     front_.listen(endpointOf(settings_.listenAddresses.front, "front"));
     if (!settings_.listenAddresses.readiness.empty())
         readiness_.listen(endpointOf(settings_.listenAddresses.readiness, "readiness"));
+    if (!settings_.listenAddresses.directory.empty())
+        directoryServer_.listen(endpointOf(settings_.listenAddresses.directory, "directory"));
     control_.seeds(internalAddresses(settings_));
     control_.start();
     log_.info("gateway {} serves at {}", field("name", settings_.nodeName),
@@ -129,20 +145,75 @@
 
 bool Gateway::ready() const { return stoppingAt_ == 0 && table_.configured() && hosts_.list() != nullptr; }
 
+std::string Gateway::metrics() const {
+    const Millis now = clock_.now();
+    const upstream::UpstreamCounts& counts = exchange_.upstreamCounts();
+    const auto figure = [](auto value) { return static_cast<double>(value); };
+    const auto seconds = [now](Millis since) { return (now - since) / 1000; };
+    MetricsText text;
+    text.gauge("beechpoint_gateway_ready", "1 while clients may be sent here.", figure(ready()));
+    text.gauge("beechpoint_gateway_draining", "1 after SIGTERM.", figure(stoppingAt_ != 0));
+    text.gauge("beechpoint_gateway_position_epoch", "Epoch of the table held.", figure(table_.position().epoch));
+    text.gauge("beechpoint_gateway_position_sequence", "Sequence of the table held.",
+               figure(table_.position().sequence));
+    text.gauge("beechpoint_gateway_control_silence_seconds", "Since control last answered a poll.",
+               seconds(std::max(control_.heardAt(), startedAt_)));
+    text.gauge("beechpoint_gateway_live_gateways", "Gateways that control last spoke of.", figure(liveGateways_));
+    if (const auto& list = hosts_.list()) {
+        text.gauge("beechpoint_gateway_host_list_hosts", "Hosts of the platform's list.",
+                   figure(list->hosts.size()));
+        text.gauge("beechpoint_gateway_host_list_age_seconds", "Since the list was last read or confirmed.",
+                   hosts_.age(now).value_or(0) / 1000);
+    }
+    text.gauge("beechpoint_gateway_client_connections", "Open connections of clients.",
+               figure(front_.connections()));
+    text.gauge("beechpoint_gateway_open_requests", "Requests under way.", figure(exchange_.live()));
+    text.gauge("beechpoint_gateway_open_attempts", "Attempts at hosts under way.",
+               figure(exchange_.attemptsOut()));
+    text.counter("beechpoint_gateway_requests_total", "Requests that had a route.",
+                 figure(exchange_.requestsTaken()));
+    text.gauge("beechpoint_gateway_host_connections", "Open connections to hosts.",
+               figure(exchange_.upstreamConnections()));
+    text.counter("beechpoint_gateway_host_exchanges_total", "Requests sent to hosts.", figure(counts.exchanges));
+    text.counter("beechpoint_gateway_host_dials_total", "Connections begun to hosts.", figure(counts.dials));
+    text.counter("beechpoint_gateway_host_dial_failures_total", "Of these, those that failed.",
+                 figure(counts.dialFailures));
+    text.counter("beechpoint_gateway_host_reuses_total", "Requests on connections used before.",
+                 figure(counts.reuses));
+    text.counter("beechpoint_gateway_host_surplus_total", "Connections closed for bytes that belong to no request.",
+                 figure(counts.surplus));
+    return text.text();
+}
+
 control::PollRequest Gateway::pollRequest() const {
     control::PollRequest request;
-    request.gateway.name = settings_.nodeName;
-    request.gateway.session = session_;
-    request.gateway.zone = settings_.zone;
-    request.gateway.region = settings_.region;
-    request.gateway.frontAddress = settings_.listenAddresses.front;
-    request.gateway.ready = ready();
-    request.gateway.draining = stoppingAt_ != 0;
+    request.gateway = self();
     request.position = table_.position();
     request.hostList = hosts_.version();
+    request.directoryDigest = directoryDigest_;
     return request;
 }
 
+leases::Gateway Gateway::self() const {
+    leases::Gateway gateway;
+    gateway.name = settings_.nodeName;
+    gateway.session = session_;
+    gateway.zone = settings_.zone;
+    gateway.region = settings_.region;
+    gateway.frontAddress = settings_.listenAddresses.front;
+    gateway.ready = ready();
+    gateway.draining = stoppingAt_ != 0;
+    return gateway;
+}
+
+// What control told, but for this gateway, which knows its own state better.
+std::vector<leases::Gateway> Gateway::knownGateways() const {
+    std::vector<leases::Gateway> all = gateways_;
+    std::erase_if(all, [&](const leases::Gateway& gateway) { return gateway.name == settings_.nodeName; });
+    all.push_back(self());
+    return all;
+}
+
 void Gateway::onPollReply(const control::PollReply& reply, Millis) {
     const bool wasReady = ready();
     const Millis now = clock_.now();
@@ -156,6 +227,10 @@
     } else if (reply.hostListAge) {
         hosts_.confirm(reply.hostListVersion, now - *reply.hostListAge);
     }
+    if (reply.directory) {
+        gateways_ = *reply.directory;
+        directoryDigest_ = reply.directoryDigest;
+    }
     const auto live = reply.largestLive ? reply.largestLive : reply.liveGateways;
     if (live && *live > 0) {
         liveGateways_ = *live;
@@ -167,6 +242,7 @@
     fleet.known = liveGateways_ > 0 && now - liveKnownAt_ < kFleetMemory;
     exchange_.tell(fleet);
     if (ready() != wasReady) control_.pollNow();
+    directory_.look();
 }
 
 void Gateway::takeTable(const TableUpdate& update) {
@@ -229,6 +305,7 @@
 // Reads the platform's list from here while control is silent, and leaves it to control otherwise.
 void Gateway::look() {
     const Millis now = clock_.now();
+    directory_.look();
     const Millis heard = std::max(control_.heardAt(), startedAt_);
     const bool silent = now - heard > kControlSilent;
     if (silent && !platform_.running()) {
@@ -255,6 +332,7 @@
     log_.info("gateway {} drains: {} requests are open", field("name", settings_.nodeName),
               field("open", exchange_.live()));
     front_.closing(true);
+    directory_.leave();
     control_.pollNow();
     lookWhileStopping();
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 
+#include "control/directory_service.hpp"
 #include "core/logger.hpp"
 #include "gateway/control_link.hpp"
 #include "gateway/request_exchange.hpp"
@@ -33,15 +34,19 @@
     void stop(std::function<void()> ended);
     // Where clients connect.
     asio::ip::tcp::endpoint frontEndpoint() const { return front_.endpoint(); }
+    asio::ip::tcp::endpoint directoryEndpoint() const { return directoryServer_.endpoint(); }
     bool ready() const;
 
 private:
     control::PollRequest pollRequest() const;
+    std::string metrics() const;
     void onPollReply(const control::PollReply& reply, Millis sentAt);
     void takeTable(const TableUpdate& update);
     void takeHosts(std::shared_ptr<const instances::HostList> list, Millis confirmedAt);
     void tellHosts();
     void tellServices();
+    std::vector<leases::Gateway> knownGateways() const;
+    leases::Gateway self() const;
     void look();
     void lookAfter(Millis pause);
     void lookWhileStopping();
@@ -56,9 +61,12 @@
     RequestExchange exchange_;
     ControlLink control_;
     instances::Poller platform_;
-    net::HttpServer front_, readiness_;
+    control::DirectoryService directory_;
+    net::HttpServer front_, readiness_, directoryServer_;
     asio::steady_timer timer_;
-    std::uint32_t liveGateways_ = 0;  // 0: not known
+    std::vector<leases::Gateway> gateways_;  // as control told last
+    std::uint64_t directoryDigest_ = 0;      // of those
+    std::uint32_t liveGateways_ = 0;         // 0: not known
     Millis liveKnownAt_ = 0;
     Millis startedAt_ = 0;
     Millis stoppingAt_ = 0;  // 0: not stopping
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -40,6 +40,10 @@
     void take(const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client);
 
     std::size_t live() const { return requests_.size(); }
+    std::size_t attemptsOut() const { return dispatcher_.attemptsOut(); }
+    std::uint64_t requestsTaken() const { return lastId_; }
+    const upstream::UpstreamCounts& upstreamCounts() const { return upstream_.counts(); }
+    std::size_t upstreamConnections() const { return upstream_.connections(); }
     // Answers each request that no host has answered yet with 503 or 502, whichever is true, and ends the rest.
     void endAll();
 
--- /dev/null
+++ b/src/operator_client/configuration_difference.hpp
@@ -0,0 +1,30 @@
+// What a proposed configuration would change: items by list and name, members outside of lists by name alone.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/result.hpp"
+
+namespace beechpoint::operator_client {
+
+enum class DifferenceKind { added, changed, removed };
+
+struct ItemDifference {
+    DifferenceKind kind = DifferenceKind::changed;
+    std::string list;                  // "routes", "services"; empty: a member outside of lists
+    std::string name;                  // of the item or the member
+    std::vector<std::string> members;  // of a changed item: those that differ, as `timeout_ms: 500 -> 800`
+    bool operator==(const ItemDifference&) const = default;
+};
+
+// Both are whole configurations as JSON text; the revision is left out, and so is the order of items. Error (invalid): one of
+// them is no JSON object, or an item of a list has no name.
+Result<std::vector<ItemDifference>> difference(std::string_view current, std::string_view proposed);
+
+// One line for each item, with those of its members indented below.
+std::string renderDifferences(const std::vector<ItemDifference>& differences);
+std::string renderDifferencesJson(const std::vector<ItemDifference>& differences);
+
+}  // namespace beechpoint::operator_client
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -34,6 +34,7 @@
     std::vector<instances::Host> hosts;
     std::optional<control::PollRequest> lastPoll;
     control::PollStatus status = control::PollStatus::ok;
+    std::vector<leases::Gateway> directory;
 
 private:
     void answer(const std::string& bytes, rpc::Reply reply) {
@@ -51,6 +52,8 @@
             answer.hostList = control::SharedHostList{answer.hostListVersion, 0, hosts};
         answer.hostListAge = 0;
         answer.largestLive = 1;
+        answer.directoryDigest = 7;
+        if (poll.value().directoryDigest != answer.directoryDigest) answer.directory = directory;
         if (poll.value().waitMs > 0 && !answer.table && !answer.hostList) {
             held_.push_back(std::move(reply));  // nothing new: the poll stays open
             return;
@@ -71,7 +74,7 @@
     GatewayTest() : log(clock, logging::Format::json, -1), control(io, log), host(io) {
         control.table["meta/version"] = "5";
         control.table["service/llm"] =
-            R"({"name":"llm","health_check_path":"/health","max_connections":50,"warmup_s":0,"warmup_per_s":0})";
+            R"(1 {"name":"llm","health_check_path":"/health","max_connections":50,"warmup_s":0,"warmup_per_s":0})";
         addRoute("plain", "/p/", R"("type":"non_idempotent","max_attempts":1)");
         addRoute("safe", "/s/", R"("type":"idempotent","max_attempts":2)");
         addRoute("stream", "/e/", R"("type":"streaming","max_attempts":1,"gap_aim_ms":400)");
@@ -81,7 +84,7 @@
     }
     void addRoute(const std::string& name, const std::string& prefix, const std::string& rest) {
         control.table["route/" + name] =
-            fmt::format(R"({{"name":"{}","hostname":"h.example","path_prefix":"{}","timeout_ms":5000,)"
+            fmt::format(R"(1 {{"name":"{}","hostname":"h.example","path_prefix":"{}","timeout_ms":5000,)"
                         R"("target_latency_ms":800,"priority_class":0,"backend":"llm",{}}})",
                         name, prefix, rest);
     }
@@ -103,6 +106,7 @@
         settings.internalPortRange = {control.port(), control.port()};
         settings.seedNodes = {"127.0.0.1:1"};
         settings.listenAddresses.front = "127.0.0.1:0";
+        settings.listenAddresses.directory = "127.0.0.1:0";
         settings.cloudApi.address = "127.0.0.1:9";
         settings.limits.maxOpenFiles = 4100;
         settings.timingBounds.retryBudgetSlack = 50;
@@ -160,6 +164,29 @@
     EXPECT_EQ(host.requests, 0u);
 }
 
+TEST_F(GatewayTest, AnswersTheDirectoryWithItselfWhileItKnowsNoOther) {
+    start();
+    const PeerPtr client = connectTo(io, gateway->directoryEndpoint());
+    client->send("GET /resolve?name=h.example&region=r1&zone=z1 HTTP/1.1\r\nHost: d\r\n\r\n");
+    ASSERT_TRUE(until(io, [&] { return client->has("ttl_s"); }));
+    EXPECT_TRUE(client->has("127.0.0.1:0"));
+}
+
+TEST_F(GatewayTest, NamesOtherReadyGatewaysThatControlTold) {
+    leases::Gateway other;
+    other.name = "g2";
+    other.zone = "z1";
+    other.region = "r1";
+    other.frontAddress = "10.0.0.9:80";
+    other.ready = true;
+    control.directory = {other};
+    start();
+    const PeerPtr client = connectTo(io, gateway->directoryEndpoint());
+    client->send("GET /resolve?name=h.example&region=r1&zone=z1 HTTP/1.1\r\nHost: d\r\n\r\n");
+    ASSERT_TRUE(until(io, [&] { return client->has("ttl_s"); }));
+    EXPECT_TRUE(client->has("10.0.0.9:80"));
+}
+
 TEST_F(GatewayTest, PassesEventsOnOneByOne) {
     PeerPtr hostSide;
     host.onRequest = [&](Peer& peer) {
