--- a/src/replica/events.hpp
+++ b/src/replica/events.hpp
@@ -37,8 +37,12 @@
 struct DiskHealth {
     bool failing = false;
 };
-using Event =
-    std::variant<MessageReceived, Persisted, PersistFailed, Tick, ClientWrite, ReadBarrier, DiskHealth>;
+// The settings were read again.
+struct SeedsChanged {
+    std::vector<std::string> seeds;  // control addresses
+};
+using Event = std::variant<MessageReceived, Persisted, PersistFailed, Tick, ClientWrite, ReadBarrier,
+                           DiskHealth, SeedsChanged>;
 
 struct Send {
     std::string address;  // internal address
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -92,6 +92,8 @@
     void on(Millis now, const ReadBarrier& barrier) { reads_.add(now, barrier.token); }
     void on(Millis, const DiskHealth& health) { reportedFailing_ = health.failing; }
 
+    void on(Millis, const SeedsChanged& changed) { membership_.settings.seeds = changed.seeds; }
+
     void complete(Millis now, std::uint64_t token, bool stored) {
         writesFail_ = !stored;
         if (!stored) probeAt_ = now + kDiskProbeEvery;
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -200,6 +200,18 @@
     EXPECT_EQ(sent<Promise>(), 0u);
 }
 
+TEST_F(ReplicaTest, AsksTheSeedsOfTheMomentToTakeItIn) {
+    startWith(usedDisk());
+    forget();
+    pass(300);
+    EXPECT_GT(sent<Join>("c"), 0u);
+    handle(SeedsChanged{{memberOf("d").controlAddress}});
+    forget();
+    pass(300);
+    EXPECT_EQ(sent<Join>("c"), 0u);
+    EXPECT_GT(sent<Join>("d"), 0u);
+}
+
 // ---- Votes
 
 TEST_F(ReplicaTest, PromisesOnlyOnceTheVoteIsDurable) {
@@ -422,6 +434,35 @@
     EXPECT_EQ(replica_->committedPosition(), (Position{1, 9}));
 }
 
+TEST_F(ReplicaTest, ClaimsAnEqualTableOnlyOnceThatIsStored) {
+    startWith(usedDisk());
+    enter(1, {1, 3}, false);
+    receive("a", Propose{true, {}, {{1, 3}, {}}});
+    receive("a", Heartbeat{1, 1});
+    EXPECT_EQ(last<HeartbeatReply>()->status.syncedEpoch, 1u);
+    EXPECT_EQ(sent<Propose>(), 0u);
+    failAll();
+    EXPECT_EQ(sent<Propose>(), 0u);
+    pass(600);
+    storeAll();
+    receive("a", Propose{true, {}, {{1, 3}, {}}});
+    EXPECT_GT(sent<Propose>("c"), 0u);
+}
+
+// It has promised for epoch 3 on the ground of what its disk held; the view of epoch 2 reaches it only then.
+TEST_F(ReplicaTest, DoesNotClaimTheStartingStateOfAnEpochThatItEntersSealed) {
+    DurableState state = usedDisk();
+    state.pending = Batch{{1, 4}, {{"k", "4"}}};
+    state.control.vote = Vote{3, Ballot{1, "a", 1}, {}, std::nullopt};
+    startWith(state);
+    enter(1, {1, 3}, false);
+    pass(600);
+    for (const Persist& persist : persists_) {
+        EXPECT_FALSE(persist.update.syncedEpoch);
+        EXPECT_FALSE(persist.update.clearPending);
+    }
+}
+
 TEST_F(ReplicaTest, AFailedSyncMakesTheNextClaimWriteTheWholeTable) {
     startWith(usedDisk());
     enter(1, {1, 9}, false);
