--- a/src/layout/changes.hpp
+++ b/src/layout/changes.hpp
@@ -2,14 +2,40 @@
 // epoch. A state machine free of I/O: it is told what hosts report and what time it is, and returns the
 // epochs to publish and what hosts are to do. It owns the newest layout. Times must not go back.
 //
-// A move of a slice from host A to host B (a split and a merge have the last three states only):
+// A move takes a slice from host A to host B; a split or merge has the hosts that hold the slices confirm the new ones:
 //
-// | state      | B is         | A is    | done when                                       | B dies or is late         | A dies                                  |
-// | copying    | copying      | serving | B has copied all                                | undone                    | from another complete host, else undone |
-// | catchingUp | catching up  | serving | B has what was written                          | undone                    | from another complete host, else undone |
-// | dual       | handing over | serving | B has told so itself                            | undone                    | goes on: B is complete                  |
-// | releasing  | serving      | retired | no query holds an older epoch, or its time is up | undone: A serves again    | goes on                                 |
-// | done       | serving      | gone    |                                                 |                           |                                         |
+// | change       | state      | A is    | B is         | the state ends when                        |
+// | move         | copying    | serving | copying      | B has copied all                           |
+// | move         | catchingUp | serving | catching up  | B has what was written meanwhile           |
+// | move         | dual       | serving | handing over | B confirms the epoch that asks it          |
+// | split, merge | preparing  | -       | -            | all hosts that are asked confirm the epoch |
+// | each         | releasing  | retired | serving      | no query holds an older epoch (see below)  |
+// | each         | done       | gone    | serving      | -                                          |
+// | each         | undone     | serving | gone         | -                                          |
+// (A and B: of a move.)
+//
+// Where each event leads (- : no effect; counted: ignored() goes up and nothing changes):
+//
+// | event                     | copying          | catchingUp       | dual         | preparing   | releasing        |
+// | copied                    | catchingUp       | counted          | counted      | counted     | counted          |
+// | caughtUp                  | counted          | dual             | counted      | counted     | counted          |
+// | B, or the last host that  |                  |                  |              |             |                  |
+// |   is awaited, confirms    | -                | -                | releasing    | releasing   | -                |
+// | released, of that epoch   | -                | -                | -            | -           | done (1)         |
+// | the time is up            | undone           | undone           | withdrawn    | undone      | done (1), or (2) |
+// | abort                     | undone           | undone           | withdrawn    | undone      | refused          |
+// | B dies                    | undone           | undone           | undone       | -           | undone, or - (3) |
+// | the host copied from dies | copying anew (4) | copying anew (4) | -            | -           | -                |
+// | a host of a split or      |                  |                  |              |             |                  |
+// |   merge dies              |                  |                  |              | not awaited | -                |
+// | the retired host confirms | -                | -                | -            | -           | longestQuery (6) |
+// | a dead host returns       | copying anew (5) | -                | -            | -           | -                |
+//
+// withdrawn: `releasing` with B retired in A's place, which ends undone.
+// (1) undone where it was withdrawn. (2) while the retired host lives and has not confirmed, the state is prolonged.
+// (3) undone with A serving again; nothing where it was withdrawn, since B leaves anyway. (4) from another complete
+// host; undone where none lives. (5) only where there was no host to copy from.
+// (6) the state ends so long after that, if `released` does not end it before.
 //
 // What was asked is never taken away at once: a query planned on an older epoch, or a gatherer that has not
 // heard yet, may still ask it, and a host that is out of the layout gets no writes. So the host that leaves
@@ -51,8 +77,8 @@
 };
 using ChangeSpec = std::variant<Move, Split, Merge>;
 
+// `releasing` may lead to either end: see ChangeView::why.
 enum class ChangeState { copying, catchingUp, dual, preparing, releasing, done, undone };
-// (`releasing` may lead to either end: see ChangeView::why)
 const char* nameOf(ChangeState state);
 
 // ---- what the driver is to do
--- a/src/layout/store.hpp
+++ b/src/layout/store.hpp
@@ -7,9 +7,15 @@
 // only rises; the store takes it at its opening, and every transaction checks it: a controller that was paused, and
 // comes back after another took over, is turned down at its next step, whatever it believes. No clock is asked.
 //
-// | the store's number | opened under a higher one | under the same one              | under a lower one | step under its own | under another |
-// | none yet, or n     | that one holds            | by the same controller: goes on | LeaseLost         | done               | LeaseLost     |
-// |                    |                           | by another: LeaseLost           |                   |                    |               |
+// The store remembers the newest number n that it was opened under, and by whom (nothing in a new file):
+//
+// | event                                           | outcome                            |
+// | opened under a higher number, or a new file     | that number and controller hold    |
+// | opened under n by the controller that has it    | goes on, as after a restart        |
+// | opened under n by another controller            | LeaseLost                          |
+// | opened under a lower number                     | LeaseLost                          |
+// | a step by a store that was opened under n       | done                               |
+// | a step by a store opened under another number   | LeaseLost, and nothing has changed |
 #pragma once
 
 #include <cstdint>
@@ -65,8 +71,8 @@
 
 struct StoreOptions {
     ChangeLimits limits;
-    std::size_t mostRows =
-        10'000;  // above this no change begins until those under way have ended and the log is cut
+    // Above this no change begins until those under way have ended and the log is cut.
+    std::size_t mostRows = 10'000;
     // Called at every point where a crash could matter; tests end the process there.
     std::function<void(const char* point)> at = [](const char*) {};
 };
