--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -6,6 +6,15 @@
 //
 // What it is not: it knows no entry's meaning (Machine does), no datagram (peers/ does), no duty.
 //
+// One class, its definitions by concern:
+//   ledger.cpp              construction, kept state, time, dispatch of messages
+//   ledger_log.cpp          entries, digests, append, cut off, apply
+//   ledger_election.cpp     terms, roles, pre-vote and vote
+//   ledger_replication.cpp  proposals, heartbeats, commits, proof of leadership; a follower's side
+//   ledger_catch_up.cpp     log compaction, snapshots in pieces, learners
+//   ledger_voters.cpp       membership of the voters
+//   ledger_recovery.cpp     founding, joining, recovery after lost state
+//
 // | role       | hears a leader | time is up        | majority says yes | a newer term | no majority heard |
 // | empty      | - (see below)  | asks how it stands| -                 | -            | -                 |
 // | recovering | takes entries  | asks again        | normal: follower  | noted        | -                 |
@@ -181,27 +190,27 @@
     void checkConfirmed(Actions& out);
     void askState(Millis now, Actions& out);
     void tryRecover(Millis now, Actions& out);
-    void noteLife(const Message& m);
+    void noteLife(const Message& message);
     // Takes what follows `prev`; false: this log does not hold prev, or holds another.
     bool take(Index prev, Digest prevDigest, bool holds, const Entry& entry, Actions& out);
     void setVoters();
     void roleByVoters(Millis now, Actions& out);
     void sendPiece(const std::string& to, std::uint32_t offset, Actions& out);
-    void install(Millis now, const Piece& b, Actions& out);
+    void install(Millis now, const Piece& body, Actions& out);
 
-    void on(Millis now, const Message& m, const PreVote& b, Actions& out);
-    void on(Millis now, const Message& m, const PreVoteReply& b, Actions& out);
-    void on(Millis now, const Message& m, const VoteAsk& b, Actions& out);
-    void on(Millis now, const Message& m, const VoteReply& b, Actions& out);
-    void on(Millis now, const Message& m, const Append& b, Actions& out);
-    void on(Millis now, const Message& m, const AppendReply& b, Actions& out);
-    void on(Millis now, const Message& m, const StateAsk& b, Actions& out);
-    void on(Millis now, const Message& m, const StateReply& b, Actions& out);
-    void on(Millis now, const Message& m, const Found& b, Actions& out);
-    void on(Millis now, const Message& m, const Piece& b, Actions& out);
-    void on(Millis now, const Message& m, const PieceReply& b, Actions& out);
-    void on(Millis now, const Message& m, const Pull& b, Actions& out);
-    void on(Millis now, const Message& m, const Tail& b, Actions& out);
+    void on(Millis now, const Message& message, const PreVote& body, Actions& out);
+    void on(Millis now, const Message& message, const PreVoteReply& body, Actions& out);
+    void on(Millis now, const Message& message, const VoteAsk& body, Actions& out);
+    void on(Millis now, const Message& message, const VoteReply& body, Actions& out);
+    void on(Millis now, const Message& message, const Append& body, Actions& out);
+    void on(Millis now, const Message& message, const AppendReply& body, Actions& out);
+    void on(Millis now, const Message& message, const StateAsk& body, Actions& out);
+    void on(Millis now, const Message& message, const StateReply& body, Actions& out);
+    void on(Millis now, const Message& message, const Found& body, Actions& out);
+    void on(Millis now, const Message& message, const Piece& body, Actions& out);
+    void on(Millis now, const Message& message, const PieceReply& body, Actions& out);
+    void on(Millis now, const Message& message, const Pull& body, Actions& out);
+    void on(Millis now, const Message& message, const Tail& body, Actions& out);
 
     Options options_;
     std::string self_;
