--- a/src/scale/hollow_gateway.cpp
+++ b/src/scale/hollow_gateway.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kZones = 26;
 constexpr std::size_t kRegions = 7;
 
+std::string nameOf(std::size_t index) { return fmt::format("gateway-{:04}", index); }
+
 std::size_t drainingHosts(const instances::HostList& list) {
     const auto isDraining = [](const instances::Host& host) {
         return host.state == instances::HostState::draining;
@@ -25,7 +27,7 @@
     : clock_(clock),
       index_(index),
       progress_(progress),
-      link_(io, clock, logger, index + 1,
+      link_(io, clock, logger, nameOf(index), index + 1,
             {[this] { return request(); },
              [this](const control::PollReply& reply, Millis) { onReply(reply); }}) {
     link_.seeds(seeds);
@@ -33,7 +35,7 @@
 
 control::PollRequest HollowGateway::request() const {
     control::PollRequest request;
-    request.gateway.name = fmt::format("gateway-{:04}", index_);
+    request.gateway.name = nameOf(index_);
     request.gateway.session = index_ + 1;
     request.gateway.zone = fmt::format("zone-{:02}", index_ % kZones);
     request.gateway.region = fmt::format("region-{}", index_ % kZones % kRegions);
@@ -41,6 +43,7 @@
     request.gateway.ready = ready();
     request.position = table_.position();
     request.hostList = hosts_.version();
+    request.directoryDigest = directoryDigest_;
     return request;
 }
 
@@ -51,6 +54,7 @@
     if (reply.table && table_.apply(*reply.table))
         progress_.onRevision(index_, static_cast<std::size_t>(table_.current()->revision()), clock_.now());
     takeHosts(reply, now);
+    if (reply.directory) directoryDigest_ = reply.directoryDigest;
     if (ready() != wasReady) link_.pollNow();
 }
 
--- a/src/scale/hollow_gateway.hpp
+++ b/src/scale/hollow_gateway.hpp
@@ -31,6 +31,7 @@
     Progress& progress_;
     routing::TableCopy table_;
     instances::HostListHolder hosts_;
+    std::uint64_t directoryDigest_ = 0;  // of the gateways that control told of last
     gateway::ControlLink link_;
 };
 
