Emulated groups: the virtual world split by concern, a function for each fault

Change: group_world_members.cpp, _network.cpp, _faults.cpp and _checks.cpp beside the run itself; one short function a fault, in which the seed draws in the same order as before.

--- a/src/emulator/group_world.hpp
+++ b/src/emulator/group_world.hpp
@@ -1,6 +1,9 @@
 // A group of gatherers in virtual time: real state machines (group::Core), real datagrams, a network and machines that
 // fail as a seed says, clocks that run apart, and checkers that look on from outside. The same seed and plan give the
 // same run. Time here is true time; each member has only its own clock.
+//
+// One class, its definitions by concern: group_world.cpp (events and the run), group_world_members.cpp, group_world_network.cpp,
+// group_world_faults.cpp, group_world_checks.cpp.
 #pragma once
 
 #include <cstdint>
@@ -45,16 +48,15 @@
     std::vector<std::string> violations;  // the first of each kind
     std::map<std::string, std::uint64_t> broken;
     std::map<std::string, std::uint64_t> faults;  // by kind
-    std::map<std::string, std::uint64_t>
-        met;  // faults that met a vote, a renewal, a hand-over, a snapshot, ...
+    std::map<std::string, std::uint64_t> met;     // faults that met a vote, a renewal, a hand-over, a snapshot, ...
     std::map<std::string, std::uint64_t> outcomes;
     std::map<std::string, std::uint64_t> folders;  // what restarts found in theirs
     std::uint64_t acts = 0, lateActs = 0, handOvers = 0, commits = 0, leaders = 0, terms = 0, datagrams = 0;
     std::uint64_t refused = 0, longest = 0, bytes = 0, snapshots = 0;
     std::vector<Millis> gaps;  // from an old holder's last act to the next one's first
     double mostBytesPerS = 0;  // that one member sent, over the whole run
-    double restMean = 0,
-           restMost = 0;   // bytes a second and member since quietBegins(): the mean, and the busiest one
+    // Bytes a second and member since quietBegins(): the mean, and the busiest one.
+    double restMean = 0, restMost = 0;
     bool rested = false;   // one leader, all duties acted on, all copies equal at the end
     std::string restless;  // why not
 };
@@ -126,6 +128,16 @@
     void look(int member);
     void violate(const std::string& kind, const std::string& text);
     void fault();
+    void killAndRestart(int member);
+    void standStill(int member);
+    void cutOffForAWhile(int member);
+    void cutInTwo(int member);
+    void loseSome(int member);
+    void delaySome(int member);
+    void failDisk(int member);
+    void endOrderly(int member);
+    void operate(int member);
+    void changeOneVoter(int member);
     bool mayForget(int member) const;
     void meets(int member, const std::string& kind);
     void collect(int member);
--- /dev/null
+++ b/src/emulator/group_world_checks.cpp
@@ -0,0 +1,174 @@
+// What is checked from outside at every step, and whether all has come to rest at the end.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "emulator/group_world.hpp"
+#include "emulator/group_world_member.hpp"
+
+namespace beechpoint::emulator {
+
+void GroupWorld::violate(const std::string& kind, const std::string& text) {
+    if (++report_.broken[kind] == 1)
+        report_.violations.push_back(fmt::format("{:.0f} ms: {}: {}", now_, kind, text));
+}
+
+int GroupWorld::leader() const {
+    int best = -1;
+    for (int i = 0; i < plan_.members; ++i)
+        if (alive(i) && core(i).ledger().ready() &&
+            (best < 0 || core(i).ledger().term() > core(best).ledger().term()))
+            best = i;
+    return best;
+}
+
+int GroupWorld::holder(const std::string& duty) const {
+    for (int i = 0; i < plan_.members; ++i) {
+        const Member& m = *members_[static_cast<std::size_t>(i)];
+        if (m.core && !m.stopped && m.core->holder().mayAct(m.local(now_), duty)) return i;
+    }
+    return -1;
+}
+
+void GroupWorld::look(int member) {
+    Member& m = *members_[static_cast<std::size_t>(member)];
+    const ledger::Ledger& l = m.core->ledger();
+    collect(member);
+    if (l.leads()) {
+        const auto [it, fresh] = leaders_.try_emplace({l.number(), l.term()}, member);
+        if (fresh) ++report_.leaders;
+        if (it->second != member)
+            violate("two leaders", fmt::format("g{} and g{} in term {}", it->second, member, l.term()));
+        ledger::Index most = 0;
+        for (auto t = most_.lower_bound({l.number(), 0});
+             t != most_.end() && t->first < std::pair{l.number(), l.term()}; ++t)
+            most = std::max(most, t->second);
+        if (fresh && l.last() < most)
+            violate("settled entry lost",
+                    fmt::format("g{} leads with {} entries of {}", member, l.last(), most));
+    }
+    for (ledger::Index i = m.seen + 1; i <= l.commit(); ++i) {
+        const ledger::Digest d = l.digestAt(i);
+        if (d == 0) continue;
+        const auto [it, fresh] = settled_.try_emplace({l.number(), i}, d);
+        if (fresh) ++report_.commits;
+        if (it->second != d) violate("settled entries differ", fmt::format("entry {} at g{}", i, member));
+    }
+    if (trace) {
+        std::string may;
+        for (const auto& [duty, fence] : m.core->holder().held())
+            may += fmt::format(" {}/{}", duty, fence & 0xffffffff);
+        if (may != m.told)
+            trace(fmt::format("{:9.1f} g{} holds{} session until {:.0f}", now_, member, may,
+                              m.world(m.core->holder().sessionUntil())));
+        m.told = may;
+    }
+    m.seen = std::max(m.seen, l.commit());
+    if (l.leads()) {
+        ledger::Index& most = most_[{l.number(), l.term()}];
+        most = std::max(most, l.commit());
+    }
+    report_.terms = std::max<std::uint64_t>(report_.terms, l.term());
+    if (m.core->traffic().tooLong > m.tooLong)
+        violate("datagram too long", fmt::format("g{}", member)), m.tooLong = m.core->traffic().tooLong;
+    if (l.number() == 0) return;
+    // As the driver does (group/group.cpp): what there is to be and is not is asked for, and again if the asking came to nothing.
+    if (!m.core->holder().inSession(m.local(now_)) || m.local(now_) < m.wantAt) return;
+    m.wantAt = m.local(now_) + group::kWantAgain;
+    for (int d = 0; d < plan_.duties; ++d)
+        if (m.core->table().duty(dutyName(d)) == nullptr) m.core->holder().want(dutyName(d));
+}
+
+void GroupWorld::act(int member) {
+    Member& m = *members_[static_cast<std::size_t>(member)];
+    if (!m.core || m.stopped) return;
+    for (const auto& [duty, fence] : m.core->holder().held()) {
+        if (!m.core->holder().mayAct(m.local(now_), duty)) continue;
+        for (int i = 0; i < plan_.members; ++i) {
+            const Member& o = *members_[static_cast<std::size_t>(i)];
+            if (i == member || !o.core || o.stopped) continue;
+            if (o.core->holder().mayAct(o.local(now_), duty))
+                violate("two holders", fmt::format("{}: g{} and g{}", duty, member, i));
+        }
+        land(member, duty, fence, false);
+    }
+}
+
+void GroupWorld::land(int member, const std::string& duty, std::uint64_t fence, bool late) {
+    Resource& r = resources_[duty];
+    if (fence < r.fence) {
+        if (!late)
+            violate("two holders",
+                    fmt::format("{}: g{} acts under {} after {}", duty, member, fence, r.fence));
+        ++report_.lateActs;
+        if (plan_.fencesChecked) return;  // turned away
+        violate("fence went back", fmt::format("{}: g{} under {} after {}", duty, member, fence, r.fence));
+    }
+    ++report_.acts;
+    if (fence > r.fence) {
+        if (r.holder >= 0) {
+            ++report_.handOvers;
+            report_.gaps.push_back(now_ - r.last);
+        }
+    } else if (r.holder >= 0 && r.holder != member && fence == r.fence) {
+        violate("one number, two holders",
+                fmt::format("{}: g{} and g{} under {}", duty, r.holder, member, fence));
+    }
+    r.fence = std::max(r.fence, fence);
+    r.holder = member;
+    r.last = now_;
+}
+
+void GroupWorld::checkRest() {
+    const int lead = leader();
+    const auto why = [&](std::string text) { report_.restless = std::move(text); };
+    if (lead < 0) return why("nobody leads");
+    const ledger::Index settled = core(lead).ledger().commit();
+    for (int i = 0; i < plan_.members; ++i) {
+        const ledger::Ledger& l = core(i).ledger();
+        const bool voter = core(lead).ledger().isVoter(name(i));
+        if (voter && l.role() < ledger::Role::follower)
+            return why(fmt::format("g{} is {}", i, nameOf(l.role())));
+        if (l.commit() + (voter ? 8 : 64) < settled)
+            return why(fmt::format("g{} has {} of {} entries", i, l.commit(), settled));
+    }
+    for (int d = 0; d < plan_.duties; ++d)
+        if (holder(dutyName(d)) < 0) {
+            const duties::Duty* duty = core(lead).table().duty(dutyName(d));
+            return why(fmt::format("nobody acts on {}; the leader g{} has: {}", dutyName(d), lead,
+                                   duty == nullptr        ? "no such duty"
+                                   : duty->holder.empty() ? "free"
+                                                          : "held by " + duty->holder));
+        }
+    report_.rested = true;
+}
+
+void GroupWorld::finish() {
+    checkRest();
+    for (int i = 0; i < plan_.members; ++i) {
+        Member& m = *members_[static_cast<std::size_t>(i)];
+        if (!m.core) continue;
+        collect(i);
+        for (auto& [number, call] : std::exchange(m.calls, {})) {
+            call.second.known = false;
+            history_[call.first].push_back(call.second);
+        }
+        for (const auto& [reason, count] : m.core->traffic().refused) report_.refused += count;
+        report_.snapshots += m.core->ledger().counters().snapshots;
+        report_.mostBytesPerS =
+            std::max(report_.mostBytesPerS, static_cast<double>(m.sentBytes) / std::max(now_ / 1000, 0.001));
+    }
+    if (quietSince_ >= 0 && now_ > quietSince_)
+        for (const auto& m : members_) {
+            const double rate =
+                static_cast<double>(m->sentBytes - m->beforeQuiet) / ((now_ - quietSince_) / 1000);
+            report_.restMean += rate / plan_.members;
+            report_.restMost = std::max(report_.restMost, rate);
+        }
+    for (const auto& [duty, ops] : history_)
+        if (!linearizable(ops))
+            violate("not linearizable", fmt::format("{}: {} operations\n{}", duty, ops.size(), textOf(ops)));
+}
+
+}  // namespace beechpoint::emulator
