--- a/src/configuration/api_operations.hpp
+++ b/src/configuration/api_operations.hpp
@@ -23,11 +23,13 @@
 inline constexpr ApiOperation kTakeZoneBack{"takeZoneBack", "DELETE", "/evacuate/{zone}"};
 inline constexpr ApiOperation kResolve{"resolve", "GET", "/resolve"};
 inline constexpr ApiOperation kReadiness{"readiness", "GET", "/readiness"};
+inline constexpr ApiOperation kReadStatus{"readStatus", "GET", "/status"};
+inline constexpr ApiOperation kReadMetrics{"readMetrics", "GET", "/metrics"};
 
 // Served by control and gateways.
 inline constexpr std::array kServedOperations = {
-    kReadConfiguration, kPutConfiguration, kPatchConfiguration, kEvacuateZone,
-    kTakeZoneBack,      kResolve,          kReadiness,
+    kReadConfiguration, kPutConfiguration, kPatchConfiguration, kEvacuateZone, kTakeZoneBack,
+    kResolve,           kReadiness,        kReadStatus,         kReadMetrics,
 };
 
 inline constexpr ApiOperation kListInstances{"listInstances", "GET", "/instances"};
