--- a/src/replica/chain.cpp
+++ b/src/replica/chain.cpp
@@ -38,13 +38,7 @@
     const Position start = membership_.view.start;
     startRetryAt_ = now + kChainRetry;
     DurableUpdate update;
-    if (rewriteTable_) {
-        TableUpdate whole{table_.position(), true, {}};
-        for (const auto& [key, value] : table_.table()) whole.changes.push_back({key, value});
-        update.table = std::move(whole);
-    } else {
-        update.table = unconfirmedFold_;
-    }
+    update.table = rewriteTable_ ? table_.whole() : unconfirmedFold_;
     if (pending_ && pending_->position == start) {
         update.pending = pending_;
         claimStart(std::move(update));
@@ -83,15 +77,14 @@
     std::size_t choice = syncAttempts_++ % members.size();
     if (choice == *membership_.index) choice = (choice + 1) % members.size();
     if (choice == *membership_.index) return;
-    const Position position = rewriteTable_ ? Position{} : table_.position();
-    outbox_.send(members[choice].internalAddress, SyncRequest{position});
+    outbox_.send(members[choice].internalAddress, SyncRequest{table_.position(), rewriteTable_});
     startRetryAt_ = now + kChainRetry;
 }
 
 void Chain::onSyncRequest(const Message& message, const SyncRequest& request) {
     const View& view = membership_.view;
     if (message.epoch != view.epoch || !view.findDisk(message.from) || !synced()) return;
-    TableUpdate update = table_.updateSince(request.position);
+    TableUpdate update = request.whole ? table_.whole() : table_.updateSince(request.position);
     const bool withPending = pending_ && pendingStored_ && pending_->position == view.start;
     if (withPending) {
         update.changes.insert(update.changes.end(), pending_->changes.begin(), pending_->changes.end());
--- a/src/replica/chain.hpp
+++ b/src/replica/chain.hpp
@@ -48,6 +48,7 @@
     std::uint64_t chained() const { return chained_; }
     // Of all that is stored here, the pending batch included.
     Position storedPosition() const;
+    Position foldedPosition() const { return table_.position(); }
     // The member at which the head's item hangs, by what the others say of themselves; empty: none.
     std::string stalledAt(Millis now, const FailureDetector& detector) const;
 
--- a/src/replica/messages.hpp
+++ b/src/replica/messages.hpp
@@ -57,6 +57,7 @@
     std::optional<View> value;
     std::uint64_t syncedEpoch = 0;
     Position position;  // with the pending batch
+    Position folded;    // without it
     bool diskFailing = false;
 };
 
@@ -97,7 +98,8 @@
 };
 
 struct SyncRequest {
-    Position position;  // of the asker's table
+    Position position;   // of the asker's table
+    bool whole = false;  // a delta will not do
 };
 
 struct SyncReply {
--- a/src/replica/table_history.cpp
+++ b/src/replica/table_history.cpp
@@ -47,11 +47,8 @@
         first = std::ranges::find(batches_, since, &Batch::position);
         if (first != batches_.end()) ++first;
     }
-    TableUpdate update{position_, first == batches_.end(), {}};
-    if (update.whole) {
-        for (const auto& [key, value] : *table_) update.changes.push_back({key, value});
-        return update;
-    }
+    if (first == batches_.end()) return whole();
+    TableUpdate update{position_, false, {}};
     std::set<std::string> keys;
     for (; first != batches_.end(); ++first)
         for (const Change& change : first->changes) keys.insert(change.key);
@@ -62,6 +59,12 @@
     return update;
 }
 
+TableUpdate TableHistory::whole() const {
+    TableUpdate update{position_, true, {}};
+    for (const auto& [key, value] : *table_) update.changes.push_back({key, value});
+    return update;
+}
+
 Table& TableHistory::writable() {
     if (table_.use_count() > 1) table_ = std::make_shared<Table>(*table_);
     return *table_;
--- a/src/replica/table_history.hpp
+++ b/src/replica/table_history.hpp
@@ -24,6 +24,7 @@
 
     // From `since` to the present position: the keys that changed, or the whole table if `since` is not in the history.
     TableUpdate updateSince(Position since) const;
+    TableUpdate whole() const;
     std::size_t batches() const { return batches_.size(); }
 
 private:
--- a/src/replica/view_change.cpp
+++ b/src/replica/view_change.cpp
@@ -135,7 +135,7 @@
     const auto reply = [this, replyTo, target, given] {
         outbox_.send(replyTo,
                      Promise{given.promised, target, given.accepted, given.value, chain_.syncedEpoch(),
-                             chain_.storedPosition(), membership_.diskFailing});
+                             chain_.storedPosition(), chain_.foldedPosition(), membership_.diskFailing});
     };
     if (durable_.vote == given)
         reply();
--- a/src/replica/view_planner.cpp
+++ b/src/replica/view_planner.cpp
@@ -15,24 +15,21 @@
 
 // What the source of the next view is chosen by.
 struct Stored {
-    std::uint64_t syncedEpoch;
+    std::uint64_t epoch;  // the newest one whose starting state it holds
     Position position;
     auto operator<=>(const Stored&) const = default;
 };
 
-Stored storedBy(const ReceivedPromise& received) {
-    return {received.promise.syncedEpoch, received.promise.position};
-}
-
-// Whether this promiser holds everything that was committed up to `epoch`. One that is synced into the epoch does. If
-// some promiser is not synced into it, then nothing was committed in it, neither its starting state, and never will be;
-// then one that is synced into the epoch before does.
-bool mayBeSource(const ReceivedPromise& received, std::uint64_t epoch,
-                 const std::map<std::string, ReceivedPromise>& promises) {
-    if (received.promise.syncedEpoch == epoch) return true;
-    if (received.promise.syncedEpoch + 1 != epoch) return false;
-    return std::ranges::any_of(promises,
-                               [&](const auto& entry) { return entry.second.promise.syncedEpoch < epoch; });
+// What this promiser could start the next view from; nothing if it may lack something that was committed. One that is
+// synced into the epoch of `base` has all. One that is not proves by its promise that nothing was committed in that epoch,
+// nor will be. Then all that was committed is in the epoch's starting state, which it may hold without having recorded
+// so, and in the state of whoever is synced into the epoch before.
+std::optional<Stored> storedBy(const ReceivedPromise& received, const View& base) {
+    const Promise& promise = received.promise;
+    if (promise.syncedEpoch == base.epoch) return Stored{base.epoch, promise.position};
+    if (promise.position == base.start || promise.folded == base.start) return Stored{base.epoch, base.start};
+    if (promise.syncedEpoch + 1 == base.epoch) return Stored{promise.syncedEpoch, promise.position};
+    return std::nullopt;
 }
 
 }  // namespace
@@ -225,31 +222,30 @@
     const Assessment assessment = assess(now);
     const View& base = membership_.view;
     std::vector<const ReceivedPromise*> candidates;
-    const ReceivedPromise* source = nullptr;
-    const ReceivedPromise* spare = nullptr;  // would do as source, though it should be left out
+    using Choice = std::pair<const ReceivedPromise*, Stored>;
+    std::optional<Choice> source;
+    std::optional<Choice> spare;  // would do as source, though it should be left out
     for (const Member& member : base.members) {
         const auto found = std::ranges::find_if(
             promises, [&](const auto& entry) { return sameDisk(entry.second.from, member); });
         if (found == promises.end()) continue;
         const ReceivedPromise& received = found->second;
-        const bool possible = mayBeSource(received, base.epoch, promises);
+        const std::optional<Stored> stored = storedBy(received, base);
         const bool wanted =
             !assessment.excluded.contains(member.internalAddress) && !received.promise.diskFailing;
-        const ReceivedPromise*& best = wanted ? source : spare;
-        if (possible && (!best || storedBy(*best) < storedBy(received))) best = &received;
+        std::optional<Choice>& best = wanted ? source : spare;
+        if (stored && (!best || best->second < *stored)) best = Choice{&received, *stored};
         if (wanted) candidates.push_back(&received);
     }
-    if (!source) {
-        source = spare;
-        if (source) candidates.push_back(source);
-    }
+    if (!source) source = spare;
     if (!source) return std::nullopt;
+    const ReceivedPromise* head = source->first;
     View view;
     view.epoch = base.epoch + 1;
-    view.start = source->promise.position;
-    view.members.push_back(source->from);
+    view.start = source->second.position;
+    view.members.push_back(head->from);
     for (const ReceivedPromise* candidate : candidates)
-        if (candidate != source) view.members.push_back(candidate->from);
+        if (candidate != head) view.members.push_back(candidate->from);
     for (const Member& joiner : assessment.joiners)
         if (view.members.size() < kMaxMembers && !view.find(joiner.name)) view.members.push_back(joiner);
     if (!enough(view.members)) return std::nullopt;
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -326,7 +326,7 @@
     ASSERT_GT(sent<Prepare>("a"), 0u);
     const Ballot ballot = last<Prepare>()->ballot;
     storeAll();
-    receive("a", Promise{ballot, 3, {}, std::nullopt, 2, {1, 3}, false});
+    receive("a", Promise{ballot, 3, {}, std::nullopt, 2, {1, 3}, {1, 3}, false});
     ASSERT_GT(sent<Accept>("a"), 0u);
     const View value = last<Accept>()->value;
     EXPECT_EQ(value.members.size(), 2u);
@@ -483,6 +483,37 @@
     EXPECT_EQ(claim->update.table->changes, (std::vector<Change>{{"k", "0"}}));
 }
 
+// Found by the simulation: a source with its whole history answered with a delta, which the asker could not use.
+TEST_F(ReplicaTest, AFailedSyncAsksForTheWholeTable) {
+    startWith(usedDisk());
+    enter(1, {1, 9}, false);
+    storeAll();
+    receive("a", SyncReply{{1, 3}, {{1, 9}, true, {{"k", "9"}}}});
+    failAll();
+    forget();
+    pass(600);
+    ASSERT_TRUE(last<SyncRequest>());
+    EXPECT_TRUE(last<SyncRequest>()->whole);
+    receive("a", SyncReply{{1, 3}, {{1, 9}, false, {{"k", "9"}}}});
+    storeAll();
+    receive("a", Heartbeat{1, 1});
+    EXPECT_EQ(last<HeartbeatReply>()->status.syncedEpoch, 1u);
+    receive("a", SyncReply{{1, 3}, {{1, 9}, true, {{"k", "9"}}}});
+    storeAll();
+    receive("a", Heartbeat{2, 2});
+    EXPECT_EQ(last<HeartbeatReply>()->status.syncedEpoch, 2u);
+}
+
+TEST_F(ReplicaTest, GivesTheWholeTableToWhoAsksForIt) {
+    enterSettled(0);
+    receive("c", SyncRequest{{1, 3}, false});
+    ASSERT_TRUE(last<SyncReply>());
+    EXPECT_FALSE(last<SyncReply>()->update.whole);
+    receive("c", SyncRequest{{1, 3}, true});
+    EXPECT_TRUE(last<SyncReply>()->update.whole);
+    EXPECT_EQ(last<SyncReply>()->update.changes.size(), 1u);
+}
+
 TEST_F(ReplicaTest, AFoldThatFailedIsRepeatedWithTheNextBatch) {
     enterSettled(2);
     receive("c", kPropose);
--- a/tests/replica/view_agreement_test.cpp
+++ b/tests/replica/view_agreement_test.cpp
@@ -95,9 +95,9 @@
 TEST(Proposer, IsBoundToTheHighestAcceptedValue) {
     Proposer proposer;
     proposer.begin(0, 2, ballot(9), 3);
-    proposer.onPromise("a", {}, Promise{ballot(9), 2, ballot(3), viewOf(2, "x"), 1, {}, false});
-    proposer.onPromise("b", {}, Promise{ballot(9), 2, ballot(5), viewOf(2, "y"), 1, {}, false});
-    proposer.onPromise("c", {}, Promise{ballot(9), 2, {}, std::nullopt, 1, {}, false});
+    proposer.onPromise("a", {}, Promise{ballot(9), 2, ballot(3), viewOf(2, "x"), 1, {}, {}, false});
+    proposer.onPromise("b", {}, Promise{ballot(9), 2, ballot(5), viewOf(2, "y"), 1, {}, {}, false});
+    proposer.onPromise("c", {}, Promise{ballot(9), 2, {}, std::nullopt, 1, {}, {}, false});
     EXPECT_EQ(proposer.bound(), viewOf(2, "y"));
 }
 
@@ -109,6 +109,7 @@
         : outbox_(membership_), detector_(membership_, outbox_, 1, 0), chain_(membership_, outbox_, {}) {
         membership_.settings.tolerance = {0, 0};
         membership_.view.epoch = 5;
+        membership_.view.start = {4, 20};
         for (const char* name : {"a", "b", "c"}) {
             const std::string address = fmt::format("{}:1", name);
             membership_.view.members.push_back({name, 1, 1, address, address, name});
@@ -119,7 +120,8 @@
 
     void promise(std::size_t member, std::uint64_t syncedEpoch, Position position, bool diskFailing = false) {
         const Member& from = membership_.view.members[member];
-        promises_[from.name] = {from, Promise{{}, 6, {}, std::nullopt, syncedEpoch, position, diskFailing}};
+        promises_[from.name] = {
+            from, Promise{{}, 6, {}, std::nullopt, syncedEpoch, position, position, diskFailing}};
     }
     std::optional<View> compose() {
         return ViewPlanner(membership_, detector_, chain_).compose(0, promises_);
@@ -160,6 +162,21 @@
     EXPECT_EQ(view->start, (Position{4, 3}));
 }
 
+// Found by the simulation: the source of the epoch had lost its power before it could record that it is synced.
+TEST_F(SourceChoice, TakesOneWhoHoldsTheStartingStateWithoutHavingRecordedIt) {
+    membership_.view.start = {2, 28};
+    promise(1, 3, {2, 28});
+    promise(2, 0, {});
+    const auto view = compose();
+    ASSERT_TRUE(view);
+    EXPECT_EQ(view->members.front().name, "b");
+    EXPECT_EQ(view->start, (Position{2, 28}));
+    promises_["b"].promise.position = {2, 29};  // its pending batch is not part of the starting state
+    EXPECT_EQ(compose()->start, (Position{2, 28}));
+    promises_["b"].promise.folded = {2, 27};
+    EXPECT_FALSE(compose());
+}
+
 TEST_F(SourceChoice, TakesNobodyWhoMayLackWhatWasCommitted) {
     promise(1, 3, {3, 9});
     promise(2, 0, {});
