Settings reader of the module in a place of its own, so that the gatherer needs no simhost

Cause: src/simhost/settings.* read the settings for the program's own configuration, so beechpoint_node linked the simulator's adapter. Ruled out: src/core, whose library brings fmt and spdlog that the adapter has no need of.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "duties/messages.hpp"
-#include "settings.hpp"
+#include "module_settings/module_settings.hpp"
 
 namespace beechpoint {
 
@@ -45,11 +45,11 @@
 
 void readSettings(const Json& json, Config& config) {
     const std::string settings = need(json, "settings").dump();
-    config.settings = firkeel::wire::readSettings(settings);
+    config.settings = firkeel::readSettings(settings);
     for (const firkeel::ClassSettings& c : config.settings.classes)
         if (c.secondStep > 0)
             throw BadConfig(fmt::format("class {} has a second step, which no front speaks", c.name));
-    const auto limits = firkeel::wire::readConnectionSettings(settings);
+    const auto limits = firkeel::readConnectionSettings(settings);
     if (config.settings.dialTimeout > 0)
         config.connections.dialTimeout = fromNanos(config.settings.dialTimeout);
     config.connections.idle = limits.idle > 0 ? fromNanos(limits.idle) : 1e12;
--- a/src/emulator/virtual_run.cpp
+++ b/src/emulator/virtual_run.cpp
@@ -8,7 +8,7 @@
 #include "core/logger.hpp"
 #include "emulator/gatherer_settings.hpp"
 #include "emulator/virtual_pool.hpp"
-#include "simhost/settings.hpp"
+#include "module_settings/module_settings.hpp"
 
 namespace beechpoint::emulator {
 
@@ -46,7 +46,7 @@
         : world_(world),
           clock_(clock),
           log_(clock, logging::Format::text, -1),
-          settings_(firkeel::wire::readSettings(gathererSettings(world.scenario(), gatherer))),
+          settings_(firkeel::readSettings(gathererSettings(world.scenario(), gatherer))),
           pool_(world, clock, gatherer,
                 {fromNanos(settings_.dialTimeout),
                  static_cast<std::size_t>(world.scenario().callsPerConnection), 16}),
--- a/src/simhost/settings.cpp
+++ b/src/module_settings/module_settings.cpp
@@ -1,17 +1,15 @@
-#include "settings.hpp"
+#include "module_settings/module_settings.hpp"
 
 #include <nlohmann/json.hpp>
 
-#include "wire.hpp"
-
-namespace firkeel::wire {
+namespace firkeel {
 
 namespace {
 
 using Json = nlohmann::json;
 
 [[noreturn]] void bad(const std::string& key, const std::string& expected) {
-    throw Malformed("message PROVISION, field settings, key " + key + ": expected " + expected);
+    throw BadSettings("message PROVISION, field settings, key " + key + ": expected " + expected);
 }
 
 // A JSON object that knows its path, for plain messages.
@@ -67,7 +65,7 @@
 
 Json parse(const std::string& text) {
     Json json = Json::parse(text, nullptr, false);
-    if (json.is_discarded()) throw Malformed("message PROVISION, field settings: expected a JSON object");
+    if (json.is_discarded()) throw BadSettings("message PROVISION, field settings: expected a JSON object");
     return json;
 }
 
@@ -163,4 +161,4 @@
     return s;
 }
 
-}  // namespace firkeel::wire
+}  // namespace firkeel
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -3,7 +3,7 @@
 #include <istream>
 #include <ostream>
 
-#include "settings.hpp"
+#include "module_settings/module_settings.hpp"
 #include "wire.hpp"
 
 namespace firkeel::wire {
