Name the prober of avoided hosts by what it does

Cause: lookout, looker-on and lookers are metaphors of the house; the field says prober. Change: src/host_prober (HostProber), HostProbes in the exchange, Room::hostProber (still 4 on the wire), proberDuty in settings. Tests: identifiers and the file's name alone.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -70,8 +70,8 @@
     group.holds = section.value("holds", true);
     group.duties = section.value("duties", std::vector<std::string>());
     group.folder = section.value("folder", std::string());
-    group.lookout = section.value("lookout", std::string());
-    if (!group.lookout.empty()) group.duties.push_back(group.lookout);
+    group.proberDuty = section.value("lookout", std::string());
+    if (!group.proberDuty.empty()) group.duties.push_back(group.proberDuty);
     for (const std::string& duty : group.duties)
         if (duty.empty() || duty.size() > duties::kMostDutyName) throw BadConfig(fmt::format("group: duty '{}' must have 1 to {} bytes", duty, duties::kMostDutyName));
     if (!group.members.contains(config.name))
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -239,7 +239,7 @@
 }
 
 void Exchange::probed(const std::string& server, Outcome outcome, Millis took, Load load) {
-    if (lookers_) lookers_->saw(server, outcome == Outcome::served || outcome == Outcome::turnedAway);
+    if (hostProbes_) hostProbes_->saw(server, outcome == Outcome::served || outcome == Outcome::turnedAway);
     give(firkeel::ProbeEnded{server, outcome, toNanos(took), std::move(load)});
 }
 
@@ -379,7 +379,7 @@
 void Exchange::carry(const firkeel::SetTimer& a) { timers_.emplace(fromNanos(a.at), a.mark); }
 
 void Exchange::carry(const firkeel::Probe& a) {
-    if (lookers_ && lookers_->away(a.server)) {
+    if (hostProbes_ && hostProbes_->away(a.server)) {
         counters_.add(Counter::probesSpared);
         return give(firkeel::ProbeEnded{a.server, Outcome::noConnection, 0, {}});
     }
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -111,9 +111,9 @@
 
 // Who may know how a look at a host would end without one's looking: another gatherer's word (group/). Absent: each look
 // is made.
-class Lookers {
+class HostProbes {
 public:
-    virtual ~Lookers() = default;
+    virtual ~HostProbes() = default;
     virtual bool away(const std::string& server) = 0;               // taken for the look's end
     virtual void saw(const std::string& server, bool there) = 0;    // a look of one's own ended
 };
@@ -125,7 +125,7 @@
              Logger& log, std::function<void(Millis)> wake);
 
     void attach(TrackHosts& hosts) { hosts_ = &hosts; }
-    void attach(Lookers& lookers) { lookers_ = &lookers; }
+    void attach(HostProbes& hostProbes) { hostProbes_ = &hostProbes; }
 
     // Client side. `done` is called exactly once, perhaps before this returns, unless gone() comes first.
     // `left` is asked before a part goes out, unless it was just now: what waited for long goes to nobody's client.
@@ -219,7 +219,7 @@
     std::function<void(Millis)> wake_;
     firkeel::Coordinator coordinator_;
     TrackHosts* hosts_ = nullptr;
-    Lookers* lookers_ = nullptr;
+    HostProbes* hostProbes_ = nullptr;
     Figures figures_;  // outlives the live queries, which hold places in it
 
     std::unordered_map<RequestId, Live> queries_;
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -100,7 +100,7 @@
         snmp_ = std::make_unique<snmp::Agent>(io, counters, snmp::objectsOf(counters, config.name, clock),
                                               config.snmpCommunity);
     if (config.group) group_ = std::make_unique<group::Group>(io, clock, counters, log, *config.group, config.name);
-    if (config.group && !config.group->lookout.empty()) exchange_.attach(static_cast<Lookers&>(*this));
+    if (config.group && !config.group->proberDuty.empty()) exchange_.attach(static_cast<HostProbes&>(*this));
     if (!config.search) return;
     search_ = std::make_unique<front::OpenSearch>(
         exchange_, clock, counters,
--- a/src/gatherer.hpp
+++ b/src/gatherer.hpp
@@ -22,7 +22,7 @@
 
 namespace beechpoint {
 
-class Gatherer : public ops::Controls, private Lookers {
+class Gatherer : public ops::Controls, private HostProbes {
 public:
     Gatherer(asio::io_context& io, const Config& config, const Clock& clock, Counters& counters, Logger& log);
     void start();  // throws where an address can't be listened on
--- a/src/group/core.cpp
+++ b/src/group/core.cpp
@@ -43,7 +43,7 @@
       holder_(options_.times, options_.self, life, options_.voters, seed ^ 0x9E3779B97F4A7C15ULL, now,
               options_.willing),
       membership_(options_.membership, options_.self, options_.members, seed ^ 0xD1B54A32D192ED03ULL, now),
-      lookout_(options_.lookout, options_.self) {}
+      prober_(options_.prober, options_.self) {}
 
 void Core::put(peers::Room room, const std::string& to, const std::string& body, Step& out) {
     std::string bytes = peers::seal(options_.group, {room, options_.self, life_, ledger_.number()}, body);
@@ -134,16 +134,16 @@
         std::vector<peers::Message> words;
         membership_.receive(now, {h.sender, options_.self, *body}, words);
         return put(words, out);
-    } else if (h.room == peers::Room::lookout) {
-        const auto body = readLookout(opened->body);
+    } else if (h.room == peers::Room::hostProber) {
+        const auto body = readHostProber(opened->body);
         if (!body) {
             ++traffic_.unreadable;
             return;
         }
-        std::vector<lookout::Message> words;
-        lookout_.receive(now, {h.sender, options_.self, *body},
-                         holder_.mayAct(now, options_.lookoutDuty).has_value(), words);
-        for (const lookout::Message& m : words) put(peers::Room::lookout, m.to, write(m.body), out);
+        std::vector<host_prober::Message> words;
+        prober_.receive(now, {h.sender, options_.self, *body},
+                        holder_.mayAct(now, options_.proberDuty).has_value(), words);
+        for (const host_prober::Message& m : words) put(peers::Room::hostProber, m.to, write(m.body), out);
         return;
     }
     settle(now, actions, said, out);
@@ -192,11 +192,11 @@
 }
 
 bool Core::away(Millis now, const std::string& host, Step& out) {
-    const duties::Duty* duty = table_.duty(options_.lookoutDuty);
-    std::vector<lookout::Message> words;
-    const auto advice = lookout_.wanted(now, host, duty != nullptr ? duty->holder : std::string(), words);
-    for (const lookout::Message& m : words) put(peers::Room::lookout, m.to, write(m.body), out);
-    return advice == lookout::Advice::away;
+    const duties::Duty* duty = table_.duty(options_.proberDuty);
+    std::vector<host_prober::Message> words;
+    const auto advice = prober_.wanted(now, host, duty != nullptr ? duty->holder : std::string(), words);
+    for (const host_prober::Message& m : words) put(peers::Room::hostProber, m.to, write(m.body), out);
+    return advice == host_prober::Advice::away;
 }
 void Core::resume(Millis now, Step& out) {
     holder_.resume();
--- a/src/group/core.hpp
+++ b/src/group/core.hpp
@@ -11,7 +11,7 @@
 #include "duties/holder.hpp"
 #include "duties/keeper.hpp"
 #include "ledger/ledger.hpp"
-#include "lookout/lookout.hpp"
+#include "host_prober/host_prober.hpp"
 #include "peers/datagram.hpp"
 #include "peers/membership.hpp"
 
@@ -30,8 +30,8 @@
     ledger::Options ledger;
     duties::Times times;
     peers::MembershipOptions membership;
-    std::string lookoutDuty;  // whose holder looks at dead hosts for all; empty: each looks itself
-    lookout::LookoutOptions lookout;
+    std::string proberDuty;  // whose holder looks at dead hosts for all; empty: each looks itself
+    host_prober::HostProberOptions prober;
 };
 
 struct Datagram {
@@ -69,9 +69,9 @@
     // A look at a host that is avoided: whether the holder's word that it is away stands for it; else it is to be looked at,
     // and saw() tells how that ended.
     bool away(Millis now, const std::string& host, Step& out);
-    void saw(Millis now, const std::string& host, bool there) { lookout_.saw(now, host, there); }
+    void saw(Millis now, const std::string& host, bool there) { prober_.saw(now, host, there); }
 
-    const lookout::Lookout& lookout() const { return lookout_; }
+    const host_prober::HostProber& prober() const { return prober_; }
     duties::Holder& holder() { return holder_; }
     const duties::Holder& holder() const { return holder_; }
     const ledger::Ledger& ledger() const { return ledger_; }
@@ -93,7 +93,7 @@
     duties::Keeper keeper_;
     duties::Holder holder_;
     peers::Membership membership_;
-    lookout::Lookout lookout_;
+    host_prober::HostProber prober_;
     Traffic traffic_;
 };
 
--- a/src/group/group.cpp
+++ b/src/group/group.cpp
@@ -33,7 +33,7 @@
     for (const auto& [name, address] : s.members) o.members.push_back(name);
     o.voters = s.voters;
     o.willing = s.holds;
-    o.lookoutDuty = s.lookout;
+    o.proberDuty = s.proberDuty;
     return o;
 }
 
--- a/src/group/wire.cpp
+++ b/src/group/wire.cpp
@@ -53,12 +53,12 @@
 
 }  // namespace beechpoint::peers
 
-namespace beechpoint::lookout {
+namespace beechpoint::host_prober {
 
 static auto fields(Ask& x) { return std::tie(x.host, x.number); }
 static auto fields(Word& x) { return std::tie(x.host, x.number, x.there, x.ageMs); }
 
-}  // namespace beechpoint::lookout
+}  // namespace beechpoint::host_prober
 
 #include "peers/fields.hpp"
 
@@ -74,7 +74,7 @@
 std::string write(const ledger::Body& body) { return peers::writeVariant(body); }
 std::string write(const duties::Body& body) { return peers::writeVariant(body); }
 std::string write(const peers::Body& body) { return peers::writeVariant(body); }
-std::string write(const lookout::Body& body) { return peers::writeVariant(body); }
+std::string write(const host_prober::Body& body) { return peers::writeVariant(body); }
 std::optional<ledger::Body> readLedger(std::string_view bytes) {
     auto body = readAs(bytes, static_cast<const ledger::Body*>(nullptr));
     const auto senseless = [](const ledger::Entry& e) {
@@ -98,8 +98,8 @@
     return body;
 }
 
-std::optional<lookout::Body> readLookout(std::string_view bytes) {
-    return readAs(bytes, static_cast<const lookout::Body*>(nullptr));
+std::optional<host_prober::Body> readHostProber(std::string_view bytes) {
+    return readAs(bytes, static_cast<const host_prober::Body*>(nullptr));
 }
 std::optional<peers::Body> readMembership(std::string_view bytes) {
     auto body = readAs(bytes, static_cast<const peers::Body*>(nullptr));
--- a/src/lookout/lookout.cpp
+++ b/src/host_prober/host_prober.cpp
@@ -1,10 +1,10 @@
-#include "lookout/lookout.hpp"
+#include "host_prober/host_prober.hpp"
 
 #include <algorithm>
 
-namespace beechpoint::lookout {
+namespace beechpoint::host_prober {
 
-Lookout::Host& Lookout::at(Millis now, const std::string& host) {
+HostProber::Host& HostProber::at(Millis now, const std::string& host) {
     if (const auto found = hosts_.find(host); found != hosts_.end()) return found->second;
     if (hosts_.size() >= kMostHosts) {
         hosts_.erase(std::min_element(hosts_.begin(), hosts_.end(), [](auto& a, auto& b) {
@@ -17,8 +17,8 @@
     return fresh;
 }
 
-Advice Lookout::wanted(Millis now, const std::string& host, const std::string& holder,
-                       std::vector<Message>& out) {
+Advice HostProber::wanted(Millis now, const std::string& host, const std::string& holder,
+                          std::vector<Message>& out) {
     if (host.size() > kMostHost) return Advice::look;
     Host& h = at(now, host);
     h.wantedAt = now;
@@ -32,13 +32,13 @@
     ++spared_;
     return Advice::away;
 }
-void Lookout::saw(Millis now, const std::string& host, bool there) {
+void HostProber::saw(Millis now, const std::string& host, bool there) {
     if (host.size() > kMostHost) return;
     Host& h = at(now, host);
     h.sawAt = now, h.there = there;
     if (there) h.wordAt = -1e300;  // whatever others say: it answered
 }
-void Lookout::receive(Millis now, const Message& m, bool holds, std::vector<Message>& out) {
+void HostProber::receive(Millis now, const Message& m, bool holds, std::vector<Message>& out) {
     if (const auto* ask = std::get_if<Ask>(&m.body)) {
         const auto found = hosts_.find(ask->host);
         if (!holds || found == hosts_.end() || now >= found->second.sawAt + options_.word) return;
@@ -60,4 +60,4 @@
     h.wordAt = at, h.wordThere = word.there;
 }
 
-}  // namespace beechpoint::lookout
+}  // namespace beechpoint::host_prober
--- a/src/lookout/lookout.hpp
+++ b/src/host_prober/host_prober.hpp
@@ -1,4 +1,4 @@
-// One looker-on for track hosts that all avoid: the holder of a duty looks at a dead host, the others take its word for a
+// One prober for track hosts that all avoid: the holder of a duty looks at a dead host, the others take its word for a
 // while in place of looking themselves, each anew. A state machine: (now, event) in, messages out; no I/O, clock, socket.
 // It decides about looks alone. Whether a host is used is the module's to judge (firkeel::Coordinator), by each look's end
 // as ever; here the end of some looks is another's word, which is never more than `word` old.
@@ -25,7 +25,7 @@
 
 #include "core/clock.hpp"
 
-namespace beechpoint::lookout {
+namespace beechpoint::host_prober {
 
 inline constexpr std::size_t kMostHost = 64;    // bytes of a track host's id in a message
 inline constexpr std::size_t kMostHosts = 512;  // remembered; the one not wanted for longest goes first
@@ -46,7 +46,7 @@
     Body body;
 };
 
-struct LookoutOptions {
+struct HostProberOptions {
     Millis word = 2000;  // that a word holds, from the look it tells of
     Millis own = 5000;   // in each of these one look is one's own
     Millis again = 400;  // between askings about one host
@@ -54,9 +54,9 @@
 
 enum class Advice { look, away };
 
-class Lookout {
+class HostProber {
 public:
-    Lookout(LookoutOptions options, std::string self) : options_(options), self_(std::move(self)) {}
+    HostProber(HostProberOptions options, std::string self) : options_(options), self_(std::move(self)) {}
 
     // A look at the host is wanted. `holder`: who has the duty as far as this member knows; empty: nobody, or itself.
     Advice wanted(Millis now, const std::string& host, const std::string& holder, std::vector<Message>& out);
@@ -81,10 +81,10 @@
         std::string by;  // whom
     };
     Host& at(Millis now, const std::string& host);
-    LookoutOptions options_;
+    HostProberOptions options_;
     std::string self_;
     std::map<std::string, Host> hosts_;
     std::uint64_t number_ = 0, spared_ = 0, evicted_ = 0;
 };
 
-}  // namespace beechpoint::lookout
+}  // namespace beechpoint::host_prober
--- a/src/peers/datagram.hpp
+++ b/src/peers/datagram.hpp
@@ -18,7 +18,7 @@
 inline constexpr std::size_t kMostBytes = 256;  // of a datagram: the platform's limit
 inline constexpr std::uint8_t kVersion = 1;
 
-enum class Room : std::uint8_t { membership = 1, ledger = 2, duties = 3, lookout = 4 };
+enum class Room : std::uint8_t { membership = 1, ledger = 2, duties = 3, hostProber = 4 };
 
 struct Header {
     Room room = Room::ledger;
--- a/tests/group/lookout_test.cpp
+++ b/tests/group/host_prober_test.cpp
@@ -1,5 +1,5 @@
 // Looks at a dead host, one holder's in place of everybody's: how many there are, and what a holder that is gone or lies costs.
-#include "lookout/lookout.hpp"
+#include "host_prober/host_prober.hpp"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 #include <queue>
 #include <random>
 
-namespace beechpoint::lookout {
+namespace beechpoint::host_prober {
 namespace {
 
 // Members that all avoid one host and want a look at it every half second, each at times of its own.
@@ -15,7 +15,7 @@
     explicit Fleet(int size, bool withDuty = true)
         : withDuty(withDuty), looks(static_cast<std::size_t>(size)) {
         for (int i = 0; i < size; ++i) {
-            members.push_back(std::make_unique<Lookout>(LookoutOptions{}, name(i)));
+            members.push_back(std::make_unique<HostProber>(HostProberOptions{}, name(i)));
             due.push_back({500 * unit(), i, nullptr});
         }
         std::make_heap(due.begin(), due.end(), later);
@@ -48,7 +48,7 @@
             const Event e = due.back();
             due.pop_back();
             now = e.at;
-            Lookout& l = *members[static_cast<std::size_t>(e.member)];
+            HostProber& l = *members[static_cast<std::size_t>(e.member)];
             std::vector<Message> out;
             if (e.message) {
                 Message m = *e.message;
@@ -79,14 +79,14 @@
     int holder = 0;
     Millis now = 0;
     std::mt19937_64 random{5};
-    std::vector<std::unique_ptr<Lookout>> members;
+    std::vector<std::unique_ptr<HostProber>> members;
     std::vector<std::uint64_t> looks;
     std::vector<Event> due;
     std::map<int, Millis> foundAt;
     std::uint64_t datagrams = 0;
 };
 
-TEST(Lookout, LooksAtADeadHostFallToATenth) {
+TEST(HostProber, LooksAtADeadHostFallToATenth) {
     for (const int size : {50, 300}) {
         Fleet each(size, false), one(size);
         for (Fleet* f : {&each, &one}) f->until(10'000), f->looksPerS(1), f->datagrams = 0, f->until(40'000);
@@ -101,7 +101,7 @@
     }
 }
 // Killed, stopped or cut off: its last word ends, and all look themselves as without it.
-TEST(Lookout, AHolderThatIsGoneCostsNothingButItsWord) {
+TEST(HostProber, AHolderThatIsGoneCostsNothingButItsWord) {
     Fleet fleet(50);
     fleet.until(10'000);
     fleet.gone = true;
@@ -111,7 +111,7 @@
     EXPECT_GT(fleet.looksPerS(10'000), 1.85 * 49);
 }
 // The host is back and the holder goes on saying that it is away: each sees it by its own look within `own`.
-TEST(Lookout, ALiarDelaysALookByItsTimeAtTheMost) {
+TEST(HostProber, ALiarDelaysALookByItsTimeAtTheMost) {
     for (const bool liar : {false, true}) {
         Fleet fleet(50);
         fleet.until(10'000);
@@ -122,7 +122,7 @@
         for (const auto& [member, at] : fleet.foundAt) EXPECT_LE(at, 10'000 + 5'600) << member;
     }
 }
-TEST(Lookout, LossBringsMoreOwnLooksAndNoWrongOnes) {
+TEST(HostProber, LossBringsMoreOwnLooksAndNoWrongOnes) {
     Fleet fleet(50);
     fleet.loss = 0.3;
     fleet.until(10'000);
@@ -130,8 +130,8 @@
     fleet.until(40'000);
     EXPECT_LT(fleet.looksPerS(30'000), 2.0 * 50 / 2);
 }
-TEST(Lookout, WordsAreTakenOnlyWhereTheyWereAskedForAndWithTheirAge) {
-    Lookout l({}, "a");
+TEST(HostProber, WordsAreTakenOnlyWhereTheyWereAskedForAndWithTheirAge) {
+    HostProber l({}, "a");
     std::vector<Message> out;
     EXPECT_EQ(l.wanted(0, "h", "b", out), Advice::look);
     l.saw(0, "h", false);
@@ -154,8 +154,8 @@
     EXPECT_EQ(l.wanted(2401, "h", "b", out), Advice::look);
     EXPECT_EQ(l.spared(), 1u);
 }
-TEST(Lookout, HostsAreBounded) {
-    Lookout l({}, "a");
+TEST(HostProber, HostsAreBounded) {
+    HostProber l({}, "a");
     std::vector<Message> out;
     for (int i = 0; i < 2000; ++i) l.wanted(i, "h" + std::to_string(i), "b", out);
     EXPECT_EQ(l.hosts(), kMostHosts);
@@ -165,4 +165,4 @@
 }
 
 }  // namespace
-}  // namespace beechpoint::lookout
+}  // namespace beechpoint::host_prober
--- a/tests/group/process_test.cpp
+++ b/tests/group/process_test.cpp
@@ -77,7 +77,7 @@
     config.name = "g1";
     config.peersAllowed = true;
     readOperator(text, config);
-    CHECK(config.group && config.group->members.size() == 3 && config.group->lookout == "looker-on");
+    CHECK(config.group && config.group->members.size() == 3 && config.group->proberDuty == "looker-on");
 }
 
 }  // namespace
