Name the operators' endpoint by what it is

Cause: door is a metaphor of the house. Change: ops::OperatorEndpoint in src/ops/operator_endpoint, Config::operatorEndpoint, Gatherer::operatorAddress; long joined lines of the touched files stand one step a line. Tests: identifiers alone.

--- a/src/cli/cli.hpp
+++ b/src/cli/cli.hpp
@@ -12,7 +12,7 @@
 
 // Until SIGTERM. `path`: the configuration's file, read again on SIGHUP.
 int serve(const Config& config, const std::string& path, Clock& clock, Logger& log);
-// `words`: show, found NUMBER, take DUTY, give DUTY [MEMBER]. `door`: the operators' door of a running gatherer, ADDRESS:PORT.
-int group(const std::vector<std::string>& words, const std::string& door);
+// `words`: show, found NUMBER, take DUTY, give DUTY [MEMBER]. `endpoint`: the operators' endpoint of a running gatherer, ADDRESS:PORT.
+int group(const std::vector<std::string>& words, const std::string& endpoint);
 
 }  // namespace beechpoint::cli
--- a/src/cli/group.cpp
+++ b/src/cli/group.cpp
@@ -1,4 +1,4 @@
-// beechpoint group: what staff ask a running gatherer about its group, by its operators' door.
+// beechpoint group: what staff ask a running gatherer about its group, by its operators' endpoint.
 #include <fmt/format.h>
 
 #include <asio/connect.hpp>
@@ -29,14 +29,14 @@
 };
 
 // One call on a connection of its own; nothing: nobody answered in time.
-std::optional<Reply> call(const tcp::endpoint& door, const std::string& method, const std::string& path) {
+std::optional<Reply> call(const tcp::endpoint& endpoint, const std::string& method, const std::string& path) {
     asio::io_context io(1);
     tcp::socket socket(io);
     const std::string request = fmt::format(
         "{} {} HTTP/1.1\r\nHost: beechpoint\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", method, path);
     std::string in;
     asio::error_code ended = asio::error::would_block;
-    socket.async_connect(door, [&](asio::error_code error) {
+    socket.async_connect(endpoint, [&](asio::error_code error) {
         if (error) return void(ended = error);
         asio::async_write(socket, asio::buffer(request), [&](asio::error_code failed, std::size_t) {
             if (failed) return void(ended = failed);
@@ -95,7 +95,7 @@
 
 }  // namespace
 
-int group(const std::vector<std::string>& words, const std::string& door) {
+int group(const std::vector<std::string>& words, const std::string& endpoint) {
     const auto is = [&](const char* word, std::size_t least, std::size_t most) {
         return !words.empty() && words[0] == word && words.size() >= least && words.size() <= most;
     };
@@ -104,7 +104,7 @@
         std::cerr << "beechpoint: group show | found NUMBER | take DUTY | give DUTY [MEMBER]\n";
         return kUsage;
     }
-    const auto at = back::readEndpoint(door);
+    const auto at = back::readEndpoint(endpoint);
     if (!at) {
         std::cerr << "beechpoint: name the operators' door by --door ADDRESS:PORT, NODE_OPERATOR or a "
                      "configuration\n";
@@ -113,7 +113,7 @@
     const auto reply = show ? call(*at, "GET", "/ops/group")
                             : call(*at, "PUT", fmt::format("/ops/group/{}", fmt::join(words, "/")));
     if (!reply) {
-        std::cerr << "beechpoint: nobody answers at " << door << '\n';
+        std::cerr << "beechpoint: nobody answers at " << endpoint << '\n';
         return 1;
     }
     const Json json = show && reply->status == 200 ? Json::parse(reply->body, nullptr, false) : Json();
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -59,13 +59,17 @@
 
 group::Settings readGroup(const Json& section, const Config& config) {
     // On a platform that forbids messages nothing of it is on, whatever a file says.
-    if (!config.peersAllowed) throw BadConfig("group: the configuration has no peers, or its settings forbid messages");
-    const auto udp = [](const asio::ip::tcp::endpoint& at) { return asio::ip::udp::endpoint(at.address(), at.port()); };
+    if (!config.peersAllowed)
+        throw BadConfig("group: the configuration has no peers, or its settings forbid messages");
+    const auto udp = [](const asio::ip::tcp::endpoint& at) {
+        return asio::ip::udp::endpoint(at.address(), at.port());
+    };
     group::Settings group;
     group.name = section.value("name", group.name);
     group.listen = udp(address(section, "listen"));
     const Json& members = need(section, "members");
-    for (const auto& [name, at] : members.items()) group.members.emplace(name, udp(address(members, name.c_str())));
+    for (const auto& [name, at] : members.items())
+        group.members.emplace(name, udp(address(members, name.c_str())));
     group.voters = need(section, "voters").get<std::vector<std::string>>();
     group.holds = section.value("holds", true);
     group.duties = section.value("duties", std::vector<std::string>());
@@ -73,7 +77,9 @@
     group.proberDuty = section.value("lookout", std::string());
     if (!group.proberDuty.empty()) group.duties.push_back(group.proberDuty);
     for (const std::string& duty : group.duties)
-        if (duty.empty() || duty.size() > duties::kMostDutyName) throw BadConfig(fmt::format("group: duty '{}' must have 1 to {} bytes", duty, duties::kMostDutyName));
+        if (duty.empty() || duty.size() > duties::kMostDutyName)
+            throw BadConfig(
+                fmt::format("group: duty '{}' must have 1 to {} bytes", duty, duties::kMostDutyName));
     if (!group.members.contains(config.name))
         throw BadConfig(fmt::format("group: this gatherer, {}, is none of the members", config.name));
     return group;
@@ -89,7 +95,7 @@
         config.name = text(json, "name");
         config.listen = address(json, "listen");
         config.discovery = address(json, "discovery");
-        if (json.contains("operator")) config.door = address(json, "operator");
+        if (json.contains("operator")) config.operatorEndpoint = address(json, "operator");
         config.seed = readSeed(text(json, "seed"));
         if (json.contains("limits") && json["limits"].contains("sockets"))
             config.sockets = json["limits"]["sockets"].get<std::size_t>();
@@ -108,9 +114,10 @@
     return config;
 }
 
-void readDoor(const std::string& text, Config& config) {
-    config.door = back::readEndpoint(text);
-    if (!config.door) throw BadConfig(fmt::format("$NODE_OPERATOR must be ADDRESS:PORT, not {}", text));
+void readOperatorEndpoint(const std::string& text, Config& config) {
+    config.operatorEndpoint = back::readEndpoint(text);
+    if (!config.operatorEndpoint)
+        throw BadConfig(fmt::format("$NODE_OPERATOR must be ADDRESS:PORT, not {}", text));
 }
 
 void readOperator(const std::string& source, Config& config) {
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -30,8 +30,8 @@
     firkeel::Settings settings;
     back::ConnectionLimits connections;
 
-    // The operators' door: closed where no address is named.
-    std::optional<asio::ip::tcp::endpoint> door;
+    // The operators' endpoint: closed where no address is named.
+    std::optional<asio::ip::tcp::endpoint> operatorEndpoint;
     std::string stateFolder;  // what an upgrade hands on is kept there; empty: nothing is
 
     // From an operator's file; off where it is absent.
@@ -50,8 +50,8 @@
 // Throw BadConfig with one plain line.
 Config readConfig(const std::string& text, const Clock& clock);
 Config readConfigFile(const std::string& path, const Clock& clock);
-// Takes the door's address from $NODE_OPERATOR, which prevails over the configuration's key.
-void readDoor(const std::string& text, Config& config);
+// Takes the operators' endpoint from $NODE_OPERATOR, which prevails over the configuration's key.
+void readOperatorEndpoint(const std::string& text, Config& config);
 // Adds an operator's file to a configuration.
 void readOperatorFile(const std::string& path, Config& config);
 void readOperator(const std::string& text, Config& config);
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -114,8 +114,8 @@
 class HostProbes {
 public:
     virtual ~HostProbes() = default;
-    virtual bool away(const std::string& server) = 0;               // taken for the look's end
-    virtual void saw(const std::string& server, bool there) = 0;    // a look of one's own ended
+    virtual bool away(const std::string& server) = 0;             // taken for the look's end
+    virtual void saw(const std::string& server, bool there) = 0;  // a look of one's own ended
 };
 
 class Exchange {
@@ -180,7 +180,7 @@
         Left left;
         Millis lookedAt = 0;  // when `left` was asked
         Figures::Held place;
-        Millis aimAt = 0;  // its class's aim, or its end where that comes first
+        Millis aimAt = 0;   // its class's aim, or its end where that comes first
         bool sent = false;  // a part of it was written whole
     };
     struct Out {
--- a/src/emulator/group_real.cpp
+++ b/src/emulator/group_real.cpp
@@ -137,7 +137,7 @@
     members_[static_cast<std::size_t>(i)]->stopped = false;
     launch(i);
 }
-// A second process beside the first, at the same addresses but for the operators' door; the first is told nothing yet.
+// A second process beside the first, at the same addresses but for the operators' endpoint; the first is told nothing yet.
 void GroupReal::upgrade(int i) {
     const Member& m = *members_[static_cast<std::size_t>(i)];
     if (m.processes.size() == 1 && !m.stopped) launch(i);
--- a/src/emulator/group_real.hpp
+++ b/src/emulator/group_real.hpp
@@ -1,6 +1,6 @@
 // Real processes of the program as one group on loopback, and between them a relay: every datagram between two members
 // comes in at a socket of that pair's and goes on, if it does, late, twice or spoilt, from the other way's. All members'
-// operators' doors are asked all the time what they may act on; what they say is what a resource would have seen.
+// operators' endpoints are asked all the time what they may act on; what they say is what a resource would have seen.
 //
 // Checked from outside: never two that may act on a duty at once, no fencing number goes back, one number has one holder,
 // histories of operators' calls can have come from one register, and in the quiet end all come to rest with equal copies.
@@ -92,7 +92,7 @@
     using Json = nlohmann::json;
     struct Process {  // of a member: one, or the old and the new one of an upgrade
         RealProcess process;
-        int port = 0;  // of its operators' door
+        int port = 0;  // of its operators' endpoint
         bool asking = false;
         double askedAt = 0, shownAt = -1e9;
         Json shown;
--- a/src/emulator/try_out.cpp
+++ b/src/emulator/try_out.cpp
@@ -152,16 +152,16 @@
     for (int g = 0; g < kTryGatherers; ++g)
         members[fmt::format("g{}", g)] = fmt::format("127.0.0.1:{}", freeUdpPort(calls));
     Reserved reserved(calls);
-    std::vector<int> front, door;
+    std::vector<int> front, operators;
     std::vector<std::unique_ptr<RealProcess>> gatherers;
     for (int g = 0; g < kTryGatherers; ++g) {
         const std::string name = fmt::format("g{}", g), base = folder + "/" + name;
         std::filesystem::create_directories(base);
-        front.push_back(reserved.port()), door.push_back(reserved.port());
+        front.push_back(reserved.port()), operators.push_back(reserved.port());
         const Json config = {
             {"name", name},
             {"listen", fmt::format("127.0.0.1:{}", front.back())},
-            {"operator", fmt::format("127.0.0.1:{}", door.back())},
+            {"operator", fmt::format("127.0.0.1:{}", operators.back())},
             {"discovery", "127.0.0.1:9"},
             {"seed", "1"},
             {"peers", Json::object()},
@@ -194,10 +194,10 @@
         until("a gatherer does not serve",
               [&] { return call(calls, front[g], simple("GET", "/up")).starts_with("HTTP/1.1 200"); });
     until("the group can't be founded", [&] {
-        return call(calls, door[0], simple("PUT", "/ops/group/found/1")).starts_with("HTTP/1.1 200");
+        return call(calls, operators[0], simple("PUT", "/ops/group/found/1")).starts_with("HTTP/1.1 200");
     });
     until("the duties have no holders", [&] {
-        const std::string shown = call(calls, door[0], simple("GET", "/ops/group"));
+        const std::string shown = call(calls, operators[0], simple("GET", "/ops/group"));
         const auto body = shown.find("\r\n\r\n");
         const Json j =
             body == std::string::npos ? Json() : Json::parse(shown.substr(body + 4), nullptr, false);
@@ -217,15 +217,15 @@
     const auto body = answer.find("\r\n\r\n");
     std::cout << "  " << (body == std::string::npos ? "no answer" : answer.substr(body + 4)) << "\n\n"
               << std::flush;
-    const std::string show = fmt::format("{} group show --door 127.0.0.1:{}", program, door[0]);
+    const std::string show = fmt::format("{} group show --door 127.0.0.1:{}", program, operators[0]);
     const int shown = std::system(show.c_str());
     std::cout << fmt::format(
         "\nTry next, in another terminal:\n  kill -9 {}    (g1), then look again; or kill -STOP and kill "
         "-CONT\n",
         gatherers[1]->pid());
     for (int g = 0; g < kTryGatherers; ++g)
-        std::cout << fmt::format("  {} group show --door 127.0.0.1:{}    (g{})\n", program, door[g], g);
-    std::cout << fmt::format("  {} group give looker-on --door 127.0.0.1:{}\nlogs: {}\n", program, door[0],
+        std::cout << fmt::format("  {} group show --door 127.0.0.1:{}    (g{})\n", program, operators[g], g);
+    std::cout << fmt::format("  {} group give looker-on --door 127.0.0.1:{}\nlogs: {}\n", program, operators[0],
                              folder)
               << std::flush;
     if (stay) {
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -1,8 +1,9 @@
 #include "gatherer.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
-#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "back/frames.hpp"
@@ -15,8 +16,8 @@
 constexpr Millis kCloseLook = 20;
 // SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as kMostWaited where it is longer, and kThenKilled.
 constexpr Millis kMostWaited = 3000, kThenKilled = 700;
-constexpr Millis kBeforeKill = 150;    // the process is gone by then
-constexpr Millis kToAnswer = 150;      // for what is left then to be read
+constexpr Millis kBeforeKill = 150;      // the process is gone by then
+constexpr Millis kToAnswer = 150;        // for what is left then to be read
 constexpr std::size_t kOwnSockets = 24;  // files, signals, discovery, timers
 constexpr std::size_t kMostHostSockets = 400;
 
@@ -45,8 +46,8 @@
 
 // Descriptors left for clients once the track hosts have theirs.
 std::size_t clientSockets(const Config& config) {
-    const std::size_t door = config.door ? ops::Door::kPlaces + 1 : 0;
-    const std::size_t taken = hostSockets(config.sockets) + kOwnSockets + door;
+    const std::size_t operatorPlaces = config.operatorEndpoint ? ops::OperatorEndpoint::kPlaces + 1 : 0;
+    const std::size_t taken = hostSockets(config.sockets) + kOwnSockets + operatorPlaces;
     return std::max<std::size_t>(16, config.sockets - std::min(config.sockets, taken));
 }
 
@@ -84,22 +85,24 @@
           [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
               platform_.handle(message, connection);
           }),
-      watch_(io, clock, counters, log, config.discovery, config.known.generation,
-             [this](const HostList& list) { exchange_.list(bans_.overlay(list)); }, watchTimes(config)) {
+      watch_(
+          io, clock, counters, log, config.discovery, config.known.generation,
+          [this](const HostList& list) { exchange_.list(bans_.overlay(list)); }, watchTimes(config)) {
     exchange_.attach(hosts_);
     server_.onFarAhead([this] { counters_.add(Counter::clientsFarAhead); });
-    if (config.door) {
+    if (config.operatorEndpoint) {
         banFile_ = std::make_unique<ops::BanFile>(
             io, log, config.stateFolder, config.name,
             [this](ops::HostBans::Hosts out) { exchange_.list(bans_.take(std::move(out))); });
         record_ = std::make_unique<ops::OverlapRecord>(io, log, config.stateFolder, config.name, overlap_,
                                                        [this] { shareLimits(); });
-        door_ = std::make_unique<ops::Door>(io, clock, log, *this);
+        operatorEndpoint_ = std::make_unique<ops::OperatorEndpoint>(io, clock, log, *this);
     }
     if (config.snmp)
         snmp_ = std::make_unique<snmp::Agent>(io, counters, snmp::objectsOf(counters, config.name, clock),
                                               config.snmpCommunity);
-    if (config.group) group_ = std::make_unique<group::Group>(io, clock, counters, log, *config.group, config.name);
+    if (config.group)
+        group_ = std::make_unique<group::Group>(io, clock, counters, log, *config.group, config.name);
     if (config.group && !config.group->proberDuty.empty()) exchange_.attach(static_cast<HostProbes&>(*this));
     if (!config.search) return;
     search_ = std::make_unique<front::OpenSearch>(
@@ -118,9 +121,10 @@
     if (banFile_) banFile_->start();  // nothing is sent yet
     watch_.start();
     // Discovery may be silent for long: the list as last known is enough to serve.
-    const bool shared = door_ != nullptr;  // operators upgrade by a second process beside this one
+    const bool shared =
+        operatorEndpoint_ != nullptr;  // operators upgrade by a second process beside this one
     if (record_) record_->start(clock_.toUnix(clock_.now()));
-    if (door_) door_->listen(*config_.door);
+    if (operatorEndpoint_) operatorEndpoint_->listen(*config_.operatorEndpoint);
     server_.listen(config_.listen, shared);
     if (snmp_) snmp_->listen(*config_.snmp);
     if (group_) group_->start();
@@ -171,7 +175,9 @@
     if (group_ && overlap_.others() == 0) group_->takeBack();  // an upgrade that failed
     const double share = overlap_.share();
     if (std::exchange(share_, share) == share) return;
-    const auto part = [share](std::size_t all) { return static_cast<std::size_t>(static_cast<double>(all) * share); };
+    const auto part = [share](std::size_t all) {
+        return static_cast<std::size_t>(static_cast<double>(all) * share);
+    };
     log_.info("{} other processes of this gatherer live, own share of the limits {}",
               field("others", overlap_.others()), field("share", fmt::format("{:.2f}", share)));
     exchange_.share(share);
@@ -216,7 +222,7 @@
     hosts_.close();
     server_.closeAll();
     if (searchServer_) searchServer_->closeAll();
-    if (door_) door_->close();
+    if (operatorEndpoint_) operatorEndpoint_->close();
     if (record_) record_->stop();
     if (banFile_) banFile_->stop();
     stopped_();
@@ -245,8 +251,11 @@
         .dump();
 }
 
-void Gatherer::duty(bool take, const std::string& name, const std::string& to, std::function<void(Settled)> later) {
-    const auto then = [later = std::move(later)](group::Group::Settled end) { later({end.known, end.yes, end.fence}); };
+void Gatherer::duty(bool take, const std::string& name, const std::string& to,
+                    std::function<void(Settled)> later) {
+    const auto then = [later = std::move(later)](group::Group::Settled end) {
+        later({end.known, end.yes, end.fence});
+    };
     if (!group_) return then({true, false, 0});
     take ? group_->take(name, then) : group_->give(name, to, then);
 }
--- a/src/gatherer.hpp
+++ b/src/gatherer.hpp
@@ -14,9 +14,9 @@
 #include "group/group.hpp"
 #include "net/server.hpp"
 #include "ops/ban_file.hpp"
-#include "ops/door.hpp"
 #include "ops/host_bans.hpp"
 #include "ops/lifecycle.hpp"
+#include "ops/operator_endpoint.hpp"
 #include "ops/overlap_record.hpp"
 #include "snmp/agent.hpp"
 
@@ -32,7 +32,7 @@
     void reload(const Config& fresh);
     asio::ip::tcp::endpoint endpoint() const { return server_.endpoint(); }
     asio::ip::tcp::endpoint searchEndpoint() const { return searchServer_->endpoint(); }
-    asio::ip::tcp::endpoint doorEndpoint() const { return door_->endpoint(); }
+    asio::ip::tcp::endpoint operatorAddress() const { return operatorEndpoint_->endpoint(); }
     asio::ip::udp::endpoint snmpEndpoint() const { return snmp_->endpoint(); }
     Exchange& exchange() { return exchange_; }
     double limitsShare() const { return share_; }  // less than 1 while another process of this gatherer lives
@@ -47,7 +47,8 @@
     void trackHost(const std::string& id, bool out, Later later) override;
     std::string group() const override { return group_ ? group_->show() : std::string(); }
     bool foundGroup(std::uint64_t number) override { return group_ && group_->found(number); }
-    void duty(bool take, const std::string& name, const std::string& to, std::function<void(Settled)> later) override;
+    void duty(bool take, const std::string& name, const std::string& to,
+              std::function<void(Settled)> later) override;
     bool away(const std::string& server) override { return group_->away(server); }
     void saw(const std::string& server, bool there) override { group_->saw(server, there); }
     void lifecycleChanged();
@@ -74,8 +75,8 @@
     discovery::Watch watch_;
     std::unique_ptr<ops::BanFile> banFile_;
     std::unique_ptr<ops::OverlapRecord> record_;
-    std::unique_ptr<group::Group> group_;  // off on the platform
-    std::unique_ptr<ops::Door> door_;  // closed where no address is named
+    std::unique_ptr<group::Group> group_;                      // off on the platform
+    std::unique_ptr<ops::OperatorEndpoint> operatorEndpoint_;  // closed where no address is named
     std::function<void()> stopped_;
     double share_ = 1;  // of the limits
     bool closingSome_ = false;
--- a/src/group/core.hpp
+++ b/src/group/core.hpp
@@ -10,8 +10,8 @@
 
 #include "duties/holder.hpp"
 #include "duties/keeper.hpp"
-#include "ledger/ledger.hpp"
 #include "host_prober/host_prober.hpp"
+#include "ledger/ledger.hpp"
 #include "peers/datagram.hpp"
 #include "peers/membership.hpp"
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 struct Options {
-    std::string config, operatorFile, door, logFormat = "text";
+    std::string config, operatorFile, operatorEndpoint, logFormat = "text";
     std::vector<std::string> groupWords;
 };
 
@@ -31,18 +31,21 @@
 
 Config readConfig(const Options& options, const Clock& clock) {
     Config config = readConfigFile(configPath(options), clock);
-    const std::string door = environment("NODE_OPERATOR");
-    if (!door.empty()) readDoor(door, config);
+    const std::string endpoint = environment("NODE_OPERATOR");
+    if (!endpoint.empty()) readOperatorEndpoint(endpoint, config);
     return config;
 }
 
 int runGroup(const Options& options, const Clock& clock) {
-    std::string door = options.door.empty() ? environment("NODE_OPERATOR") : options.door;
-    if (door.empty()) {
+    std::string endpoint =
+        options.operatorEndpoint.empty() ? environment("NODE_OPERATOR") : options.operatorEndpoint;
+    if (endpoint.empty()) {
         const Config config = readConfig(options, clock);
-        if (config.door) door = fmt::format("{}:{}", config.door->address().to_string(), config.door->port());
+        if (config.operatorEndpoint)
+            endpoint = fmt::format("{}:{}", config.operatorEndpoint->address().to_string(),
+                                   config.operatorEndpoint->port());
     }
-    return cli::group(options.groupWords, door);
+    return cli::group(options.groupWords, endpoint);
 }
 
 int runGatherer(const Options& options, bool checkOnly, Clock& clock, Logger& log) {
@@ -82,7 +85,8 @@
     auto* const check = app.add_subcommand("check-config", "says what is wrong with the configuration");
     auto* const group = app.add_subcommand("group", "asks a running gatherer about its group");
     group->add_option("words", options.groupWords, "show, found NUMBER, take DUTY, give DUTY [MEMBER]");
-    group->add_option("--door", options.door, "a running gatherer's operators' door, ADDRESS:PORT");
+    group->add_option("--door", options.operatorEndpoint,
+                      "a running gatherer's operators' door, ADDRESS:PORT");
     auto* const version = app.add_subcommand("version", "prints the version");
 #ifdef BEECHPOINT_SYSTEM
     cli::SystemCommands system(app);
@@ -107,8 +111,9 @@
         if (system.given()) return system.run(clock);
 #endif
         if (*group) {
-            const bool doorKnown = !options.door.empty() || !environment("NODE_OPERATOR").empty();
-            if (!doorKnown && needsConfig(options)) return kUsage;
+            const bool endpointKnown =
+                !options.operatorEndpoint.empty() || !environment("NODE_OPERATOR").empty();
+            if (!endpointKnown && needsConfig(options)) return kUsage;
             return runGroup(options, clock);
         }
         if (needsConfig(options)) return kUsage;
--- a/src/ops/door.cpp
+++ b/src/ops/operator_endpoint.cpp
@@ -1,4 +1,4 @@
-#include "ops/door.hpp"
+#include "ops/operator_endpoint.hpp"
 
 #include <fmt/format.h>
 
@@ -43,16 +43,18 @@
     return id;
 }
 
-Door::Door(asio::io_context& io, const Clock& clock, Logger& log, Controls& controls)
+OperatorEndpoint::OperatorEndpoint(asio::io_context& io, const Clock& clock, Logger& log, Controls& controls)
     : controls_(controls),
       log_(log),
-      server_(io, clock, log, kPlaces, [this](const net::HttpMessage& m, const Connection& c) { handle(m, c); }) {
+      server_(io, clock, log, kPlaces,
+              [this](const net::HttpMessage& m, const Connection& c) { handle(m, c); }) {
     server_.closing(true);
 }
 
-void Door::handle(const net::HttpMessage& m, const Connection& connection) {
+void OperatorEndpoint::handle(const net::HttpMessage& m, const Connection& connection) {
     const std::string_view path = m.path();
-    if (path == kGroup || path.starts_with(kFound) || path.starts_with(kTake) || path.starts_with(kGive)) return group(m, connection);
+    if (path == kGroup || path.starts_with(kFound) || path.starts_with(kTake) || path.starts_with(kGive))
+        return group(m, connection);
     const bool reads = path == "/ops/readiness" || path == "/ops/stats";
     const bool drains = path == "/ops/drain/start" || path == "/ops/drain/stop";
     if (!reads && !drains && !path.starts_with(kTrackHosts))
@@ -74,7 +76,7 @@
         : connection->respond(409, kText, "not possible while starting or stopping\n");
 }
 
-void Door::group(const net::HttpMessage& m, const Connection& connection) {
+void OperatorEndpoint::group(const net::HttpMessage& m, const Connection& connection) {
     const bool reads = m.path() == kGroup;
     const std::string_view method = reads ? "GET" : "PUT";
     if (m.method != method)
@@ -90,27 +92,35 @@
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
     if (error != std::errc{} || end != text.data() + text.size() || number == 0)
         return connection->respond(400, kText, "the group's number must be 1 to 2147483647\n");
-    controls_.foundGroup(number) ? connection->respond(200, kText, "asking the other voters\n")
-                                 : connection->respond(409, kText, "this member has a state, or is no voter\n");
+    controls_.foundGroup(number)
+        ? connection->respond(200, kText, "asking the other voters\n")
+        : connection->respond(409, kText, "this member has a state, or is no voter\n");
 }
 
-void Door::duty(bool take, std::string_view rest, const Connection& connection) {
+void OperatorEndpoint::duty(bool take, std::string_view rest, const Connection& connection) {
     const auto slash = take ? std::string_view::npos : rest.find('/');
     const auto name = decodeId(rest.substr(0, slash));
-    const auto to = slash == std::string_view::npos ? std::optional<std::string>("") : decodeId(rest.substr(slash + 1));
-    if (!name || !to) return connection->respond(400, kText, "the duty's name or the member's is malformed\n");
+    const auto to =
+        slash == std::string_view::npos ? std::optional<std::string>("") : decodeId(rest.substr(slash + 1));
+    if (!name || !to)
+        return connection->respond(400, kText, "the duty's name or the member's is malformed\n");
     controls_.duty(take, *name, *to, [this, connection, take, name = *name](Controls::Settled end) {
         log_.info("an operator called group/{} for duty {}: {}", field("call", take ? "take" : "give"),
-                  field("duty", name), field("reply", !end.known ? "not known" : end.yes ? "yes" : "no"));
+                  field("duty", name),
+                  field("reply", !end.known ? "not known"
+                                 : end.yes  ? "yes"
+                                            : "no"));
         if (!end.known)
-            return connection->respond(504, kText, "not known: it may have been settled or not; look at the group\n");
+            return connection->respond(504, kText,
+                                       "not known: it may have been settled or not; look at the group\n");
         end.yes ? connection->respond(200, kJson, fmt::format("{{\"fence\":{}}}\n", end.fence))
-                : connection->respond(409, kText, take ? "somebody holds it, or there is no such duty\n"
-                                                       : "this gatherer does not hold it, or there is no such member\n");
+                : connection->respond(409, kText,
+                                      take ? "somebody holds it, or there is no such duty\n"
+                                           : "this gatherer does not hold it, or there is no such member\n");
     });
 }
 
-void Door::trackHost(std::string_view rest, const Connection& connection) {
+void OperatorEndpoint::trackHost(std::string_view rest, const Connection& connection) {
     const auto slash = rest.find('/');
     const std::string_view where = rest.substr(0, slash);
     if (slash == std::string_view::npos || (where != "down" && where != "up"))
--- a/src/ops/door.hpp
+++ b/src/ops/operator_endpoint.hpp
@@ -1,4 +1,4 @@
-// The operators' door: HTTP/1.1, one call to a connection. A thin wire: it carries a call to the one who decides
+// The operators' endpoint: HTTP/1.1, one call to a connection. A thin wire: it carries a call to the one who decides
 // and the reply back. It is the net/ server with few places: a caller who finishes no call is told so or closed
 // after 2 s, and where all places are taken the oldest unfinished caller makes room.
 #pragma once
@@ -13,7 +13,7 @@
 
 namespace beechpoint::ops {
 
-// What operators may ask for. The gatherer answers; the door only words it.
+// What operators may ask for. The gatherer answers; the endpoint only words it.
 class Controls {
 public:
     enum class Reply { done, unknown, impossible };
@@ -29,18 +29,19 @@
         bool known = false, yes = false;
         std::uint64_t fence = 0;
     };
-    virtual void duty(bool take, const std::string& name, const std::string& to, std::function<void(Settled)> later) = 0;
+    virtual void duty(bool take, const std::string& name, const std::string& to,
+                      std::function<void(Settled)> later) = 0;
     virtual void trackHost(const std::string& id, bool out, Later later) = 0;
 };
 
 // An id as it stands in a path, percent-decoded once; nothing where it is malformed.
 std::optional<std::string> decodeId(std::string_view text);
 
-class Door {
+class OperatorEndpoint {
 public:
     static constexpr std::size_t kPlaces = 16;  // descriptors kept for callers
 
-    Door(asio::io_context& io, const Clock& clock, Logger& log, Controls& controls);
+    OperatorEndpoint(asio::io_context& io, const Clock& clock, Logger& log, Controls& controls);
     void listen(const asio::ip::tcp::endpoint& at) { server_.listen(at); }  // throws where it can't
     asio::ip::tcp::endpoint endpoint() const { return server_.endpoint(); }
     void close() { server_.closeAll(); }
--- a/tests/net/ops_test.cpp
+++ b/tests/net/ops_test.cpp
@@ -24,16 +24,16 @@
     return "PUT " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
 }
 
-// Gatherers with a door, in front of one host.
+// Gatherers with an operators' endpoint, in front of one host.
 struct Staff {
     explicit Staff(const std::function<void(Config&)>& change = {})
         : rig({host.address()}, [&](Config& c) {
               c.settings.cells = c.settings.span = 1;
-              c.door = kAnyPort;
+              c.operatorEndpoint = kAnyPort;
               if (change) change(c);
           }) {}
     Answer call(const std::string& bytes) {
-        Client caller(rig.io, rig.gatherer->doorEndpoint());
+        Client caller(rig.io, rig.gatherer->operatorAddress());
         const Answer answer = caller.ask(bytes);
         until(rig.io, [&] { return caller.peer->ended; });  // one call to a connection
         return answer;
@@ -80,7 +80,7 @@
     Staff staff;
     std::vector<std::unique_ptr<Client>> slow;
     for (int i = 0; i < 40; ++i) {
-        slow.push_back(std::make_unique<Client>(staff.rig.io, staff.rig.gatherer->doorEndpoint()));
+        slow.push_back(std::make_unique<Client>(staff.rig.io, staff.rig.gatherer->operatorAddress()));
         if (i % 2 == 0) slow.back()->send("GET /ops/rea");
         CHECK(staff.call(get("/ops/readiness")).status == 200);
     }
@@ -311,7 +311,7 @@
     auto lock = std::make_unique<Held>(folder.file() + ".lock", "");
     const int opened = ::inotify_init1(IN_NONBLOCK | IN_CLOEXEC);
     CHECK(opened >= 0 && ::inotify_add_watch(opened, (folder.file() + ".lock").c_str(), IN_OPEN) >= 0);
-    Client caller(io, old->rig.gatherer->doorEndpoint());
+    Client caller(io, old->rig.gatherer->operatorAddress());
     caller.send(put("/ops/track-hosts/down/h0"));
     char event[512];
     until(io, [&] { return ::read(opened, event, sizeof event) > 0; });  // it has been tried for
