Query API: reading, routing and merging of searches in a file each

Cause: front/search.cpp held the reading of searches, the hash that routes them and the merging of answers.

--- a/src/front/search.cpp
+++ b/src/front/search.cpp
@@ -1,13 +1,12 @@
+// Reading a search: its clauses, parameters and the slices that it is for.
 #include "front/search.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <iterator>
 #include <nlohmann/json.hpp>
-#include <set>
 
 #include "net/json.hpp"
 
@@ -292,161 +291,4 @@
     return searches;
 }
 
-// Murmur3 over the routing's UTF-16 bytes, spread over a multiple of the slices, as OpenSearch routes a
-// document where the index has that many shards.
-int sliceOf(std::string_view routing, int slices) {
-    std::vector<unsigned char> bytes;
-    for (std::size_t i = 0; i < routing.size();) {
-        const auto first = static_cast<unsigned char>(routing[i]);
-        const int more = first >= 0xf0 ? 3 : first >= 0xe0 ? 2 : first >= 0xc0 ? 1 : 0;
-        std::uint32_t point = more == 3   ? first & 7u
-                              : more == 2 ? first & 15u
-                              : more == 1 ? first & 31u
-                                          : first;
-        for (int k = 1; k <= more; ++k)
-            point =
-                point << 6 | (i + static_cast<std::size_t>(k) < routing.size()
-                                  ? static_cast<unsigned char>(routing[i + static_cast<std::size_t>(k)]) & 63u
-                                  : 0u);
-        i += static_cast<std::size_t>(more) + 1;
-        const auto unit = [&](std::uint32_t u) {
-            bytes.push_back(static_cast<unsigned char>(u & 0xff));
-            bytes.push_back(static_cast<unsigned char>(u >> 8 & 0xff));
-        };
-        if (point < 0x10000) {
-            unit(point);
-        } else {
-            unit(0xd800 + ((point - 0x10000) >> 10));
-            unit(0xdc00 + ((point - 0x10000) & 0x3ff));
-        }
-    }
-    const auto turn = [](std::uint32_t x, int by) { return x << by | x >> (32 - by); };
-    const auto mix = [&](std::uint32_t k) { return turn(k * 0xcc9e2d51u, 15) * 0x1b873593u; };
-    std::uint32_t hash = 0;
-    std::size_t i = 0;
-    for (; i + 4 <= bytes.size(); i += 4) {
-        const std::uint32_t k = bytes[i] | std::uint32_t{bytes[i + 1]} << 8 |
-                                std::uint32_t{bytes[i + 2]} << 16 | std::uint32_t{bytes[i + 3]} << 24;
-        hash = turn(hash ^ mix(k), 13) * 5 + 0xe6546b64u;
-    }
-    if (i < bytes.size()) hash ^= mix(bytes[i] | std::uint32_t{bytes[i + 1]} << 8);  // units are two bytes
-    hash ^= static_cast<std::uint32_t>(bytes.size());
-    hash = (hash ^ hash >> 16) * 0x85ebca6bu;
-    hash = (hash ^ hash >> 13) * 0xc2b2ae35u;
-    hash ^= hash >> 16;
-    int spread = 1;  // slices x spread is the largest such product up to 1024
-    while (slices * spread * 2 <= 1024) spread *= 2;
-    const int all = slices * spread;
-    const int place = static_cast<int>(static_cast<std::int32_t>(hash) % all);
-    return (place < 0 ? place + all : place) / spread;
-}
-
-// ---- answers
-
-namespace {
-
-struct Hit {
-    std::string_view text;
-    double score = 0;
-    bool scored = false;
-    Json sort;
-};
-
-// Below 0: a before b.
-int compare(const Json& a, const Json& b, const SortKey& key) {
-    if (a.is_null() || b.is_null()) {
-        if (a.is_null() && b.is_null()) return 0;
-        return a.is_null() == key.missingFirst ? -1 : 1;
-    }
-    const int order = a < b ? -1 : b < a ? 1 : 0;
-    return key.descending ? -order : order;
-}
-
-bool before(const Hit& a, const Hit& b, const std::vector<SortKey>& keys) {
-    if (keys.empty()) return a.scored != b.scored ? a.scored : a.score > b.score;
-    for (std::size_t i = 0; i < keys.size(); ++i)
-        if (const int order = compare(a.sort[i], b.sort[i], keys[i]); order != 0) return order < 0;
-    return false;
-}
-
-}  // namespace
-
-std::string mergedBody(const Search& search, const Final& final, Millis took) {
-    const auto broken = [](int slice) {
-        return SearchError(503, "search_phase_execution_exception",
-                           fmt::format("slice [{}] gave no answer that can be used", slice));
-    };
-    std::vector<Hit> hits;
-    std::uint64_t total = 0;
-    bool totals = true, atLeast = false, anyScore = false;
-    double most = 0;
-    for (const int slice : search.slices) {
-        const auto part = std::find_if(final.parts.begin(), final.parts.end(),
-                                       [&](const PartAnswer& p) { return p.slice == slice; });
-        if (part == final.parts.end()) throw broken(slice);
-        const Json json = Json::parse(part->value.begin(), part->value.end(), nullptr, false);
-        const auto listed = json.is_object() ? json.find("hits") : json.end();
-        if (!json.is_object() || listed == json.end() || !listed->is_object() || !listed->contains("hits") ||
-            !(*listed)["hits"].is_array())
-            throw broken(slice);
-        const Json& list = (*listed)["hits"];
-        const std::vector<std::string_view> texts =
-            net::jsonElements(net::jsonMember(net::jsonMember(part->value, "hits"), "hits"));
-        if (texts.size() != list.size()) throw broken(slice);
-        for (std::size_t i = 0; i < texts.size(); ++i) {
-            Hit hit;
-            hit.text = texts[i];
-            if (!list[i].is_object()) throw broken(slice);
-            if (const auto score = list[i].find("_score"); score != list[i].end() && score->is_number()) {
-                hit.score = score->get<double>();
-                hit.scored = true;
-                most = anyScore ? std::max(most, hit.score) : hit.score;
-                anyScore = true;
-            }
-            if (!search.sort.empty()) {
-                const auto sort = list[i].find("sort");
-                if (sort == list[i].end() || !sort->is_array() || sort->size() < search.sort.size())
-                    throw broken(slice);
-                hit.sort = *sort;
-            }
-            hits.push_back(std::move(hit));
-        }
-        const auto count = listed->find("total");
-        if (count == listed->end() || !count->is_object() || !count->contains("value") ||
-            !(*count)["value"].is_number_unsigned()) {
-            totals = false;  // not tracked
-        } else {
-            total += (*count)["value"].get<std::uint64_t>();
-            atLeast = atLeast || count->value("relation", "eq") != "eq";
-        }
-    }
-    std::stable_sort(hits.begin(), hits.end(),
-                     [&](const Hit& a, const Hit& b) { return before(a, b, search.sort); });
-    std::string body = fmt::format(
-        R"({{"took":{},"timed_out":false,"_shards":{{"total":{},"successful":{},"skipped":0,"failed":0}},"hits":{{)",
-        static_cast<long long>(took), search.slices.size(), search.slices.size());
-    if (totals)
-        body += fmt::format(R"("total":{{"value":{},"relation":"{}"}},)", total, atLeast ? "gte" : "eq");
-    body += fmt::format(R"("max_score":{},"hits":[)", anyScore ? Json(most).dump() : "null");
-    for (std::size_t i = search.from; i < std::min(hits.size(), search.from + search.size); ++i) {
-        if (i > search.from) body += ',';
-        body += hits[i].text;
-    }
-    return body + "]}}";
-}
-
-SearchError errorOf(const Final& final) {
-    switch (final.why) {
-        case Final::Why::deadline:
-            return {504, "timeout_exception", "not all slices answered within the time"};
-        case Final::Why::openCap:
-            return {429, "rejected_execution_exception", "too many searches are open"};
-        default:
-            break;
-    }
-    if (final.kind == Final::Kind::refused)
-        return {429, "rejected_execution_exception", "the search would not be answered in time"};
-    return {503, "search_phase_execution_exception", "a slice failed"};
-}
-
 }  // namespace beechpoint::front
