Keep a poller's timer from calling a poller that is gone

Cause: a timer that has run out is called without an error although its owner was destroyed in between (heap-use-after-free in the control tests on a machine under load). Ruled out: cancelling, which does not reach a handler that is ready. Change: the handler holds the poller weakly; test that fails on the old code.

--- a/src/control/codec.cpp
+++ b/src/control/codec.cpp
@@ -43,10 +43,20 @@
     static auto of(auto& list) { return std::tie(list.version, list.readAge, list.hosts); }
 };
 template <>
+struct Fields<instances::HostListChanges> {
+    static auto of(auto& changes) {
+        return std::tie(changes.base, changes.version, changes.sinceBase, changes.changed, changes.gone);
+    }
+};
+template <>
+struct Fields<SharedHostChanges> {
+    static auto of(auto& shared) { return std::tie(shared.changes, shared.readAge); }
+};
+template <>
 struct Fields<PollRequest> {
     static auto of(auto& request) {
         return std::tie(request.gateway, request.position, request.hostList, request.waitMs,
-                        request.wantsLoad, request.directoryDigest);
+                        request.wantsLoad, request.directoryDigest, request.takesHostChanges);
     }
 };
 template <>
@@ -54,7 +64,8 @@
     static auto of(auto& reply) {
         return std::tie(reply.status, reply.packedTable, reply.hostList, reply.hostListVersion,
                         reply.hostListAge, reply.liveGateways, reply.largestLive, reply.members,
-                        reply.othersLoad, reply.leaseMs, reply.directoryDigest, reply.directory);
+                        reply.othersLoad, reply.leaseMs, reply.directoryDigest, reply.directory,
+                        reply.hostChanges);
     }
 };
 template <>
--- a/src/control/gateway_service.cpp
+++ b/src/control/gateway_service.cpp
@@ -236,14 +236,21 @@
         message.hostListAge = hosts_.age(now);
         if (!hosts_.list() || hosts_.version() == request.hostList) return;
         const bool newer = hosts_.version() > request.hostList;
-        if (newer || *message.hostListAge < kListWorthSending) message.hostList = sharedList(now);
+        if (!newer && *message.hostListAge >= kListWorthSending) return;
+        auto changes = newer && request.takesHostChanges ? history_.since(request.hostList) : std::nullopt;
+        if (changes)
+            message.hostChanges = SharedHostChanges{std::move(*changes), hostListReadAge(now)};
+        else
+            message.hostList = sharedList(now);
     }
 
     SharedHostList sharedList(Millis now) const {
         const instances::HostList& list = *hosts_.list();
-        return {list.version, std::max(0.0, now - list.readAt), list.hosts};
+        return {list.version, hostListReadAge(now), list.hosts};
     }
 
+    Millis hostListReadAge(Millis now) const { return std::max(0.0, now - hosts_.list()->readAt); }
+
     static std::vector<std::string> memberAddresses(const replica::Replica& replica) {
         std::vector<std::string> addresses{replica.self().internalAddress};
         for (const replica::Member& member : replica.view().members)
@@ -361,6 +368,7 @@
     void offer(std::shared_ptr<const instances::HostList> list, Millis confirmedAt) {
         const Millis now = clock_.now();
         if (!hosts_.offer(std::move(list), confirmedAt, now)) return;
+        history_.take(hosts_.list());
         if (poller_.running()) shareWithAll(now);
         wakePolls();
     }
@@ -405,6 +413,7 @@
     leases::LeaseTable leases_;
     Millis startedAt_;
     instances::HostListHolder hosts_;
+    instances::HostListHistory history_;  // of hosts_
     instances::Poller poller_;
     std::function<void()> onGateways_;
     std::map<std::string, WaitingPoll> polls_;  // by gateway
--- a/src/control/messages.hpp
+++ b/src/control/messages.hpp
@@ -10,6 +10,7 @@
 #include "core/clock.hpp"
 #include "core/replicated_table.hpp"
 #include "instances/host_list.hpp"
+#include "instances/host_list_changes.hpp"
 #include "leases/lease_table.hpp"
 
 namespace beechpoint::control {
@@ -29,6 +30,7 @@
     Millis waitMs = 0;                    // at most; the member bounds it by kMaxPollWait
     bool wantsLoad = false;               // send the other gateways' load by host
     std::uint64_t directoryDigest = 0;    // of the gateways held for the directory; 0: none
+    bool takesHostChanges = false;  // understands PollReply::hostChanges; gateways of before don't
 };
 
 inline constexpr Millis kMaxPollWait = 2000;
@@ -47,6 +49,12 @@
     std::vector<instances::Host> hosts;
 };
 
+// What changed from the list that a gateway holds to the newest, with the age of the newest one's reading.
+struct SharedHostChanges {
+    instances::HostListChanges changes;
+    Millis readAge = 0;
+};
+
 struct PollReply {
     PollStatus status = PollStatus::ok;
     std::optional<TableUpdate> table;            // where newer than the position held
@@ -61,6 +69,7 @@
     Millis leaseMs = 0;                            // counted by the gateway from when it sent the poll
     std::uint64_t directoryDigest = 0;             // of the gateways with a lease, as far as clients care
     std::optional<std::vector<leases::Gateway>> directory;  // those, without load, where the digest differs
+    std::optional<SharedHostChanges> hostChanges;           // in place of hostList, where few hosts differ
 };
 
 // What one control member tells each other member of the view every half second, and at once where something changed that can't wait.
--- a/src/instances/poller.cpp
+++ b/src/instances/poller.cpp
@@ -12,7 +12,7 @@
 
 namespace beechpoint::instances {
 
-class Poller::Impl {
+class Poller::Impl : public std::enable_shared_from_this<Impl> {
 public:
     Impl(asio::io_context& io, const Clock& clock, Logger& logger, Settings settings, std::uint64_t seed,
          std::uint64_t readerId, OnReading onReading)
@@ -47,8 +47,9 @@
         if (!at) return;
         const Millis wait = std::max(0.0, *at - clock_.now());
         timer_.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(wait * 1000)));
-        timer_.async_wait([this, generation = generation_](const asio::error_code& error) {
-            if (!error && generation == generation_) call();
+        timer_.async_wait([weak = weak_from_this(), generation = generation_](const asio::error_code& error) {
+            const auto self = weak.lock();  // a timer that has run out is called although its poller is gone
+            if (!error && self && generation == self->generation_) self->call();
         });
     }
 
--- a/tests/control/codec_test.cpp
+++ b/tests/control/codec_test.cpp
@@ -48,6 +48,7 @@
     request.hostList = {1, 2, 3};
     request.waitMs = 1000;
     request.wantsLoad = true;
+    request.takesHostChanges = true;
     const std::string bytes = encode(request);
     const auto envelope = openEnvelope(bytes);
     ASSERT_TRUE(envelope.has_value());
@@ -59,6 +60,7 @@
     EXPECT_EQ(read.value().hostList, request.hostList);
     EXPECT_EQ(read.value().waitMs, request.waitMs);
     EXPECT_TRUE(read.value().wantsLoad);
+    EXPECT_TRUE(read.value().takesHostChanges);
 }
 
 TEST(Codec, AReplyGoesThereAndBack) {
@@ -91,6 +93,18 @@
     EXPECT_EQ(read.value().leaseMs, reply.leaseMs);
 }
 
+TEST(Codec, ChangesOfTheHostListGoThereAndBack) {
+    PollReply reply;
+    reply.hostChanges =
+        SharedHostChanges{{{1, 2, 3}, {3, 4, 5}, 1950, hostList().hosts, {"i-2", "i-3"}}, 12.5};
+    const auto read = decodePollReply(encode(reply));
+    ASSERT_TRUE(read.has_value()) << read.error().text();
+    EXPECT_FALSE(read.value().hostList.has_value());
+    ASSERT_TRUE(read.value().hostChanges.has_value());
+    EXPECT_EQ(read.value().hostChanges->changes, reply.hostChanges->changes);
+    EXPECT_EQ(read.value().hostChanges->readAge, 12.5);
+}
+
 TEST(Codec, AShareGoesThereAndBack) {
     Share share;
     share.member = "c1";
--- a/tests/instances/poller_test.cpp
+++ b/tests/instances/poller_test.cpp
@@ -5,8 +5,10 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <chrono>
 #include <deque>
+#include <thread>
 
 #include "net/server.hpp"
 
@@ -155,5 +157,19 @@
     EXPECT_TRUE(lists.empty());
 }
 
+// Its timer has run out, but its handler has not run yet.
+TEST_F(PollerTest, DestroyedBetweenItsTimerAndItsCallItIsSilent) {
+    script = {{200, page(entry("a"))}};
+    makePoller();
+    poller->stop();
+    poller->start(2, 0, nullptr);  // due at once
+    const Millis due = clock.now() + 1;
+    while (clock.now() < due) std::this_thread::yield();
+    // The other handler is run first and takes the poller away, while that of the timer is ready already.
+    asio::post(io, [&] { poller.reset(); });
+    io.poll();
+    EXPECT_TRUE(targets.empty());
+}
+
 }  // namespace
 }  // namespace beechpoint::instances
