--- a/src/scale/driver.cpp
+++ b/src/scale/driver.cpp
@@ -48,6 +48,9 @@
     std::jthread thread_;
 };
 
+// 0 where it fell: counts of connections that were closed in between are lost.
+std::uint64_t grown(std::uint64_t before, std::uint64_t after) { return after > before ? after - before : 0; }
+
 class Run {
 public:
     Run(Cluster& cluster, const Plan& plan, const Clock& clock, Logger& logger)
@@ -121,11 +124,11 @@
         for (std::size_t member = 0; member < kMembers; member++)
             use.memberProcessor[member] = after.members[member] - before.members[member];
         use.gatewaysProcessor = after.own - before.own - (after.operators - before.operators);
-        use.gatewayBytes = after.traffic.bytes() - before.traffic.bytes();
-        use.gatewaySegments = after.traffic.segments - before.traffic.segments;
+        use.gatewayBytes = grown(before.traffic.bytes(), after.traffic.bytes());
+        use.gatewaySegments = grown(before.traffic.segments, after.traffic.segments);
         use.replies = after.replies - before.replies;
-        use.peerBytes = after.peerBytes - before.peerBytes;
-        use.platformBytes = after.platformBytes - before.platformBytes;
+        use.peerBytes = grown(before.peerBytes, after.peerBytes);
+        use.platformBytes = grown(before.platformBytes, after.platformBytes);
         return use;
     }
 
--- a/src/scale/hollow_gateway.hpp
+++ b/src/scale/hollow_gateway.hpp
@@ -25,12 +25,15 @@
     void onReply(const control::PollReply& reply);
     bool ready() const { return table_.configured() && hosts_.list() != nullptr; }
     void takeHosts(const control::PollReply& reply, Millis now);
+    void takeHostChanges(const control::PollReply& reply, Millis now);
+    void offer(std::shared_ptr<const instances::HostList> list, Millis confirmedAt, Millis now);
 
     const Clock& clock_;
     std::size_t index_;
     Progress& progress_;
     routing::TableCopy table_;
     instances::HostListHolder hosts_;
+    bool wantsWholeList_ = false;        // changes did not apply to the list held
     std::uint64_t directoryDigest_ = 0;  // of the gateways that control told of last
     gateway::ControlLink link_;
 };
