Hand changed seeds to the replica instead of starting it anew

Cause: the replica takes changed seeds as an event now. Ruled out: restarting it, which closed the store in service. Test: a new machine with dead seeds joins once its settings are read again.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -33,9 +33,7 @@
 constexpr auto kFreshnessLook = std::chrono::milliseconds(25);
 constexpr auto kLeavingLook = std::chrono::milliseconds(20);
 constexpr Millis kLeavingMost = 3000;
-constexpr Millis kOpenAgain = 500;  // the store, while the disk refuses
-constexpr Millis kRejoinAfter =
-    2000;  // outside the view for so long with other seeds: the replica starts anew
+constexpr Millis kOpenAgain = 500;        // the store, while the disk refuses
 constexpr double kLeaseHeartbeats = 2.5;  // a lease in heartbeats of the settings
 constexpr Millis kShortestLease = 2500;
 constexpr Millis kLongestLease = 5000;
@@ -116,7 +114,7 @@
 
     void reload(settings::ProcessSettings settings) {
         if (settings == settings_) return;
-        seedsChanged_ = seedsChanged_ || settings.seedNodes != settings_.seedNodes;
+        if (settings.seedNodes != settings_.seedNodes) driver_.seeds(settings.seedNodes);
         settings_.seedNodes = std::move(settings.seedNodes);
         settings_.timingBounds = settings.timingBounds;
         settings_.faultTolerance = settings.faultTolerance;
@@ -268,13 +266,9 @@
         replica.bootstrap = settings_.bootstrap;
         replica.tolerance.machines = static_cast<std::size_t>(std::max(0, settings_.faultTolerance.machines));
         replica.tolerance.zones = static_cast<std::size_t>(std::max(0, settings_.faultTolerance.zones));
-        const auto opened =
-            driver_.open(settings_.dataDirectory, std::move(replica), options_.seed + starts_);
+        const auto opened = driver_.open(settings_.dataDirectory, std::move(replica), options_.seed);
         openAt_ = clock_.now() + kOpenAgain;
-        seedsChanged_ = false;
-        if (opened)
-            starts_++;
-        else
+        if (!opened)
             logger_.seldom("store", "the store can't be opened: {}", field("error", opened.error().text()));
     }
 
@@ -293,7 +287,6 @@
         if (!leaving_) {
             const Millis now = clock_.now();
             if (!driver_.replica() && now >= openAt_) openStore();
-            rejoinByNewSeeds(now);
             gateways_.tick();
         }
         directory_.look();
@@ -305,17 +298,6 @@
         });
     }
 
-    // A process that no view lists knows the others by its seeds alone.
-    void rejoinByNewSeeds(Millis now) {
-        const replica::Replica* replica = driver_.replica();
-        if (!replica || replica->inView()) outsideSince_ = now;
-        if (!seedsChanged_ || now - outsideSince_ < kRejoinAfter) return;
-        logger_.info("the seeds have changed outside the view: the replica starts anew");
-        driver_.close();
-        openStore();
-        outsideSince_ = now;
-    }
-
     bool hasLeft() {
         if (clock_.now() >= leaveBy_) return true;
         bool idle = operatorApi_.inHand() == 0;
@@ -347,9 +329,7 @@
     std::function<void()> stopped_;
     Millis leaveBy_ = 0;
     Millis openAt_ = 0;
-    Millis outsideSince_ = 0;
-    std::uint64_t starts_ = 0;  // of the replica within this process
-    bool leaving_ = false, abandoned_ = false, seedsChanged_ = false;
+    bool leaving_ = false, abandoned_ = false;
 };
 
 Control::Control(asio::io_context& io, const Clock& clock, Logger& logger, settings::ProcessSettings settings,
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -91,6 +91,10 @@
         reply.send(encodeMessages(answers.messages));
     }
 
+    void seeds(std::vector<std::string> addresses) {
+        if (replica_) handle(replica::SeedsChanged{std::move(addresses)});
+    }
+
     void write(std::vector<Change> changes, std::function<void(bool)> done) {
         if (!replica_) return done(false);
         const std::uint64_t token = ++token_;
@@ -262,6 +266,7 @@
     return impl_->open(directory, std::move(settings), seed);
 }
 void ReplicaDriver::close() { impl_->close(); }
+void ReplicaDriver::seeds(std::vector<std::string> addresses) { impl_->seeds(std::move(addresses)); }
 const replica::Replica* ReplicaDriver::replica() const { return impl_->replica(); }
 void ReplicaDriver::onRequest(std::string_view body, rpc::Reply reply) {
     impl_->onRequest(body, std::move(reply));
--- a/src/control/replica_driver.hpp
+++ b/src/control/replica_driver.hpp
@@ -50,6 +50,9 @@
     // Ends the replica and closes the store; calls under way end as failed.
     void close();
 
+    // Control addresses, read again from the settings; nothing while it is not open.
+    void seeds(std::vector<std::string> addresses);
+
     // Null until open.
     const replica::Replica* replica() const;
 
--- a/tests/control/cluster.cpp
+++ b/tests/control/cluster.cpp
@@ -134,7 +134,9 @@
     settings.zone = kZones[member];
     settings.region = "r1";
     settings.internalPortRange = {internalPort_, internalPort_};
-    for (std::size_t seed = 0; seed < kMembers; seed++) settings.seedNodes.push_back(controlAddress(seed));
+    settings.seedNodes = seeds_[member];
+    for (std::size_t seed = 0; seed < kMembers && seeds_[member].empty(); seed++)
+        settings.seedNodes.push_back(controlAddress(seed));
     settings.bootstrap = bootstrap;
     settings.dataDirectory = (directory_ / settings.nodeName).string();
     settings.listenAddresses.control = controlAddress(member);
--- a/tests/control/cluster.hpp
+++ b/tests/control/cluster.hpp
@@ -32,6 +32,11 @@
 
     // The platform's address for the settings of members started from now on.
     void platform(std::string address) { platform_ = std::move(address); }
+    // The seeds in a member's settings, in place of all control addresses.
+    void seedsOf(std::size_t member, std::vector<std::string> addresses) {
+        seeds_[member] = std::move(addresses);
+    }
+    void reload(std::size_t member) { members_[member]->reload(settingsOf(member, false)); }
     // Starts members with bootstrap, all at once.
     void found();
     void start(std::size_t member, bool bootstrap = false);
@@ -79,6 +84,7 @@
     int internalPort_ = 0, controlPort_ = 0, directoryPort_ = 0;
     std::string platform_ = "127.0.0.1:9";
     std::uint64_t starts_ = 0;
+    std::array<std::vector<std::string>, kMembers> seeds_;  // empty: all
     std::array<std::unique_ptr<Control>, kMembers> members_;
     rpc::Client client_;
 };
--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -295,6 +295,25 @@
     EXPECT_EQ(cluster.call(2, "PUT", "/configuration", "1", configuration(2)).status, 200);
 }
 
+// A new machine whose seeds nobody serves finds the others once its settings are read again.
+TEST_F(ControlTest, SeedsMayChangeInService) {
+    for (const std::size_t member : {0, 1}) {
+        cluster.seedsOf(member, {cluster.controlAddress(0), cluster.controlAddress(1)});
+        cluster.start(member, true);
+    }
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.settled(2); }));
+    ASSERT_EQ(cluster.call(0, "PUT", "/configuration", "0", configuration(1)).status, 200);
+    cluster.seedsOf(2, {"127.0.0.9:9"});
+    cluster.start(2);
+    const HttpAnswer alone = cluster.callOnce(cluster.controlAddress(2), "GET", "/configuration");
+    EXPECT_EQ(alone.status, 503);
+    EXPECT_FALSE(cluster.member(2)->replica()->inView());
+    cluster.seedsOf(2, {cluster.controlAddress(1)});
+    cluster.reload(2);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.settled(); }));
+    EXPECT_EQ(revisionAt(2), 1);
+}
+
 TEST_F(ControlTest, WithoutAViewCallsGetA503InTime) {
     cluster.start(0, true);
     const Millis began = cluster.clock().now();
