--- a/src/control/gateway_service.cpp
+++ b/src/control/gateway_service.cpp
@@ -8,7 +8,9 @@
 
 #include "control/codec.hpp"
 #include "control/replica_driver.hpp"
+#include "control/shared_hosts.hpp"
 #include "control/table_packing.hpp"
+#include "control/waiting_polls.hpp"
 #include "leases/duty.hpp"
 #include "replica/replica.hpp"
 #include "rpc/client.hpp"
@@ -17,30 +19,15 @@
 namespace beechpoint::control {
 namespace {
 
-constexpr std::string_view kHostsDuty = "hosts";
 constexpr Millis kShareTimeout = 1000;
-constexpr Millis kReaderHeard = 1500;  // a reader that has not said so for longer is not counted on
-constexpr Millis kListWorthSending =
-    1500;  // an older list of another reader is sent to a gateway only where confirmed lately
 constexpr std::size_t kMaxPeers = replica::kMaxPeers;
-constexpr Millis kNotFreshWait = 300;  // then a waiting gateway is sent to another member
 constexpr Millis kDirectoryRefresh = 100;  // what gateways are told of each other is at most so old
 constexpr std::size_t kPackedUpdates =
     16;  // kept for the present position, by the position that they start from
 
-struct WaitingPoll {
-    PollRequest request;
-    rpc::Reply reply;
-    Millis deadline = 0;
-    bool anyAnswer =
-        false;            // came while this member could not vouch for its table: answered as soon as it can
-    Millis refuseAt = 0;  // 0: this member can vouch for its table
-};
-
 struct Peer {
     instances::HostListVersion hostList;  // that it said it has
     bool asked = false;                   // a share to it is out
-    Millis readHostsAt = 0;               // when it last said that it reads the list
 };
 
 // Of what clients are told of gateways; never 0.
@@ -71,9 +58,7 @@
           client_(client),
           leaseMs_(settings.leases.leaseMs),
           leases_(settings.leases, clock.now()),
-          startedAt_(clock.now()),
-          poller_(io, clock, logger, settings.poller, settings.seed, settings.seed,
-                  [this](const auto& list, Millis confirmedAt, bool) { onReading(list, confirmedAt); }),
+          hosts_(io, clock, logger, std::move(settings.poller), settings.seed, [this] { onHosts(); }),
           onGateways_(std::move(onGateways)) {}
 
     void onPoll(PollRequest request, rpc::Reply reply) {
@@ -83,61 +68,45 @@
         if (!renewLease(now, request.gateway)) return refuse(reply, PollStatus::full);
         const bool may = mayAnswer(now);
         const Millis wait = std::clamp(request.waitMs, 0.0, kMaxPollWait);
-        const bool hold = may ? !hasNews(request) && wait > 0 : true;
-        if (!hold || polls_.size() >= kMaxWaitingPolls) return answer(now, request, reply);
-        WaitingPoll poll{std::move(request), std::move(reply), now + wait};
-        poll.anyAnswer = !may;
-        poll.refuseAt = may ? 0 : now + kNotFreshWait;
-        const std::string name = poll.request.gateway.name;
-        polls_.emplace(name, std::move(poll));
+        const bool hold = !may || (wait > 0 && !hasNews(request));
+        if (!hold || polls_.full()) return answer(now, request, reply);
+        polls_.hold(now, std::move(request), std::move(reply), wait, may);
     }
 
     void onShare(const Share& share, rpc::Reply reply) {
         const Millis now = clock_.now();
         leases_.merge(now, share.leases);
-        if (share.hostList) {
-            auto list = std::make_shared<instances::HostList>();
-            list->version = share.hostList->version;
-            list->readAt = now - share.hostList->readAge;
-            list->hosts = share.hostList->hosts;
-            offer(std::move(list), now - share.hostListAge.value_or(share.hostList->readAge));
-        } else if (share.hostListAge) {
-            hosts_.confirm(share.hostListVersion, now - *share.hostListAge);
-        }
-        if (Peer* peer = peerOf(share.member)) {
-            if (share.readsHosts) peer->readHostsAt = now;
-            peer->hostList = share.hostListVersion;
-        }
-        if (share.hostListVersion.fence == fence_) poller_.raiseNumber(share.hostListVersion.number);
+        hosts_.take(now, share);
+        if (Peer* peer = peerOf(share.member)) peer->hostList = share.hostListVersion;
         reply.send(encode(ShareReply{hosts_.version()}));
         wakeForCount(now);
         onGateways_();
     }
 
-    void onTableMoved() { wakePolls(); }
+    void onTableMoved() { answerDue(0); }
 
     void onView() {
         forgetPeers();
-        lookAtDuty(clock_.now());
+        lookAtHosts(clock_.now());
         shareSoon_ = true;
     }
 
     void tick() {
         const Millis now = clock_.now();
         leases_.look(now);
-        lookAtDuty(now);
-        answerDue(now);
+        lookAtHosts(now);
+        answerDue(kServiceTick);
         if (shareSoon_ || now - sharedAt_ >= kShareEvery - kServiceTick / 2) shareWithAll(now);
     }
 
     void leave() {
         leaving_ = true;
-        poller_.stop();
-        for (auto& [name, poll] : std::exchange(polls_, {})) refuse(poll.reply, PollStatus::notFresh);
+        hosts_.stop();
+        for (WaitingPoll& poll : polls_.takeAll()) refuse(poll.reply, PollStatus::notFresh);
     }
 
     std::vector<leases::Gateway> liveGateways() const { return leases_.live(clock_.now()); }
-    bool readsHosts() const { return poller_.running(); }
+    bool readsHosts() const { return hosts_.reads(); }
     std::size_t waitingPolls() const { return polls_.size(); }
 
     void describe(MemberStatus& status) const {
@@ -148,11 +117,7 @@
         status.readsHosts = readsHosts();
         status.waitingPolls = waitingPolls();
     }
-    // Whether a poll waits for this member to be able to vouch for its table.
-    bool waitsForFreshness() const {
-        return std::any_of(polls_.begin(), polls_.end(),
-                           [](const auto& poll) { return poll.second.refuseAt > 0; });
-    }
+    bool waitsForFreshness() const { return polls_.waitsForFreshness(); }
 
 private:
     bool mayAnswer(Millis now) const {
@@ -168,10 +133,7 @@
 
     // A gateway that asks again has no use for the wait of its earlier poll; it is answered, since a call that times out costs
     // the gateway its connection.
-    void answerEarlierPoll(const std::string& gateway) {
-        auto earlier = polls_.extract(gateway);
-        if (!earlier.empty()) answer(clock_.now(), earlier.mapped().request, earlier.mapped().reply);
-    }
+    void answerEarlierPoll(const std::string& gateway) { answerAll(polls_.take(gateway)); }
 
     bool renewLease(Millis now, const leases::Gateway& gateway) {
         const leases::Gateway* known = leases_.find(gateway.name, now);
@@ -193,7 +155,7 @@
 
     bool hasNews(const PollRequest& request) const {
         if (driver_.replica()->committedPosition() > request.position) return true;
-        return hosts_.list() && hosts_.version() > request.hostList;
+        return hosts_.hasNewsFor(request);
     }
 
     void answer(Millis now, const PollRequest& request, rpc::Reply& reply) {
@@ -205,7 +167,7 @@
             if (message.packedTable.empty()) return refuse(reply, PollStatus::notFresh);
         }
         addDirectory(now, request, message);
-        addHostList(now, request, message);
+        hosts_.answer(now, request, message);
         message.liveGateways = leases_.count(now);
         message.largestLive = leases_.largestLive(now);
         message.members = memberAddresses(replica);
@@ -237,26 +199,6 @@
         if (directoryDigest_ != request.directoryDigest) message.directory = directory_;
     }
 
-    void addHostList(Millis now, const PollRequest& request, PollReply& message) const {
-        message.hostListVersion = hosts_.version();
-        message.hostListAge = hosts_.age(now);
-        if (!hosts_.list() || hosts_.version() == request.hostList) return;
-        const bool newer = hosts_.version() > request.hostList;
-        if (!newer && *message.hostListAge >= kListWorthSending) return;
-        auto changes = newer && request.takesHostChanges ? history_.since(request.hostList) : std::nullopt;
-        if (changes)
-            message.hostChanges = SharedHostChanges{std::move(*changes), hostListReadAge(now)};
-        else
-            message.hostList = sharedList(now);
-    }
-
-    SharedHostList sharedList(Millis now) const {
-        const instances::HostList& list = *hosts_.list();
-        return {list.version, hostListReadAge(now), list.hosts};
-    }
-
-    Millis hostListReadAge(Millis now) const { return std::max(0.0, now - hosts_.list()->readAt); }
-
     static std::vector<std::string> memberAddresses(const replica::Replica& replica) {
         std::vector<std::string> addresses{replica.self().internalAddress};
         for (const replica::Member& member : replica.view().members)
@@ -264,36 +206,16 @@
         return addresses;
     }
 
-    template <class Condition>
-    void answerWhere(Condition condition) {
+    void answerAll(std::vector<WaitingPoll> polls) {
         const Millis now = clock_.now();
-        std::vector<WaitingPoll> due;
-        for (auto next = polls_.begin(); next != polls_.end();) {
-            const auto poll = next++;
-            if (!condition(poll->second)) continue;
-            due.push_back(std::move(poll->second));
-            polls_.erase(poll);
-        }
-        for (WaitingPoll& poll : due) answer(now, poll.request, poll.reply);
+        for (WaitingPoll& poll : polls) answer(now, poll.request, poll.reply);
     }
 
-    void wakePolls() { lookAtPolls(0); }
-
-    void answerDue(Millis) { lookAtPolls(kServiceTick); }
-
-    // Answers the polls that have waited long enough, or would have within `ahead`, and those that there is news for. While this
-    // member can't vouch for its table, they wait a little: it may be able to again before they had found another.
-    void lookAtPolls(Millis ahead) {
+    // Polls whose wait ends within `ahead` are answered now.
+    void answerDue(Millis ahead) {
         const Millis now = clock_.now();
-        const bool may = mayAnswer(now);
-        for (auto& [name, poll] : polls_) {
-            if (may) poll.refuseAt = 0;
-            if (!may && poll.refuseAt == 0) poll.refuseAt = now + kNotFreshWait;
-        }
-        answerWhere([&](const WaitingPoll& poll) {
-            if (!may) return now >= poll.refuseAt;
-            return poll.anyAnswer || hasNews(poll.request) || poll.deadline - now < ahead;
-        });
+        const auto news = [this](const PollRequest& request) { return hasNews(request); };
+        answerAll(polls_.takeDue(now, mayAnswer(now), ahead, news));
     }
 
     // More gateways share the budgets from now on: all must know soon.
@@ -301,7 +223,7 @@
         const auto largest = leases_.largestLive(now);
         const bool risen = largest && (!toldCount_ || *largest > *toldCount_);
         toldCount_ = largest;
-        if (risen) answerWhere([](const WaitingPoll&) { return true; });
+        if (risen) answerAll(polls_.takeAll());
     }
 
     // --- what members tell each other
@@ -314,8 +236,9 @@
 
     void forgetPeers() {
         const replica::Replica* replica = driver_.replica();
-        std::erase_if(peers_,
-                      [&](const auto& entry) { return !replica || !replica->view().find(entry.first); });
+        const auto isMember = [&](const std::string& name) { return replica && replica->view().find(name); };
+        std::erase_if(peers_, [&](const auto& entry) { return !isMember(entry.first); });
+        hosts_.forget(isMember);
     }
 
     void shareWithAll(Millis now) {
@@ -328,10 +251,7 @@
         share.session = replica->self().session;
         share.epoch = replica->view().epoch;
         share.leases = leases_.granted(now);
-        share.hostListVersion = hosts_.version();
-        share.hostListAge = hosts_.age(now);
-        share.readsHosts = poller_.running() && poller_.failures() == 0 &&
-                           hosts_.age(now).value_or(kReaderHeard) < kReaderHeard;
+        hosts_.describe(now, share);
         for (const replica::Member& member : replica->view().members)
             if (member.name != share.member) shareWith(now, member, share);
     }
@@ -345,7 +265,7 @@
         }
         peer.asked = true;
         const bool lacksList = hosts_.list() && peer.hostList < hosts_.version();
-        if (lacksList) share.hostList = sharedList(now);
+        if (lacksList) share.hostList = hosts_.whole(now);
         client_.call(member.internalAddress, encode(share), kShareTimeout,
                      [weak = weak_from_this(), name = member.name](Result<std::string> bytes) {
                          if (const auto self = weak.lock()) self->onShared(name, bytes);
@@ -367,49 +287,12 @@
 
     // --- the host list
 
-    void onReading(const std::shared_ptr<const instances::HostList>& list, Millis confirmedAt) {
-        offer(list, confirmedAt);
+    void onHosts() {
+        if (hosts_.reads()) shareWithAll(clock_.now());
+        answerDue(0);
     }
 
-    void offer(std::shared_ptr<const instances::HostList> list, Millis confirmedAt) {
-        const Millis now = clock_.now();
-        if (!hosts_.offer(std::move(list), confirmedAt, now)) return;
-        history_.take(hosts_.list());
-        if (poller_.running()) shareWithAll(now);
-        wakePolls();
-    }
-
-    void lookAtDuty(Millis now) {
-        const replica::Replica* replica = driver_.replica();
-        if (leaving_ || !replica || !replica->inView() || !replica->fresh(now)) return poller_.stop();
-        std::vector<std::string> names;
-        for (const replica::Member& member : replica->view().members) names.push_back(member.name);
-        const auto order = leases::rendezvousOrder(kHostsDuty, names);
-        const std::string& self = replica->self().name;
-        const auto rank =
-            static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
-        if (rank == 0) return read(replica->view().epoch);
-        if (isReadBefore(order, rank, now)) return poller_.stop();
-        const Millis unconfirmed = hosts_.age(now).value_or(now - startedAt_);
-        if (poller_.running() || unconfirmed > kTakeoverAfter * static_cast<double>(rank))
-            read(replica->view().epoch);
-    }
-
-    bool isReadBefore(const std::vector<std::string>& order, std::size_t rank, Millis now) const {
-        for (std::size_t place = 0; place < rank; place++) {
-            const auto peer = peers_.find(order[place]);
-            if (peer != peers_.end() && peer->second.readHostsAt > 0 &&
-                now - peer->second.readHostsAt < kReaderHeard)
-                return true;
-        }
-        return false;
-    }
-
-    void read(std::uint64_t epoch) {
-        fence_ = epoch;
-        const bool sameFence = hosts_.version().fence == epoch;
-        poller_.start(epoch, sameFence ? hosts_.version().number : 0, hosts_.list());
-    }
+    void lookAtHosts(Millis now) { hosts_.look(now, leaving_ ? nullptr : driver_.replica()); }
 
     const Clock& clock_;
     Logger& logger_;
@@ -417,14 +300,10 @@
     rpc::Client& client_;
     Millis leaseMs_;
     leases::LeaseTable leases_;
-    Millis startedAt_;
-    instances::HostListHolder hosts_;
-    instances::HostListHistory history_;  // of hosts_
-    instances::Poller poller_;
+    SharedHosts hosts_;
     std::function<void()> onGateways_;
-    std::map<std::string, WaitingPoll> polls_;  // by gateway
-    std::map<std::string, Peer> peers_;         // by member's name
-    std::uint64_t fence_ = 0;
+    WaitingPolls polls_;
+    std::map<std::string, Peer> peers_;  // by member's name
     std::optional<std::uint32_t> toldCount_;
     std::map<Position, std::string> packed_;  // updates to packedAt_, by the position that they start from
     Position packedAt_;
--- a/src/control/gateway_service.hpp
+++ b/src/control/gateway_service.hpp
@@ -1,8 +1,6 @@
 // What gateways get from a control member: answers to their polls, by which they hold their leases, and the platform's host list.
-// Members tell each other their grants and the list (Share); one of them, by rendezvous hashing, has the duty of reading it.
-//
-// The duty: the first in the order of the view's members reads under the epoch as its fence. The next one steps in when the list
-// has not been confirmed for kTakeoverAfter for each place in the order, and steps back when one before it reads again.
+// Members tell each other their grants and the list (Share). Which polls wait is decided in waiting_polls.hpp, who reads the list in
+// shared_hosts.hpp.
 #pragma once
 
 #include <functional>
@@ -30,10 +28,7 @@
 
 inline constexpr Millis kServiceTick = 100;  // tick() is to be called so often
 inline constexpr Millis kShareEvery = 500;   // to each other member of the view
-inline constexpr Millis kTakeoverAfter =
-    2000;  // an unconfirmed list, for each place in the order of the duty
 // One more is answered at once and asks again at once: as many as there are connections (rpc::kMaxConnections).
-inline constexpr std::size_t kMaxWaitingPolls = 512;
 
 class GatewayService {
 public:
--- /dev/null
+++ b/tests/control/waiting_polls_test.cpp
@@ -0,0 +1,70 @@
+// Which waiting polls are due.
+#include "control/waiting_polls.hpp"
+
+#include <gtest/gtest.h>
+
+namespace beechpoint::control {
+namespace {
+
+constexpr Millis kNow = 1000;
+const WaitingPolls::HasNews kNoNews = [](const PollRequest&) { return false; };
+const WaitingPolls::HasNews kNews = [](const PollRequest&) { return true; };
+
+PollRequest of(const std::string& gateway) {
+    PollRequest request;
+    request.gateway.name = gateway;
+    return request;
+}
+
+TEST(WaitingPolls, AreDueAtTheEndOfTheirWaitAndWithNews) {
+    WaitingPolls polls;
+    polls.hold(kNow, of("a"), {}, 500, true);
+    EXPECT_TRUE(polls.takeDue(kNow + 499, true, 0, kNoNews).empty());
+    EXPECT_EQ(polls.takeDue(kNow + 450, true, 100, kNoNews).size(), 1u);
+    EXPECT_EQ(polls.size(), 0u);
+    polls.hold(kNow, of("a"), {}, 500, true);
+    EXPECT_EQ(polls.takeDue(kNow, true, 0, kNews).size(), 1u);
+}
+
+TEST(WaitingPolls, ThatCameWhileNotFreshAreAnsweredAsSoonAsItIs) {
+    WaitingPolls polls;
+    polls.hold(kNow, of("a"), {}, 500, false);
+    EXPECT_TRUE(polls.waitsForFreshness());
+    EXPECT_TRUE(polls.takeDue(kNow + kNotFreshWait - 1, false, 0, kNews).empty());
+    EXPECT_EQ(polls.takeDue(kNow + kNotFreshWait - 1, true, 0, kNoNews).size(), 1u);
+}
+
+TEST(WaitingPolls, AreSentAwayWhenNotFreshForTooLong) {
+    WaitingPolls polls;
+    polls.hold(kNow, of("a"), {}, 2000, true);
+    EXPECT_FALSE(polls.waitsForFreshness());
+    EXPECT_TRUE(polls.takeDue(kNow + 100, false, 0, kNoNews).empty());
+    EXPECT_TRUE(polls.waitsForFreshness());
+    EXPECT_TRUE(polls.takeDue(kNow + 100 + kNotFreshWait - 1, false, 0, kNoNews).empty());
+    EXPECT_EQ(polls.takeDue(kNow + 100 + kNotFreshWait, false, 0, kNoNews).size(), 1u);
+}
+
+TEST(WaitingPolls, ThatOutlastASpellWithoutFreshnessWaitOn) {
+    WaitingPolls polls;
+    polls.hold(kNow, of("a"), {}, 2000, true);
+    EXPECT_TRUE(polls.takeDue(kNow + 100, false, 0, kNoNews).empty());
+    EXPECT_TRUE(polls.takeDue(kNow + 200, true, 0, kNoNews).empty());
+    EXPECT_FALSE(polls.waitsForFreshness());
+    EXPECT_TRUE(polls.takeDue(kNow + 100 + kNotFreshWait, false, 0, kNoNews).empty());
+}
+
+TEST(WaitingPolls, HoldOneAGatewayAndSoManyInAll) {
+    WaitingPolls polls;
+    for (std::size_t i = 0; i < kMaxWaitingPolls; ++i) {
+        EXPECT_FALSE(polls.full());
+        polls.hold(kNow, of("g" + std::to_string(i)), {}, 500, true);
+    }
+    EXPECT_TRUE(polls.full());
+    EXPECT_EQ(polls.take("g7").size(), 1u);
+    EXPECT_TRUE(polls.take("g7").empty());
+    EXPECT_EQ(polls.takeAll().size(), kMaxWaitingPolls - 1);
+    EXPECT_EQ(polls.size(), 0u);
+}
+
+}  // namespace
+}  // namespace beechpoint::control
