Write the copy of the host list, timers' durations, seeds and addresses once

Cause: read-through of the whole change: the list that control tells was put together in three places, milliseconds were made a timer's duration in four, seeds were drawn in two, and control read addresses with a reader of its own that took bytes behind the port. A request with two X-Attempt-Id headers was sent on under the first. Change: HostListCopy (with tests) for gateway and scale run, receivedList, toMicroseconds, drawSeed, the present readEndpoint; two ids or none are answered 400 (a test sends both).

--- a/src/control/codec.cpp
+++ b/src/control/codec.cpp
@@ -98,6 +98,14 @@
 
 }  // namespace
 
+std::shared_ptr<const instances::HostList> receivedList(const SharedHostList& shared, Millis now) {
+    auto list = std::make_shared<instances::HostList>();
+    list->version = shared.version;
+    list->readAt = now - shared.readAge;
+    list->hosts = shared.hosts;
+    return list;
+}
+
 std::string encode(const PollRequest& request) { return enveloped(RequestKind::poll, request); }
 std::string encode(const Share& share) { return enveloped(RequestKind::share, share); }
 std::string encode(const PollReply& reply) {
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "back/pool.hpp"
 #include "configuration/editing.hpp"
 #include "control/codec.hpp"
 #include "control/directory_service.hpp"
@@ -42,14 +43,10 @@
 constexpr const char* kJson = "application/json";
 
 Result<asio::ip::tcp::endpoint> endpointOf(const std::string& text, const char* place) {
-    const auto colon = text.rfind(':');
-    asio::error_code error;
-    const auto ip = asio::ip::make_address(text.substr(0, colon), error);
-    const long port = colon == std::string::npos ? -1 : std::strtol(text.c_str() + colon + 1, nullptr, 10);
-    if (error || port < 0 || port > 65535)
-        return Error{ErrorKind::invalid, place, fmt::format("'{}' is not IP:PORT", text),
-                     "write it as 10.0.0.1:8146"};
-    return asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+    const auto endpoint = back::readEndpoint(text);
+    if (endpoint) return *endpoint;
+    return Error{ErrorKind::invalid, place, fmt::format("'{}' is not IP:PORT", text),
+                 "write it as 10.0.0.1:8146"};
 }
 
 leases::LeaseTable::Settings leaseSettings(const settings::ProcessSettings& settings) {
--- a/src/control/messages.hpp
+++ b/src/control/messages.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,7 +31,7 @@
     Millis waitMs = 0;                    // at most; the member bounds it by kMaxPollWait
     bool wantsLoad = false;               // send the other gateways' load by host
     std::uint64_t directoryDigest = 0;    // of the gateways held for the directory; 0: none
-    bool takesHostChanges = false;  // understands PollReply::hostChanges; gateways of before don't
+    bool takesHostChanges = false;        // understands PollReply::hostChanges; gateways of before don't
 };
 
 inline constexpr Millis kMaxPollWait = 2000;
@@ -49,6 +50,9 @@
     std::vector<instances::Host> hosts;
 };
 
+// The list as a value on the receiver's clock.
+std::shared_ptr<const instances::HostList> receivedList(const SharedHostList& shared, Millis now);
+
 // What changed from the list that a gateway holds to the newest, with the age of the newest one's reading.
 struct SharedHostChanges {
     instances::HostListChanges changes;
@@ -57,8 +61,9 @@
 
 struct PollReply {
     PollStatus status = PollStatus::ok;
-    std::optional<TableUpdate> table;            // where newer than the position held
-    std::string packedTable;  // the same on the wire (table_packing.hpp); a sender that has it leaves `table` out
+    std::optional<TableUpdate> table;  // where newer than the position held
+    std::string
+        packedTable;  // the same on the wire (table_packing.hpp); a sender that has it leaves `table` out
     std::optional<SharedHostList> hostList;      // where another than the one held
     instances::HostListVersion hostListVersion;  // the member's
     std::optional<Millis> hostListAge;          // since it was last read or confirmed; nothing: no list known
--- a/src/control/run.cpp
+++ b/src/control/run.cpp
@@ -5,9 +5,9 @@
 #include <chrono>
 #include <csignal>
 #include <filesystem>
-#include <random>
 
 #include "control/control.hpp"
+#include "core/random_seed.hpp"
 
 namespace beechpoint::control {
 namespace {
@@ -18,12 +18,6 @@
 constexpr auto kStartAgain = std::chrono::milliseconds(200);
 constexpr auto kSettingsLook = std::chrono::seconds(2);  // the file may change without a signal
 
-std::uint64_t drawSeed() {
-    std::random_device random;
-    const std::uint64_t high = random();
-    return high << 32 | random();
-}
-
 class Process {
 public:
     Process(const std::string& path, settings::ProcessSettings settings, Clock& clock, Logger& logger)
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -1,6 +1,7 @@
 // The program's one clock: milliseconds as a floating-point number, never going back. Tests set it.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <cstdint>
@@ -40,6 +41,11 @@
     std::optional<Millis> fixed_;
 };
 
+// For timers: never negative, and rounded up, so that a timer is not early.
+inline std::chrono::microseconds toMicroseconds(Millis ms) {
+    return std::chrono::microseconds(static_cast<long long>(std::max(ms, 0.0) * 1000) + 1);
+}
+
 // The module counts in nanoseconds; only its boundary does.
 inline std::int64_t toNanos(Millis ms) { return std::llround(ms * 1e6); }
 inline Millis fromNanos(std::int64_t ns) { return static_cast<double>(ns) * 1e-6; }
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -19,10 +19,6 @@
 constexpr Millis kRetryMost = 800;
 constexpr Millis kReturnAfter = 5000;  // to the first member of the order
 
-std::chrono::microseconds microseconds(Millis ms) {
-    return std::chrono::microseconds(static_cast<long long>(std::max(ms, 0.0) * 1000) + 1);
-}
-
 }  // namespace
 
 ControlLink::ControlLink(asio::io_context& io, const Clock& clock, Logger& log, std::string name,
@@ -85,7 +81,7 @@
 }
 
 void ControlLink::pollAfter(Millis pause) {
-    timer_.expires_after(microseconds(pause));
+    timer_.expires_after(toMicroseconds(pause));
     timer_.async_wait([this](asio::error_code error) {
         if (!error && running_) poll();
     });
--- a/src/gateway/control_link.hpp
+++ b/src/gateway/control_link.hpp
@@ -55,14 +55,14 @@
     SplitMix random_;
     rpc::Client client_;
     asio::steady_timer timer_;
-    std::string name_;                // this gateway's
+    std::string name_;  // this gateway's
     std::vector<std::string> seeds_, members_;
     std::vector<std::string> order_;  // of all of them
     std::size_t turn_ = 0;            // place in the order
     std::string current_;             // the member that answered last
     Millis failedAt_ = 0;             // when a member last failed to answer
-    int failures_ = 0;         // in a row
-    std::uint64_t asked_ = 0;  // number of the poll that is out; earlier ones are ignored
+    int failures_ = 0;                // in a row
+    std::uint64_t asked_ = 0;         // number of the poll that is out; earlier ones are ignored
     bool running_ = false;
     Millis heardAt_ = 0;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
-#include <random>
 #include <stdexcept>
 
 #include "back/pool.hpp"
 #include "core/metrics_text.hpp"
+#include "core/random_seed.hpp"
 
 namespace beechpoint::gateway {
 
@@ -29,15 +29,6 @@
 constexpr double kMostTtlS = 2;          // of the directory's answers
 constexpr Millis kClientPause = 10'000;  // between bytes of a body
 
-std::uint64_t drawSeed() {
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
-std::chrono::microseconds microseconds(Millis ms) {
-    return std::chrono::microseconds(static_cast<long long>(std::max(ms, 0.0) * 1000) + 1);
-}
-
 asio::ip::tcp::endpoint endpointOf(const std::string& text, const char* field) {
     const auto endpoint = back::readEndpoint(text);
     if (!endpoint)
@@ -95,7 +86,7 @@
                 [this](const control::PollReply& reply, Millis sentAt) { onPollReply(reply, sentAt); }}),
       platform_(io, clock, log, platformSettings(settings_), drawSeed(), session_,
                 [this](const std::shared_ptr<const instances::HostList>& list, Millis confirmedAt, bool) {
-                    takeHosts(list, confirmedAt);
+                    if (hosts_.offer(list, confirmedAt, clock_.now())) tellHosts();
                 }),
       directory_(
           clock, [this] { return knownGateways(); }, std::min(settings_.timingBounds.ttlMaxS, kMostTtlS)),
@@ -153,12 +144,14 @@
     MetricsText text;
     text.gauge("beechpoint_gateway_ready", "1 while clients may be sent here.", figure(ready()));
     text.gauge("beechpoint_gateway_draining", "1 after SIGTERM.", figure(stoppingAt_ != 0));
-    text.gauge("beechpoint_gateway_position_epoch", "Epoch of the table held.", figure(table_.position().epoch));
+    text.gauge("beechpoint_gateway_position_epoch", "Epoch of the table held.",
+               figure(table_.position().epoch));
     text.gauge("beechpoint_gateway_position_sequence", "Sequence of the table held.",
                figure(table_.position().sequence));
     text.gauge("beechpoint_gateway_control_silence_seconds", "Since control last answered a poll.",
                seconds(std::max(control_.heardAt(), startedAt_)));
-    text.gauge("beechpoint_gateway_live_gateways", "Gateways that control last spoke of.", figure(liveGateways_));
+    text.gauge("beechpoint_gateway_live_gateways", "Gateways that control last spoke of.",
+               figure(liveGateways_));
     if (const auto& list = hosts_.list()) {
         text.gauge("beechpoint_gateway_host_list_hosts", "Hosts of the platform's list.",
                    figure(list->hosts.size()));
@@ -174,14 +167,15 @@
                  figure(exchange_.requestsTaken()));
     text.gauge("beechpoint_gateway_host_connections", "Open connections to hosts.",
                figure(exchange_.upstreamConnections()));
-    text.counter("beechpoint_gateway_host_exchanges_total", "Requests sent to hosts.", figure(counts.exchanges));
+    text.counter("beechpoint_gateway_host_exchanges_total", "Requests sent to hosts.",
+                 figure(counts.exchanges));
     text.counter("beechpoint_gateway_host_dials_total", "Connections begun to hosts.", figure(counts.dials));
     text.counter("beechpoint_gateway_host_dial_failures_total", "Of these, those that failed.",
                  figure(counts.dialFailures));
     text.counter("beechpoint_gateway_host_reuses_total", "Requests on connections used before.",
                  figure(counts.reuses));
-    text.counter("beechpoint_gateway_host_surplus_total", "Connections closed for bytes that belong to no request.",
-                 figure(counts.surplus));
+    text.counter("beechpoint_gateway_host_surplus_total",
+                 "Connections closed for bytes that belong to no request.", figure(counts.surplus));
     return text.text();
 }
 
@@ -189,7 +183,7 @@
     control::PollRequest request;
     request.gateway = self();
     request.position = table_.position();
-    if (!wantsWholeList_) request.hostList = hosts_.version();
+    request.hostList = hosts_.versionToAskWith();
     request.takesHostChanges = true;
     request.directoryDigest = directoryDigest_;
     return request;
@@ -219,18 +213,7 @@
     const bool wasReady = ready();
     const Millis now = clock_.now();
     if (reply.table) takeTable(*reply.table);
-    if (reply.hostChanges) {
-        takeHostChanges(reply, now);
-    } else if (reply.hostList) {
-        wantsWholeList_ = false;
-        auto list = std::make_shared<instances::HostList>();
-        list->version = reply.hostList->version;
-        list->readAt = now - reply.hostList->readAge;
-        list->hosts = reply.hostList->hosts;
-        takeHosts(std::move(list), now - reply.hostListAge.value_or(reply.hostList->readAge));
-    } else if (reply.hostListAge) {
-        hosts_.confirm(reply.hostListVersion, now - *reply.hostListAge);
-    }
+    if (hosts_.take(reply, now)) tellHosts();
     if (reply.directory) {
         gateways_ = *reply.directory;
         directoryDigest_ = reply.directoryDigest;
@@ -282,18 +265,6 @@
     exchange_.tell(std::move(evacuated));
 }
 
-void Gateway::takeHostChanges(const control::PollReply& reply, Millis now) {
-    if (!hosts_.list()) return;
-    const control::SharedHostChanges& shared = *reply.hostChanges;
-    auto list = instances::applyChanges(*hosts_.list(), shared.changes, now - shared.readAge);
-    wantsWholeList_ = list == nullptr;
-    if (list) takeHosts(std::move(list), now - reply.hostListAge.value_or(shared.readAge));
-}
-
-void Gateway::takeHosts(std::shared_ptr<const instances::HostList> list, Millis confirmedAt) {
-    if (hosts_.offer(std::move(list), confirmedAt, clock_.now())) tellHosts();
-}
-
 void Gateway::tellHosts() {
     const Millis age = clock_.now() - hosts_.list()->readAt;
     dispatch::Hosts event;
@@ -330,7 +301,7 @@
 }
 
 void Gateway::lookAfter(Millis pause) {
-    timer_.expires_after(microseconds(pause));
+    timer_.expires_after(toMicroseconds(pause));
     timer_.async_wait([this](asio::error_code error) {
         if (error) return;
         stoppingAt_ == 0 ? look() : lookWhileStopping();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -14,8 +14,8 @@
 #include "control/directory_service.hpp"
 #include "core/logger.hpp"
 #include "gateway/control_link.hpp"
+#include "gateway/host_list_copy.hpp"
 #include "gateway/request_exchange.hpp"
-#include "instances/host_list.hpp"
 #include "instances/poller.hpp"
 #include "net/server.hpp"
 #include "routing/table_copy.hpp"
@@ -42,8 +42,6 @@
     std::string metrics() const;
     void onPollReply(const control::PollReply& reply, Millis sentAt);
     void takeTable(const TableUpdate& update);
-    void takeHostChanges(const control::PollReply& reply, Millis now);
-    void takeHosts(std::shared_ptr<const instances::HostList> list, Millis confirmedAt);
     void tellHosts();
     void tellServices();
     std::vector<leases::Gateway> knownGateways() const;
@@ -58,8 +56,7 @@
     Logger& log_;
     std::uint64_t session_;
     routing::TableCopy table_;
-    instances::HostListHolder hosts_;
-    bool wantsWholeList_ = false;  // changes that control told did not apply to the list held
+    HostListCopy hosts_;
     RequestExchange exchange_;
     ControlLink control_;
     instances::Poller platform_;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -77,10 +77,6 @@
     headers.push_back({std::string(name), std::move(value)});
 }
 
-std::chrono::microseconds microseconds(Millis ms) {
-    return std::chrono::microseconds(static_cast<long long>(std::max(ms, 0.0) * 1000) + 1);
-}
-
 }  // namespace
 
 RequestExchange::RequestExchange(asio::io_context& io, const Clock& clock, Logger& log,
@@ -132,8 +128,9 @@
     const auto route = routes_->find(message.header("Host"), message.path());
     if (!route) return client->respond(404, kJson, R"({"error":"no route"})");
     ClientRequest asked = readClientRequest(message);
-    if (asked.attemptId.empty())
-        return client->respond(400, kJson, R"({"error":"X-Attempt-Id is missing; send one id a try"})");
+    if (asked.attemptId.empty() || message.count("X-Attempt-Id") != 1)
+        return client->respond(400, kJson,
+                               R"({"error":"X-Attempt-Id must be there once; send one id a try"})");
     const dispatch::RequestId id = ++lastId_;
     dispatch::RequestArrived event = arrival(id, asked, *route, clock_.now() - client->receivedAt());
     LiveRequest& request = requests_[id];
@@ -284,13 +281,10 @@
 void RequestExchange::act(const dispatch::Probe& probe) {
     const auto address = upstream::HostAddress::parse(probe.address);
     const auto service = routes_->service(probe.service);
-    struct Seen {
-        dispatch::ProbeEnded event;
-    };
-    auto seen = std::make_shared<Seen>();
-    seen->event.instanceId = probe.instanceId;
+    auto ended = std::make_shared<dispatch::ProbeEnded>();
+    ended->instanceId = probe.instanceId;
     if (!address || !service) {
-        events_.push_back(seen->event);
+        events_.push_back(*ended);
         return;
     }
     upstream::Request request;
@@ -299,23 +293,23 @@
     request.headers = {{"Host", probe.address}};
     request.requireAttemptId = false;
     upstream::Handlers handlers;
-    handlers.onHead = [seen](const upstream::AnswerHead& head) {
+    handlers.onHead = [ended](const upstream::AnswerHead& head) {
         const std::string* const instance = upstream::findHeader(head.headers, "X-Instance-Id");
-        seen->event.answered = instance && *instance == seen->event.instanceId;
-        seen->event.healthy = seen->event.answered && head.status == 200;
-        seen->event.warmupLeft = warmupLeft(head);
+        ended->answered = instance && *instance == ended->instanceId;
+        ended->healthy = ended->answered && head.status == 200;
+        ended->warmupLeft = warmupLeft(head);
     };
-    handlers.onEnd = [this, seen] { tell(seen->event); };
-    handlers.onFailed = [this, seen](const upstream::Failure&) {
-        seen->event.healthy = false;
-        tell(seen->event);
+    handlers.onEnd = [this, ended] { tell(*ended); };
+    handlers.onFailed = [this, ended](const upstream::Failure&) {
+        ended->healthy = false;
+        tell(*ended);
     };
     upstream_.send(address.value(), connectionShare(probe.service), std::move(request), kProbeTimeout,
                    std::move(handlers));
 }
 
 void RequestExchange::act(const dispatch::SetTimer& timer) {
-    timer_.expires_after(microseconds(timer.at - clock_.now()));
+    timer_.expires_after(toMicroseconds(timer.at - clock_.now()));
     timer_.async_wait([this](asio::error_code error) {
         if (!error) tell(dispatch::Tick{});
     });
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -21,10 +21,6 @@
 constexpr std::size_t kOwnSockets = 24;  // files, signals, discovery, timers
 constexpr std::size_t kMostHostSockets = 400;
 
-std::chrono::microseconds micros(Millis ms) {
-    return std::chrono::microseconds(static_cast<long long>(std::max(ms, 0.0) * 1000) + 1);
-}
-
 std::size_t hostSockets(std::size_t sockets) { return std::min(sockets / 2, kMostHostSockets); }
 
 // The track hosts' connections, as they speak.
@@ -145,7 +141,7 @@
 }
 
 void Gatherer::wake(Millis at) {
-    timer_.expires_after(micros(at - clock_.now()));
+    timer_.expires_after(toMicroseconds(at - clock_.now()));
     timer_.async_wait([this](asio::error_code error) {
         if (!error) exchange_.tick();
     });
@@ -208,7 +204,7 @@
     server_.closeIdle(lifecycle_.mayIdle(clock_.now()));
     if (searchServer_) searchServer_->closeIdle(lifecycle_.mayIdle(clock_.now()));
     if (lifecycle_.over(clock_.now(), connections(), overlap_.successor())) return finish();
-    stopTimer_.expires_after(micros(kCloseLook));
+    stopTimer_.expires_after(toMicroseconds(kCloseLook));
     stopTimer_.async_wait([this](asio::error_code error) {
         if (!error) closeSome();
     });
--- a/src/scale/hollow_gateway.cpp
+++ b/src/scale/hollow_gateway.cpp
@@ -42,7 +42,7 @@
     request.gateway.frontAddress = fmt::format("10.200.{}.{}:8080", index_ / 256, index_ % 256);
     request.gateway.ready = ready();
     request.position = table_.position();
-    if (!wantsWholeList_) request.hostList = hosts_.version();
+    request.hostList = hosts_.versionToAskWith();
     request.takesHostChanges = true;
     request.directoryDigest = directoryDigest_;
     return request;
@@ -54,37 +54,10 @@
     progress_.onReply(index_, reply.largestLive.value_or(0));
     if (reply.table && table_.apply(*reply.table))
         progress_.onRevision(index_, static_cast<std::size_t>(table_.current()->revision()), clock_.now());
-    takeHosts(reply, now);
+    if (hosts_.take(reply, now))
+        progress_.onHosts(index_, hosts_.list()->hosts.size(), drainingHosts(*hosts_.list()), now);
     if (reply.directory) directoryDigest_ = reply.directoryDigest;
     if (ready() != wasReady) link_.pollNow();
 }
 
-void HollowGateway::takeHosts(const control::PollReply& reply, Millis now) {
-    if (reply.hostChanges) return takeHostChanges(reply, now);
-    if (!reply.hostList) {
-        if (reply.hostListAge) hosts_.confirm(reply.hostListVersion, now - *reply.hostListAge);
-        return;
-    }
-    wantsWholeList_ = false;
-    auto list = std::make_shared<instances::HostList>();
-    list->version = reply.hostList->version;
-    list->readAt = now - reply.hostList->readAge;
-    list->hosts = reply.hostList->hosts;
-    const Millis confirmedAt = now - reply.hostListAge.value_or(reply.hostList->readAge);
-    offer(std::move(list), confirmedAt, now);
-}
-
-void HollowGateway::takeHostChanges(const control::PollReply& reply, Millis now) {
-    if (!hosts_.list()) return;
-    const control::SharedHostChanges& shared = *reply.hostChanges;
-    auto list = instances::applyChanges(*hosts_.list(), shared.changes, now - shared.readAge);
-    wantsWholeList_ = list == nullptr;
-    if (list) offer(std::move(list), now - reply.hostListAge.value_or(shared.readAge), now);
-}
-
-void HollowGateway::offer(std::shared_ptr<const instances::HostList> list, Millis confirmedAt, Millis now) {
-    if (hosts_.offer(std::move(list), confirmedAt, now))
-        progress_.onHosts(index_, hosts_.list()->hosts.size(), drainingHosts(*hosts_.list()), now);
-}
-
 }  // namespace beechpoint::scale
--- a/src/scale/hollow_gateway.hpp
+++ b/src/scale/hollow_gateway.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "gateway/control_link.hpp"
-#include "instances/host_list.hpp"
+#include "gateway/host_list_copy.hpp"
 #include "routing/table_copy.hpp"
 #include "scale/progress.hpp"
 
@@ -24,16 +24,12 @@
     control::PollRequest request() const;
     void onReply(const control::PollReply& reply);
     bool ready() const { return table_.configured() && hosts_.list() != nullptr; }
-    void takeHosts(const control::PollReply& reply, Millis now);
-    void takeHostChanges(const control::PollReply& reply, Millis now);
-    void offer(std::shared_ptr<const instances::HostList> list, Millis confirmedAt, Millis now);
 
     const Clock& clock_;
     std::size_t index_;
     Progress& progress_;
     routing::TableCopy table_;
-    instances::HostListHolder hosts_;
-    bool wantsWholeList_ = false;        // changes did not apply to the list held
+    gateway::HostListCopy hosts_;
     std::uint64_t directoryDigest_ = 0;  // of the gateways that control told of last
     gateway::ControlLink link_;
 };
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -157,6 +157,15 @@
     EXPECT_NE(seen.find("X-Deadline-Remaining: "), std::string::npos);
 }
 
+TEST_F(GatewayTest, TakesNoRequestWithTwoIdsOrNone) {
+    start();
+    const PeerPtr twice = ask("/p/x", "a1", "X-Attempt-Id: a2\r\n");
+    EXPECT_TRUE(until(io, [&] { return twice->has("HTTP/1.1 400"); }));
+    const PeerPtr none = ask("/p/x", "");
+    EXPECT_TRUE(until(io, [&] { return none->has("HTTP/1.1 400"); }));
+    EXPECT_EQ(host.requests, 0u);
+}
+
 TEST_F(GatewayTest, AnswersUnknownRoutesWith404) {
     start();
     const PeerPtr client = ask("/none/x");
--- /dev/null
+++ b/tests/gateway/host_list_copy_test.cpp
@@ -0,0 +1,74 @@
+// A gateway's copy of the host list: whole, changes, confirmation.
+#include "gateway/host_list_copy.hpp"
+
+#include <gtest/gtest.h>
+
+namespace beechpoint::gateway {
+namespace {
+
+instances::Host hostNamed(const std::string& id) {
+    instances::Host host;
+    host.instanceId = id;
+    host.service = "s";
+    host.address = "10.0.0.1:80";
+    return host;
+}
+
+control::PollReply whole(std::uint64_t number, std::vector<instances::Host> hosts) {
+    control::PollReply reply;
+    reply.hostListVersion = {1, number, 1};
+    reply.hostListAge = 0;
+    reply.hostList = control::SharedHostList{reply.hostListVersion, 100, std::move(hosts)};
+    return reply;
+}
+
+control::PollReply changes(std::uint64_t from, std::uint64_t to, std::vector<instances::Host> changed) {
+    control::PollReply reply;
+    reply.hostListVersion = {1, to, 1};
+    reply.hostListAge = 0;
+    reply.hostChanges.emplace();
+    reply.hostChanges->changes.base = {1, from, 1};
+    reply.hostChanges->changes.version = {1, to, 1};
+    reply.hostChanges->changes.changed = std::move(changed);
+    return reply;
+}
+
+TEST(HostListCopy, TakesAWholeListOnItsOwnClock) {
+    HostListCopy copy;
+    EXPECT_FALSE(copy.list());
+    EXPECT_TRUE(copy.take(whole(1, {hostNamed("a")}), 5000));
+    EXPECT_EQ(copy.list()->readAt, 4900);
+    EXPECT_EQ(copy.versionToAskWith().number, 1u);
+}
+
+TEST(HostListCopy, TakesChangesToWhatItHolds) {
+    HostListCopy copy;
+    copy.take(whole(1, {hostNamed("a")}), 5000);
+    EXPECT_TRUE(copy.take(changes(1, 2, {hostNamed("b")}), 6000));
+    EXPECT_EQ(copy.list()->hosts.size(), 2u);
+    EXPECT_EQ(copy.version().number, 2u);
+}
+
+TEST(HostListCopy, AsksForTheWholeListWhereChangesDoNotFit) {
+    HostListCopy copy;
+    EXPECT_FALSE(copy.take(changes(3, 4, {hostNamed("b")}), 5000));
+    copy.take(whole(1, {hostNamed("a")}), 5000);
+    EXPECT_FALSE(copy.take(changes(3, 4, {hostNamed("b")}), 6000));
+    EXPECT_EQ(copy.list()->hosts.size(), 1u);
+    EXPECT_EQ(copy.versionToAskWith(), instances::HostListVersion{});
+    EXPECT_TRUE(copy.take(whole(4, {hostNamed("a"), hostNamed("b")}), 7000));
+    EXPECT_EQ(copy.versionToAskWith().number, 4u);
+}
+
+TEST(HostListCopy, IsConfirmedUnchanged) {
+    HostListCopy copy;
+    copy.take(whole(1, {hostNamed("a")}), 5000);
+    control::PollReply same;
+    same.hostListVersion = {1, 1, 1};
+    same.hostListAge = 50;
+    EXPECT_FALSE(copy.take(same, 9000));
+    EXPECT_EQ(copy.age(9000), 50);
+}
+
+}  // namespace
+}  // namespace beechpoint::gateway
