Check histories of operators' calls for linearizability

Tests: histories that are and are not linearizable, and that thousands of calls are decided in bounded work.

--- /dev/null
+++ b/tests/simulation/linearizability_test.cpp
@@ -0,0 +1,239 @@
+// The checker itself: histories that are linearizable, and such that are not.
+#include "linearizability.hpp"
+
+#include <gtest/gtest.h>
+
+#include "core/splitmix.hpp"
+#include "store_specification.hpp"
+
+namespace beechpoint::simulation {
+namespace {
+
+using History = std::vector<StoreOperation>;
+
+LinearizabilityResult resultOf(const History& history) {
+    const StoreSpecification specification;
+    return LinearizabilityChecker(specification, history).check(StoreState{});
+}
+
+Verdict verdictOf(const History& history) { return resultOf(history).verdict; }
+
+StoreCall put(std::uint64_t ifMatch, std::uint64_t revision, std::uint32_t value) {
+    StoreCall call;
+    call.kind = StoreCallKind::put;
+    call.ifMatch = ifMatch;
+    call.revision = revision;
+    call.document.fill(value);
+    return call;
+}
+
+StoreCall patch(std::uint64_t ifMatch, std::uint64_t revision, std::size_t item, std::uint32_t value) {
+    StoreCall call = put(ifMatch, revision, value);
+    call.kind = StoreCallKind::patch;
+    call.item = item;
+    return call;
+}
+
+StoreCall zoneCall(StoreCallKind kind, std::size_t zone) {
+    StoreCall call;
+    call.kind = kind;
+    call.zone = zone;
+    return call;
+}
+
+StoreAnswer done(std::uint64_t revision) { return {StoreAnswerKind::done, revision, {}, {}}; }
+StoreAnswer conflict() { return {StoreAnswerKind::conflict, 0, {}, {}}; }
+StoreAnswer invalid() { return {StoreAnswerKind::invalid, 0, {}, {}}; }
+StoreAnswer shown(std::uint64_t revision, std::uint32_t value) {
+    StoreAnswer answer = done(revision);
+    answer.document.emplace();
+    answer.document->fill(value);
+    return answer;
+}
+StoreAnswer shownZones(std::uint64_t revision, std::uint32_t value, std::uint32_t zones) {
+    StoreAnswer answer = shown(revision, value);
+    answer.evacuated = zones;
+    return answer;
+}
+
+TEST(Linearizability, AnEmptyHistoryIs) { EXPECT_EQ(verdictOf({}), Verdict::linearizable); }
+
+TEST(Linearizability, CallsOneAfterAnotherAre) {
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), done(1), 0, 1},
+                         {StoreCall{}, shown(1, 5), 2, 3},
+                         {put(1, 2, 6), done(2), 4, 5},
+                         {StoreCall{}, shown(2, 6), 6, 7}}),
+              Verdict::linearizable);
+}
+
+TEST(Linearizability, AReadBesideAChangeMayShowEither) {
+    for (const StoreAnswer& answer : {shown(0, 0), shown(1, 5)})
+        EXPECT_EQ(verdictOf({{put(0, 1, 5), done(1), 0, 10}, {StoreCall{}, answer, 2, 3}}),
+                  Verdict::linearizable);
+}
+
+TEST(Linearizability, AStaleReadIsNot) {
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), done(1), 0, 1}, {StoreCall{}, shown(0, 0), 2, 3}}),
+              Verdict::notLinearizable);
+}
+
+TEST(Linearizability, ReadsThatGoBackAreNot) {
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), done(1), 0, 10},
+                         {StoreCall{}, shown(1, 5), 2, 3},
+                         {StoreCall{}, shown(0, 0), 4, 5}}),
+              Verdict::notLinearizable);
+}
+
+TEST(Linearizability, TwoOperatorsConfirmedUnderOneNumberAreNot) {
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), done(1), 0, 10}, {put(0, 1, 6), done(1), 1, 9}}),
+              Verdict::notLinearizable);
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), done(1), 0, 10}, {put(0, 1, 6), conflict(), 1, 9}}),
+              Verdict::linearizable);
+}
+
+TEST(Linearizability, ARefusalWithoutCauseIsNot) {
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), conflict(), 0, 1}}), Verdict::notLinearizable);
+    EXPECT_EQ(verdictOf({{put(0, 0, 5), invalid(), 0, 1}}), Verdict::linearizable);
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), invalid(), 0, 1}}), Verdict::notLinearizable);
+}
+
+// Sent once, taken, its answer lost, sent again and then refused: its change is there and nobody made it.
+TEST(Linearizability, ARefusedRetryIsNot) {
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), conflict(), 0, 5}, {StoreCall{}, shown(1, 5), 6, 7}}),
+              Verdict::notLinearizable);
+}
+
+TEST(Linearizability, AnEqualCallIsKnownAgain) {
+    StoreCall call = put(0, 1, 5);
+    call.identity = 7;
+    const StoreOperation between{put(1, 2, 6), done(2), 2, 3};
+    EXPECT_EQ(verdictOf({{call, done(1), 0, 1}, between, {call, done(1), 4, 5}}), Verdict::linearizable);
+    EXPECT_EQ(verdictOf({{call, done(1), 0, 1}, between, {call, conflict(), 4, 5}}),
+              Verdict::notLinearizable);
+    EXPECT_EQ(verdictOf({{call, {}, 0, 1}, {call, done(1), 2, 3}, {StoreCall{}, shown(1, 5), 4, 5}}),
+              Verdict::linearizable);
+}
+
+TEST(Linearizability, AnAcknowledgedChangeThatIsLostIsNot) {
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), done(1), 0, 1}, {put(0, 1, 6), done(1), 2, 3}}),
+              Verdict::notLinearizable);
+    EXPECT_EQ(
+        verdictOf(
+            {{put(0, 1, 5), done(1), 0, 1}, {put(1, 2, 6), done(2), 2, 3}, {StoreCall{}, shown(1, 5), 4, 5}}),
+        Verdict::notLinearizable);
+}
+
+TEST(Linearizability, AnUnknownOutcomeIsOpenBothWaysAndForLong) {
+    const StoreOperation unknown{put(0, 1, 5), {}, 0, 0};
+    EXPECT_EQ(verdictOf({unknown, {StoreCall{}, shown(0, 0), 50, 51}}), Verdict::linearizable);
+    EXPECT_EQ(verdictOf({unknown, {StoreCall{}, shown(1, 5), 50, 51}}), Verdict::linearizable);
+    EXPECT_EQ(verdictOf({unknown, {StoreCall{}, shown(0, 0), 50, 51}, {StoreCall{}, shown(1, 5), 60, 61}}),
+              Verdict::linearizable);
+    EXPECT_EQ(verdictOf({unknown, {StoreCall{}, shown(1, 5), 50, 51}, {StoreCall{}, shown(0, 0), 60, 61}}),
+              Verdict::notLinearizable);
+}
+
+TEST(Linearizability, AnUnknownOutcomeTakesEffectOnceAtMost) {
+    const StoreOperation unknown{zoneCall(StoreCallKind::evacuate, 1), {}, 0, 0};
+    const StoreOperation back{zoneCall(StoreCallKind::takeBack, 1), done(0), 10, 11};
+    EXPECT_EQ(verdictOf({unknown,
+                         {StoreCall{}, shownZones(0, 0, 2), 2, 3},
+                         back,
+                         {StoreCall{}, shownZones(0, 0, 0), 12, 13}}),
+              Verdict::linearizable);
+    EXPECT_EQ(verdictOf({unknown,
+                         {StoreCall{}, shownZones(0, 0, 2), 2, 3},
+                         back,
+                         {StoreCall{}, shownZones(0, 0, 2), 12, 13}}),
+              Verdict::notLinearizable);
+}
+
+TEST(Linearizability, APatchKeepsWhatItDoesNotName) {
+    StoreAnswer answer = shown(2, 5);
+    (*answer.document)[3] = 9;
+    EXPECT_EQ(
+        verdictOf(
+            {{put(0, 1, 5), done(1), 0, 1}, {patch(1, 2, 3, 9), done(2), 2, 3}, {StoreCall{}, answer, 4, 5}}),
+        Verdict::linearizable);
+    EXPECT_EQ(verdictOf({{put(0, 1, 5), done(1), 0, 1},
+                         {patch(1, 2, 3, 9), done(2), 2, 3},
+                         {StoreCall{}, shown(2, 5), 4, 5}}),
+              Verdict::notLinearizable);
+}
+
+// A long history of overlapping calls with unknown outcomes, made by carrying it out: the search stays narrow.
+History longHistory(std::uint64_t seed, std::size_t calls) {
+    SplitMix random(seed);
+    const StoreSpecification specification;
+    StoreState state;
+    History history;
+    Millis time = 0;
+    std::uint32_t value = 0;
+    while (history.size() < calls) {
+        time += 1;
+        const std::uint64_t version = state.revision;
+        for (int client = 0; client < 4; ++client) {
+            StoreOperation operation;
+            const double kind = random();
+            if (kind < 0.5)
+                operation.call = put(version, version + 1, ++value);
+            else if (kind < 0.6)
+                operation.call = zoneCall(StoreCallKind::evacuate, random.below(3));
+            else if (kind < 0.7)
+                operation.call = zoneCall(StoreCallKind::takeBack, random.below(3));
+            operation.invokedAt = time + 0.1 * random();
+            operation.returnedAt = time + 0.5 + 0.3 * random();
+            const bool lost = operation.call.versioned() && random() < 0.1;
+            if (lost && random() < 0.5) {  // never got there
+                history.push_back(operation);
+                continue;
+            }
+            StoreAnswer answer = shownZones(state.revision, 0, state.evacuated);
+            answer.document = state.document;
+            if (operation.call.versioned())
+                answer =
+                    operation.call.ifMatch == state.revision ? done(operation.call.revision) : conflict();
+            else if (operation.call.changes())
+                answer = done(state.revision);
+            state = *specification.step(state, operation.call, answer);
+            if (!lost) operation.answer = answer;
+            history.push_back(operation);
+        }
+    }
+    return history;
+}
+
+TEST(Linearizability, HistoriesOfThousandsOfCallsAreDecidedInBoundedWork) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const History history = longHistory(seed, 2'000);
+        const LinearizabilityResult result = resultOf(history);
+        EXPECT_EQ(result.verdict, Verdict::linearizable) << "seed " << seed;
+        EXPECT_LT(result.configurations, 400 * history.size()) << "seed " << seed;
+    }
+}
+
+TEST(Linearizability, OneWrongReadInALongHistoryIsFound) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        History history = longHistory(seed, 800);
+        for (std::size_t index = history.size() - 100; index < history.size(); ++index) {
+            if (history[index].call.changes()) continue;
+            --history[index].answer->revision;
+            break;
+        }
+        EXPECT_EQ(verdictOf(history), Verdict::notLinearizable) << "seed " << seed;
+    }
+}
+
+TEST(Linearizability, ASearchThatWouldNotEndIsSaidToBeUndecided) {
+    History history;
+    for (std::size_t zone = 0; zone < 30; ++zone)
+        history.push_back({zoneCall(StoreCallKind::evacuate, zone), {}, 0, 0});
+    StoreAnswer impossible = shownZones(1, 0, 0);
+    history.push_back({StoreCall{}, impossible, 1, 2});
+    const StoreSpecification specification;
+    const auto result = LinearizabilityChecker(specification, history, 20'000).check(StoreState{});
+    EXPECT_EQ(result.verdict, Verdict::undecided);
+}
+
+}  // namespace
+}  // namespace beechpoint::simulation
