--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -1,6 +1,7 @@
 // What comes between two lines: a client's leaving, a host's end, a late timer or answer, a signal's last moment. Each crossing is
 // forced on real sockets, and each test asserts that it took place.
 #include <deque>
+#include <nlohmann/json.hpp>
 #include <numeric>
 #include <optional>
 
