Carry the folded position of a promise and the wish for a whole table on the wire

Cause: the codec of the members' messages left out two fields. A SyncRequest that asked for the whole table, as a member does whose last sync failed, was read as one for a delta; the member drops the delta, asks again, and so on: it never catches up. A promise's folded position was read as 0.0, so a promiser that holds the epoch's starting state below a pending batch was not seen as a possible source. The simulations pass the messages as they are, and the codec's test compared bytes only, which can't show a field that is never written.

Change: both fields go to the end of their messages; older peers read on as before. The test now fills the fields and compares them one by one.

--- a/src/control/replica_codec.cpp
+++ b/src/control/replica_codec.cpp
@@ -59,7 +59,7 @@
 struct Fields<replica::Promise> {
     static auto of(auto& message) {
         return std::tie(message.ballot, message.target, message.accepted, message.value, message.syncedEpoch,
-                        message.position, message.diskFailing);
+                        message.position, message.diskFailing, message.folded);
     }
 };
 template <>
@@ -90,7 +90,7 @@
 };
 template <>
 struct Fields<replica::SyncRequest> {
-    static auto of(auto& message) { return std::tie(message.position); }
+    static auto of(auto& message) { return std::tie(message.position, message.whole); }
 };
 template <>
 struct Fields<replica::SyncReply> {
--- a/tests/control/codec_test.cpp
+++ b/tests/control/codec_test.cpp
@@ -165,7 +165,11 @@
     promise.ballot = ballot;
     promise.target = 5;
     promise.value = view();
+    promise.accepted = ballot;
+    promise.syncedEpoch = 3;
     promise.position = {4, 6};
+    promise.folded = {4, 5};
+    promise.diskFailing = true;
     return {replica::Heartbeat{1, 2.5},
             replica::HeartbeatReply{1, 2.5, 3, status},
             replica::Join{},
@@ -177,7 +181,7 @@
             replica::Decided{view()},
             replica::Propose{true, {4, 5}, batch},
             replica::Commit{{4, 6}},
-            replica::SyncRequest{{1, 1}},
+            replica::SyncRequest{{1, 1}, true},
             replica::SyncReply{{1, 1}, TableUpdate{{4, 6}, false, batch.changes}}};
 }
 
@@ -196,6 +200,14 @@
     EXPECT_EQ(encodeMessages(read.value()), bytes);
     const auto& promise = std::get<replica::Promise>(read.value()[4].body);
     EXPECT_EQ(promise.value, view());
+    EXPECT_EQ(promise.accepted, (replica::Ballot{2, "a", 12}));
+    EXPECT_EQ(promise.syncedEpoch, 3u);
+    EXPECT_EQ(promise.position, (Position{4, 6}));
+    EXPECT_EQ(promise.folded, (Position{4, 5}));
+    EXPECT_TRUE(promise.diskFailing);
+    const auto& request = std::get<replica::SyncRequest>(read.value()[11].body);
+    EXPECT_EQ(request.position, (Position{1, 1}));
+    EXPECT_TRUE(request.whole);
 }
 
 TEST(ReplicaCodec, RefusesWhatIsNoMessage) {
