Let a control member leave by agreement before it ends

Cause: SIGTERM ended a control member while it stood in the view. In a planned replacement the view of four then had one away for a second; another lost disk left two of four, for good. A member that held the only other copy went without anybody having it.

Change: an event Leave makes the replica say `leaving` in its status. From a settled view the planner leaves out as many of the leaving as the rest bears, with a waiting process in the place of each in the same view change. The leaving process votes, serves and passes on until a member of a view without it says that this view is settled; then Replica::left() holds. Control asks for it once the operators' calls in hand are answered, and ends when it has left, at the latest after half of grace_s (at most 3 s), as before. It does not ask to join; started again it joins as a new session.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -295,9 +295,13 @@
         });
     }
 
+    // First the operators' calls in hand are answered, then the others are asked for a view without this member; it goes on as
+    // a member until that view is settled, so that no copy and no vote is missing in between.
     bool hasLeft() {
         if (clock_.now() >= leaveBy_) return true;
-        bool idle = operatorApi_.inHand() == 0;
+        const bool answered = operatorApi_.inHand() == 0;
+        if (answered && !std::exchange(leaveAsked_, true)) driver_.leave();
+        bool idle = answered && driver_.left();
         for (net::HttpServer* server : servers()) {
             server->closeIdle(-1);
             idle = idle && server->connections() == 0;
@@ -326,7 +330,7 @@
     std::function<void()> stopped_;
     Millis leaveBy_ = 0;
     Millis openAt_ = 0;
-    bool leaving_ = false, abandoned_ = false;
+    bool leaving_ = false, leaveAsked_ = false, abandoned_ = false;
 };
 
 Control::Control(asio::io_context& io, const Clock& clock, Logger& logger, settings::ProcessSettings settings,
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -95,6 +95,12 @@
         if (replica_) handle(replica::SeedsChanged{std::move(addresses)});
     }
 
+    void leave() {
+        if (replica_) handle(replica::Leave{});
+    }
+
+    bool left() const { return !replica_ || replica_->left(clock_.now()); }
+
     void write(std::vector<Change> changes, std::function<void(bool)> done) {
         if (!replica_) return done(false);
         const std::uint64_t token = ++token_;
@@ -267,6 +273,8 @@
 }
 void ReplicaDriver::close() { impl_->close(); }
 void ReplicaDriver::seeds(std::vector<std::string> addresses) { impl_->seeds(std::move(addresses)); }
+void ReplicaDriver::leave() { impl_->leave(); }
+bool ReplicaDriver::left() const { return impl_->left(); }
 const replica::Replica* ReplicaDriver::replica() const { return impl_->replica(); }
 void ReplicaDriver::onRequest(std::string_view body, rpc::Reply reply) {
     impl_->onRequest(body, std::move(reply));
--- a/src/control/replica_driver.hpp
+++ b/src/control/replica_driver.hpp
@@ -53,6 +53,11 @@
     // Control addresses, read again from the settings; nothing while it is not open.
     void seeds(std::vector<std::string> addresses);
 
+    // Asks the others for a view without this process; see replica::Leave. To be called once no write is in hand.
+    void leave();
+    // Nothing hangs on this process any more; also where it is not open.
+    bool left() const;
+
     // Null until open.
     const replica::Replica* replica() const;
 
--- a/src/replica/events.hpp
+++ b/src/replica/events.hpp
@@ -41,8 +41,10 @@
 struct SeedsChanged {
     std::vector<std::string> seeds;  // control addresses
 };
+// This process is to end. It stays a full member until a view without it holds its starting state; see Replica::left().
+struct Leave {};
 using Event = std::variant<MessageReceived, Persisted, PersistFailed, Tick, ClientWrite, ReadBarrier,
-                           DiskHealth, SeedsChanged>;
+                           DiskHealth, SeedsChanged, Leave>;
 
 struct Send {
     std::string address;  // internal address
--- a/src/replica/failure_detector.cpp
+++ b/src/replica/failure_detector.cpp
@@ -18,7 +18,7 @@
     ++sequence_;
     lastRoundAt_ = now;
     nextRoundAt_ = now + kHeartbeatEvery * (0.95 + 0.05 * random_());
-    if (!membership_.voter()) return;
+    if (!watches()) return;
     for (const auto& [address, peer] : peers_) {
         if (watched_.contains(address) || now - peer.joinedAt <= kJoinerForgottenAfter)
             outbox_.send(address, Heartbeat{sequence_, now});
@@ -37,7 +37,7 @@
     }
     // Silence counts only from when heartbeats are sent to a process steadily.
     std::set<std::string> watched;
-    if (membership_.voter()) {
+    if (watches()) {
         for (const Member& member : membership_.view.members) {
             const std::string& address = member.internalAddress;
             if (address == membership_.self.internalAddress) continue;
--- a/src/replica/failure_detector.hpp
+++ b/src/replica/failure_detector.hpp
@@ -66,6 +66,8 @@
     bool vouchedSinceTime(Millis time) const;
 
 private:
+    // A leaving process that no view lists any more still asks whether the view without it is settled.
+    bool watches() const { return membership_.voter() || membership_.leaving; }
     Peer* add(Millis now, const Member& member);
     bool makeRoom();
     template <class Vouches>
@@ -75,7 +77,7 @@
     Outbox& outbox_;
     SplitMix random_;
     std::map<std::string, Peer> peers_;
-    std::set<std::string> watched_;  // the other members of the view, while this process is a voter
+    std::set<std::string> watched_;  // the other members of the view, while this process watches them
     std::uint64_t sequence_ = 0;
     Millis lastRoundAt_ = Peer::kNever;
     Millis nextRoundAt_;
--- a/src/replica/membership.hpp
+++ b/src/replica/membership.hpp
@@ -20,6 +20,7 @@
     std::optional<std::size_t> index;  // of this process in the view
     bool sealed = false;
     bool diskFailing = false;
+    bool leaving = false;  // asked to end; see Leave
 
     bool voter() const { return view.findDisk(self) != nullptr; }
     bool active() const { return index && !sealed; }
--- a/src/replica/messages.hpp
+++ b/src/replica/messages.hpp
@@ -30,6 +30,7 @@
     std::vector<std::string> reached;  // answered lately
     std::vector<std::string> unheard;  // members of the view that have not answered for the suspicion time
     std::string stalledAt;             // member at which the sender's batch hangs; empty: none
+    bool leaving = false;              // is to end: asks for a view without it, and not to be taken in
 };
 
 struct HeartbeatReply {
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -72,6 +72,19 @@
         setTimer(now);
     }
 
+    // A view is settled where one of its members says so: it knows then that all of them hold the starting state.
+    bool left(Millis now) const {
+        const View& view = membership_.view;
+        if (!membership_.leaving) return false;
+        if (view.epoch == 0) return true;
+        if (membership_.voter()) return view.members.size() == 1 && detector_.reached(now).empty();
+        return std::ranges::any_of(view.members, [&](const Member& member) {
+            const Peer* peer = detector_.find(member.internalAddress);
+            return peer && sameProcess(peer->member, member) && peer->epoch == view.epoch &&
+                   peer->status.settled;
+        });
+    }
+
     Membership& membership() { return membership_; }
     Chain& chain() { return chain_; }
     FailureDetector& detector() { return detector_; }
@@ -92,6 +105,13 @@
     void on(Millis now, const ReadBarrier& barrier) { reads_.add(now, barrier.token); }
     void on(Millis, const DiskHealth& health) { reportedFailing_ = health.failing; }
 
+    // The others learn of it by the answers to their heartbeats.
+    void on(Millis now, const Leave&) {
+        if (!membership_.leaving) outbox_.log("leaving");
+        membership_.leaving = true;
+        if (!membership_.voter()) detector_.enterView(now);
+    }
+
     void on(Millis, const SeedsChanged& changed) { membership_.settings.seeds = changed.seeds; }
 
     void complete(Millis now, std::uint64_t token, bool stored) {
@@ -158,6 +178,7 @@
         status.reached = detector_.reached(now);
         status.unheard = detector_.unheard(now);
         status.stalledAt = chain_.stalledAt(now, detector_);
+        status.leaving = membership_.leaving;
         return status;
     }
 
@@ -216,7 +237,7 @@
     }
 
     void join(Millis now) {
-        if (membership_.index || now < joinAt_) return;
+        if (membership_.index || membership_.leaving || now < joinAt_) return;
         joinAt_ = now + kJoinEvery;
         std::set<std::string> addresses;
         for (const Member& member : membership_.view.members) addresses.insert(member.internalAddress);
@@ -235,7 +256,7 @@
         const bool busy = !identified_ || viewChange_.busy() || chain_.busy() || reads_.busy() ||
                           outbox_.outstanding() > 0 || writesFail_;
         if (busy) next = std::min(next, now + kBusyTick);
-        if (!membership_.index) next = std::min(next, joinAt_);
+        if (!membership_.index && !membership_.leaving) next = std::min(next, joinAt_);
         next = std::max(next, now + 1);
         if (next == timer_) return;
         timer_ = next;
@@ -284,6 +305,8 @@
 bool Replica::isTail() const { return parts_->membership().isTail(); }
 bool Replica::writable() const { return parts_->chain().writable(); }
 
+bool Replica::left(Millis now) const { return parts_->left(now); }
+
 bool Replica::fresh(Millis now) const {
     const bool upToDate = parts_->membership().active() && parts_->chain().upToDate(now);
     return upToDate && parts_->detector().vouchedSinceTime(now - kFreshFor);
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -5,6 +5,7 @@
 //   not in a view  -> asks to join; votes in the last view that lists its disk
 //   in a view      -> not synced -> synced (holds the starting state on disk) -> settled (all members do)
 //   sealed         -> has promised for the next view: takes no further part in the present one
+//   leaving        -> goes on as before until a view without it is settled; does not ask to join
 #pragma once
 
 #include <cstdint>
@@ -47,6 +48,9 @@
     bool isTail() const;
     bool writable() const;         // head, settled, within tolerance, nothing in flight
     bool fresh(Millis now) const;  // may answer polls
+    // After Leave: nothing hangs on this process any more. The newest view lists neither it nor its disk, and all members of
+    // that view hold its starting state; or there is nobody to leave to. May never come true: the caller waits for a bounded time.
+    bool left(Millis now) const;
 
 private:
     class Parts;
--- a/src/replica/view_planner.cpp
+++ b/src/replica/view_planner.cpp
@@ -1,6 +1,7 @@
 #include "replica/view_planner.hpp"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace beechpoint::replica {
@@ -48,14 +49,19 @@
     assessMembers(now, assessment);
     assessLinks(now, assessment);
     assessStalls(now, assessment);
+    assessLeavers(now, assessment);
     assessJoiners(now, assessment);
-    std::vector<Member> planned = assessment.joiners;
-    for (const Member& member : membership_.view.members)
-        if (!assessment.excluded.contains(member.internalAddress)) planned.push_back(member);
-    assessment.possible = enough(planned);
+    assessment.possible = enough(planned(assessment));
     return assessment;
 }
 
+std::vector<Member> ViewPlanner::planned(const Assessment& assessment) const {
+    std::vector<Member> members = assessment.joiners;
+    for (const Member& member : membership_.view.members)
+        if (!assessment.excluded.contains(member.internalAddress)) members.push_back(member);
+    return members;
+}
+
 void ViewPlanner::assessMembers(Millis now, Assessment& assessment) const {
     const View& view = membership_.view;
     if (membership_.sealed) assessment.unfinished = true;
@@ -136,6 +142,30 @@
     assessment.excluded.insert(peer->status.stalledAt);
 }
 
+// Leaves out as many of the leaving as can be spared, the later in order first, with a joiner in the place of each where one
+// waits. Only from a settled view: all its members hold the state then, so the next one does not hang on a copy of a leaving
+// member, and one view change does not chase another.
+void ViewPlanner::assessLeavers(Millis now, Assessment& assessment) const {
+    if (!chain_.settled()) return;
+    for (const Member& member : membership_.view.members | std::views::reverse) {
+        const std::string& address = member.internalAddress;
+        if (assessment.excluded.contains(address) || !leaves(member, now)) continue;
+        Assessment without = assessment;
+        without.excluded.insert(address);
+        assessJoiners(now, without);
+        if (!maySpare(planned(without))) continue;
+        assessment.excluded.insert(address);
+        assessment.observed = true;
+    }
+}
+
+bool ViewPlanner::leaves(const Member& member, Millis now) const {
+    if (sameDisk(member, membership_.self)) return membership_.leaving;
+    const Peer* peer = detector_.find(member.internalAddress);
+    return peer && detector_.reachable(member.internalAddress, now) && sameDisk(peer->member, member) &&
+           peer->status.leaving;
+}
+
 void ViewPlanner::assessJoiners(Millis now, Assessment& assessment) const {
     std::size_t room = kMaxMembers - std::min(kMaxMembers, membership_.view.members.size());
     room += assessment.excluded.size();
@@ -151,7 +181,7 @@
     const View& view = membership_.view;
     const Member& member = peer.member;
     if (member.incarnation == 0 || !detector_.reachable(member.internalAddress, now)) return false;
-    if (peer.status.diskFailing || view.findDisk(member)) return false;
+    if (peer.status.diskFailing || peer.status.leaving || view.findDisk(member)) return false;
     const Member* namesake = view.find(member.name);
     if (namesake && !assessment.excluded.contains(namesake->internalAddress)) return false;
     const bool namedTwice = std::ranges::any_of(
@@ -187,6 +217,14 @@
     return membership_.settings.tolerance.covers(view);
 }
 
+// Whether members that still serve may be left out for these: what the view bears now it must bear then.
+bool ViewPlanner::maySpare(const std::vector<Member>& members) const {
+    View view;
+    view.members = members;
+    const Tolerance& tolerance = membership_.settings.tolerance;
+    return enough(members) && (tolerance.covers(view) || !tolerance.covers(membership_.view));
+}
+
 const Member* ViewPlanner::listed(const std::string& address) const {
     const auto& members = membership_.view.members;
     const auto found = std::ranges::find(members, address, &Member::internalAddress);
--- a/src/replica/view_planner.hpp
+++ b/src/replica/view_planner.hpp
@@ -52,11 +52,15 @@
     void assessMembers(Millis now, Assessment& assessment) const;
     void assessLinks(Millis now, Assessment& assessment) const;
     void assessStalls(Millis now, Assessment& assessment) const;
+    void assessLeavers(Millis now, Assessment& assessment) const;
     void assessJoiners(Millis now, Assessment& assessment) const;
+    std::vector<Member> planned(const Assessment& assessment) const;
+    bool leaves(const Member& member, Millis now) const;
     bool heardByAny(const std::string& address, Millis now) const;
     bool mayJoin(const Peer& peer, Millis now, const Assessment& assessment) const;
     bool reachedByAll(const std::string& address, Millis now, const Assessment& assessment) const;
     bool enough(const std::vector<Member>& members) const;
+    bool maySpare(const std::vector<Member>& members) const;
     const Member* listed(const std::string& address) const;
 
     const Membership& membership_;
--- a/tests/control/codec_test.cpp
+++ b/tests/control/codec_test.cpp
@@ -153,7 +153,7 @@
 std::vector<replica::Body> bodies() {
     const replica::Ballot ballot{2, "a", 12};
     replica::Status status;
-    status.sealed = status.diskFailing = true;
+    status.sealed = status.diskFailing = status.leaving = true;
     status.syncedEpoch = 4;
     status.chained = 2;
     status.committed = {4, 5};
@@ -205,6 +205,7 @@
     EXPECT_EQ(promise.position, (Position{4, 6}));
     EXPECT_EQ(promise.folded, (Position{4, 5}));
     EXPECT_TRUE(promise.diskFailing);
+    EXPECT_TRUE(std::get<replica::HeartbeatReply>(read.value()[1].body).status.leaving);
     const auto& request = std::get<replica::SyncRequest>(read.value()[11].body);
     EXPECT_EQ(request.position, (Position{1, 1}));
     EXPECT_TRUE(request.whole);
--- /dev/null
+++ b/tests/replica/leaving_test.cpp
@@ -0,0 +1,175 @@
+// Leaving by agreement, in virtual time: a process that is told to end stays a full member until a view without it is settled.
+#include <gtest/gtest.h>
+
+#include "simulated_cluster.hpp"
+
+namespace beechpoint::replica::simulation {
+namespace {
+
+constexpr Millis kBound = 3'000;         // what a leaving process may take at most
+constexpr Millis kLeavesWithin = 1'500;  // where the others can spare it
+constexpr Millis kCatchUp = 4'000;       // a loss counts for so long after the return
+constexpr Millis kRecoverWithin = 3'000;
+
+class LeavingTest : public ::testing::TestWithParam<std::uint64_t> {
+protected:
+    Cluster make(std::size_t nodes, Tolerance tolerance = {}) const {
+        ClusterOptions options;
+        options.seed = GetParam();
+        options.nodes = nodes;
+        options.tolerance = tolerance;
+        return Cluster(options);
+    }
+    static void found(Cluster& cluster) {
+        cluster.startClient();
+        ASSERT_TRUE(cluster.runUntil(6'000, [&] { return cluster.whole(); })) << cluster.describe();
+        cluster.runFor(500);
+    }
+    static bool recovers(Cluster& cluster) {
+        const std::uint64_t before = cluster.acknowledged();
+        return cluster.runUntil(kRecoverWithin, [&] { return cluster.acknowledged() > before + 1; });
+    }
+    // All that run share one view of so many members, and vouch for it.
+    static bool sharesView(Cluster& cluster, std::size_t members) {
+        for (std::size_t node = 0; node < cluster.nodes(); ++node) {
+            if (cluster.gone(node)) continue;
+            if (!cluster.up(node) || !cluster.replica(node).fresh(cluster.now())) return false;
+            if (cluster.replica(node).view().members.size() != members) return false;
+        }
+        return true;
+    }
+    static std::size_t headOf(Cluster& cluster) {
+        for (std::size_t node = 0; node < cluster.nodes(); ++node)
+            if (cluster.up(node) && cluster.replica(node).isHead()) return node;
+        return 0;
+    }
+};
+
+TEST_P(LeavingTest, AMemberEndsOnceAViewWithoutItIsSettled) {
+    Cluster cluster = make(3);
+    found(cluster);
+    const std::size_t node = GetParam() % 3;
+    cluster.leave(node);
+    EXPECT_TRUE(cluster.runUntil(kLeavesWithin, [&] { return !cluster.up(node); })) << cluster.describe();
+    EXPECT_EQ(cluster.leftByAgreement(), 1u);
+    EXPECT_TRUE(recovers(cluster));
+    cluster.start(node);
+    EXPECT_TRUE(cluster.runUntil(kRecoverWithin, [&] { return cluster.whole(); })) << cluster.describe();
+    EXPECT_FALSE(cluster.failed()) << cluster.failure();
+}
+
+// The new one comes first, then the old one is told to end; right when it has ended a second machine loses its disk.
+TEST_P(LeavingTest, AWipeRightAfterAPlannedReplacementLeavesAMajority) {
+    Cluster cluster = make(3);
+    found(cluster);
+    const std::size_t old = GetParam() % 3;
+    const std::size_t added = cluster.addReplacement(old, false);
+    cluster.start(added);
+    ASSERT_TRUE(cluster.runUntil(kCatchUp, [&] { return cluster.replica(added).inView(); }));
+    cluster.runFor(cluster.draw(0, 1'000));
+    cluster.leave(old);
+    ASSERT_TRUE(cluster.runUntil(kBound + 1, [&] { return !cluster.up(old); }));
+    cluster.setGone(old);
+    EXPECT_EQ(cluster.leftByAgreement(), 1u) << cluster.describe();
+    const std::size_t second = (old + 1) % 3;
+    cluster.losePower(second);
+    cluster.wipe(second);
+    EXPECT_TRUE(recovers(cluster)) << cluster.describe();
+    cluster.start(second);
+    EXPECT_TRUE(cluster.runUntil(kRecoverWithin, [&] { return sharesView(cluster, 3); }))
+        << cluster.describe();
+    EXPECT_FALSE(cluster.failed()) << cluster.failure();
+}
+
+// Two members that must both hold everything: the one that ends is exchanged for one that waits, whose disk is slow.
+TEST_P(LeavingTest, TheOnlyOtherCopyWaitsUntilItsSuccessorHoldsTheState) {
+    Cluster cluster = make(2);
+    found(cluster);
+    const std::size_t added = cluster.addReplacement(1, false);
+    cluster.leave(1);
+    cluster.runFor(300);
+    EXPECT_TRUE(cluster.up(1));
+    cluster.start(added);
+    cluster.runUntil(1'000, [&] { return cluster.replica(0).view().members.back().name == "core-2"; });
+    cluster.stallDisk(added, cluster.now() + 600);
+    EXPECT_TRUE(cluster.runUntil(kBound, [&] { return !cluster.up(1); })) << cluster.describe();
+    EXPECT_EQ(cluster.leftByAgreement(), 1u) << cluster.describe();
+    cluster.setGone(1);
+    EXPECT_TRUE(recovers(cluster)) << cluster.describe();
+    EXPECT_FALSE(cluster.failed()) << cluster.failure();
+}
+
+// Nobody can take its place: it serves to the end of its time.
+TEST_P(LeavingTest, AMemberThatCanNotBeSparedStaysToTheBound) {
+    Cluster cluster = make(2);
+    found(cluster);
+    const Millis began = cluster.now();
+    cluster.leave(1);
+    EXPECT_TRUE(recovers(cluster));
+    EXPECT_TRUE(cluster.runUntil(kBound + 1, [&] { return !cluster.up(1); }));
+    EXPECT_NEAR(cluster.now() - began, kBound, 1);
+    EXPECT_EQ(cluster.replica(0).view().members.size(), 2u);
+    EXPECT_EQ(cluster.leftByAgreement(), 0u);
+    EXPECT_FALSE(cluster.failed()) << cluster.failure();
+}
+
+TEST_P(LeavingTest, MembersAreRolledOneAfterAnother) {
+    for (const std::size_t nodes : {3, 5}) {
+        Cluster cluster = make(nodes, {nodes / 2, 1});
+        found(cluster);
+        for (std::size_t node = 0; node < nodes; ++node) {
+            cluster.leave(node);
+            ASSERT_TRUE(cluster.runUntil(kLeavesWithin, [&] { return !cluster.up(node); }))
+                << cluster.describe();
+            cluster.runFor(cluster.draw(100, 800));
+            cluster.start(node);
+            EXPECT_TRUE(recovers(cluster)) << cluster.describe();
+            ASSERT_TRUE(cluster.runUntil(kRecoverWithin, [&] { return cluster.whole(); }))
+                << cluster.describe();
+        }
+        EXPECT_EQ(cluster.leftByAgreement(), nodes);
+        EXPECT_FALSE(cluster.failed()) << cluster.failure();
+    }
+}
+
+TEST_P(LeavingTest, AllAtOnceEndInsideTheBoundWithoutALoopOfViews) {
+    for (const std::size_t nodes : {3, 5}) {
+        Cluster cluster = make(nodes, {nodes / 2, 1});
+        found(cluster);
+        const std::uint64_t epoch = cluster.replica(0).view().epoch;
+        for (std::size_t node = 0; node < nodes; ++node) cluster.leave(node);
+        EXPECT_TRUE(cluster.runUntil(kBound + 1, [&] {
+            for (std::size_t node = 0; node < nodes; ++node)
+                if (cluster.up(node)) return false;
+            return true;
+        }));
+        std::uint64_t newest = 0;
+        for (std::size_t node = 0; node < nodes; ++node)
+            newest = std::max(newest, cluster.disk(node).control.view.epoch);
+        EXPECT_LE(newest, epoch + nodes);
+        for (std::size_t node = 0; node < nodes; ++node) cluster.start(node);
+        EXPECT_TRUE(cluster.runUntil(kCatchUp, [&] { return cluster.whole(); })) << cluster.describe();
+        EXPECT_TRUE(recovers(cluster));
+        EXPECT_FALSE(cluster.failed()) << cluster.failure();
+    }
+}
+
+// Ended and started again at once: the new session simply joins.
+TEST_P(LeavingTest, ALeavingHeadThatIsRestartedJoinsAgain) {
+    Cluster cluster = make(3);
+    found(cluster);
+    const std::size_t node = headOf(cluster);
+    cluster.leave(node);
+    cluster.runFor(cluster.draw(0, 700));
+    cluster.kill(node);
+    cluster.runFor(cluster.draw(10, 300));
+    cluster.start(node);
+    EXPECT_TRUE(cluster.runUntil(kRecoverWithin, [&] { return cluster.whole(); })) << cluster.describe();
+    EXPECT_TRUE(recovers(cluster));
+    EXPECT_FALSE(cluster.failed()) << cluster.failure();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LeavingTest, ::testing::Range<std::uint64_t>(1, 13));
+
+}  // namespace
+}  // namespace beechpoint::replica::simulation
--- a/tests/replica/simulated_cluster.cpp
+++ b/tests/replica/simulated_cluster.cpp
@@ -89,7 +89,7 @@
 void Cluster::endProcess(std::size_t index) {
     Node& node = nodes_[index];
     node.replica.reset();
-    node.frozen = false;
+    node.frozen = node.leaving = false;
     node.waiting.clear();
     // The update on its way to the disk may or may not have got there.
     if (!node.persists.empty() && node.diskBusy && !node.diskFails && random_() < 0.5) {
@@ -119,6 +119,16 @@
         node.synced = node.written;
 }
 
+void Cluster::leave(std::size_t index, Millis most) {
+    if (!up(index) || leaving(index)) return;
+    note(fmt::format("leave {}", index));
+    nodes_[index].leaving = true;
+    at(now_ + most, [this, index, life = nodes_[index].life] {
+        if (nodes_[index].life == life) kill(index);
+    });
+    deliver(index, Leave{});
+}
+
 void Cluster::wipe(std::size_t index) {
     Node& node = nodes_[index];
     if (node.replica) return;
@@ -440,6 +450,7 @@
         fail(fmt::format("node {} went back from {} to {}", index, text(node.shown), text(position)));
     if (position != node.shown) checkState(index);
     node.shown = position;
+    if (node.leaving && node.replica->left(now_)) checkLeft(index);
     if (!node.replica->fresh(now_)) return;
     while (acknowledgements_.size() > 1 && acknowledgements_[1].first < now_ - kFreshLag)
         acknowledgements_.pop_front();
@@ -449,6 +460,28 @@
                          text(acknowledgements_.front().second)));
 }
 
+// Nothing may hang on a process that says it has left: every member of the view without it holds all that was acknowledged.
+void Cluster::checkLeft(std::size_t index) {
+    Node& node = nodes_[index];
+    node.leaving = false;
+    ++leftByAgreement_;
+    note(fmt::format("left {}", index));
+    at(now_, [this, index, life = node.life] {
+        if (nodes_[index].life == life) kill(index);
+    });
+    const View& view = node.replica->view();
+    if (view.epoch > 0 && view.findDisk(node.member) && view.members.size() > 1)
+        fail(fmt::format("node {} left the view of epoch {} that lists it", index, view.epoch));
+    for (const Member& member : view.members) {
+        const DurableState& disk = nodes_[byAddress_[member.internalAddress]].written;
+        const Position stored = disk.pending ? disk.pending->position : disk.position;
+        if (disk.control.incarnation != member.incarnation) continue;  // was emptied since
+        if (disk.syncedEpoch < view.epoch || stored < acknowledged_)
+            fail(fmt::format("node {} left before {} held the state of epoch {}", index, member.name,
+                             view.epoch));
+    }
+}
+
 bool Cluster::whole() const {
     return std::ranges::all_of(nodes_, [&](const Node& node) {
         if (node.gone) return true;
--- a/tests/replica/simulated_cluster.hpp
+++ b/tests/replica/simulated_cluster.hpp
@@ -70,6 +70,10 @@
     void start(std::size_t node, bool bootstrap = false);
     void kill(std::size_t node);
     void losePower(std::size_t node);
+    // SIGTERM: asks the others for a view without it; ends once it has left, or after the span.
+    void leave(std::size_t node, Millis most = 3'000);
+    bool leaving(std::size_t node) const { return nodes_[node].leaving; }
+    std::uint64_t leftByAgreement() const { return leftByAgreement_; }
     void wipe(std::size_t node);  // only while it is down
     std::size_t addReplacement(std::size_t node, bool sameName);
     void freeze(std::size_t node);
@@ -133,6 +137,7 @@
         std::uint64_t life = 0;  // of the process: events of an earlier one are void
         bool frozen = false;
         bool gone = false;          // for good
+        bool leaving = false;       // was told to, and runs still
         std::deque<Event> waiting;  // while frozen
         DurableState written;       // what the operating system has
         DurableState synced;        // what a loss of power leaves
@@ -178,6 +183,7 @@
     void readOnce();
     void clientStep();
     void checkNode(std::size_t node);
+    void checkLeft(std::size_t node);
     void checkState(std::size_t node);
     void checkDisk(std::size_t node);
     void onWriteDone(std::size_t node, const WriteDone& done);
@@ -208,6 +214,7 @@
     std::function<void()> afterWrite_;
     std::function<void()> afterView_;
     std::uint64_t clientSteps_ = 0;
+    std::uint64_t leftByAgreement_ = 0;
     Position acknowledged_;
     std::deque<std::pair<Millis, Position>> acknowledgements_;
     std::map<std::uint64_t, Canon> canon_;  // by sequence: the one history
--- a/tests/replica/simulation_test.cpp
+++ b/tests/replica/simulation_test.cpp
@@ -15,6 +15,9 @@
 
 constexpr Millis kRecoverWithin = 3'000;
 constexpr Millis kReturnWithin = 3'000;
+constexpr Millis kCatchUp = 4'000;         // a loss counts for so long after the return
+constexpr Millis kLeavingBound = 3'001;    // a process that is told to end does so by then
+constexpr Millis kSuccessorAfter = 1'000;  // an empty machine comes so long after one that is gone for good
 
 std::uint64_t seedsPerMix() {
     const char* wanted = std::getenv("REPLICA_SEEDS");
@@ -265,6 +268,52 @@
     });
 }
 
+// One machine takes the place of another, announced (the new one comes first, then the old one is told to end) or not (it is
+// gone for good, an empty one comes a second later). As soon as the old one no longer counts as lost the next loss comes, at
+// the very moment: a lost disk, a power cut, a cut line or another announced one.
+std::size_t replaceMachine(Cluster& cluster, std::size_t old, bool announced) {
+    const std::size_t added = cluster.addReplacement(old, cluster.random()() < 0.5 && !announced);
+    if (announced) {
+        cluster.start(added);
+        cluster.runFor(kCatchUp);
+        cluster.leave(old);
+        cluster.runUntil(kLeavingBound, [&] { return !cluster.up(old); });
+        cluster.setGone(old);
+        return added;
+    }
+    cluster.losePower(old);
+    cluster.setGone(old);
+    cluster.runFor(kSuccessorAfter);
+    cluster.start(added);
+    cluster.runFor(kCatchUp);
+    return added;
+}
+
+TEST(Simulation, ASecondLossRightAfterAReplacement) {
+    play("a second loss right after a replacement", [](Cluster& cluster) {
+        for (int round = 0; round < 3 && !cluster.failed(); ++round) {
+            replaceMachine(cluster, anyNode(cluster), cluster.random()() < 0.5);
+            cluster.countFault();
+            const std::size_t second = anyNode(cluster);
+            const double kind = cluster.random()();
+            if (kind < 0.8) cluster.losePower(second);
+            if (kind < 0.5) cluster.wipe(second);
+            for (std::size_t peer = 0; peer < cluster.nodes(); ++peer)
+                if (kind >= 0.8) cluster.cut(second, peer, peer != second);
+            if (!recovers(cluster) && !cluster.failed())
+                cluster.fail("no write within 3 s of the second loss");
+            cluster.runFor(cluster.draw(0, 1'000));
+            cluster.joinAll();
+            cluster.start(second);
+            cluster.runFor(kCatchUp);
+            if (!cluster.whole() && !cluster.failed()) cluster.fail("not whole when the second loss is over");
+        }
+        // The last one is struck while a write is under way, as in the other mixes.
+        strike(cluster, [&] { cluster.losePower(anyNode(cluster)); });
+        cluster.heal();
+    });
+}
+
 void anyFault(Cluster& cluster) {
     const std::size_t node = anyNode(cluster);
     const std::size_t other = anyNode(cluster);
