Let no call number come again on a connection, and force answers that cross

An answer of a peer ends a call by number and address. A call that timed out while its connection was kept leaves a late answer behind; its number came again after 2^32 calls and could then have met another call on a connection of that age. When the numbers begin anew, all connections are closed; a call that still waits for its dial keeps its number.

--- a/src/rpc/client.cpp
+++ b/src/rpc/client.cpp
@@ -56,6 +56,7 @@
     if (!found) return failLater(found.error(), std::move(callback));
     Peer& peer = *found.value();
     const std::chrono::duration<double, std::milli> within(std::clamp(timeout, 1.0, 1e9));
+    const CallNumber number = nextNumber();
     Call call;
     call.peer = &peer;
     call.deadline = std::chrono::steady_clock::now() +
@@ -63,7 +64,6 @@
     call.generation = peer.generation;
     call.unsent = std::move(bytes);
     call.callback = std::move(callback);
-    const CallNumber number = nextNumber();
     deadlines_.emplace(call.deadline, number);
     calls_.emplace(number, std::move(call));
     armTimer();
@@ -74,11 +74,23 @@
 }
 
 ClientState::CallNumber ClientState::nextNumber() {
-    do ++lastNumber_;
+    do
+        if (++lastNumber_ == 0) closeConnections("all numbers of calls have been used, they begin anew");
     while (calls_.contains(lastNumber_));
     return lastNumber_;
 }
 
+// Fails the calls that were sent; those that wait for a dial go on waiting.
+void ClientState::closeConnections(const std::string& reason) {
+    Endings endings;
+    for (const auto& [address, peer] : peers_) {
+        if (!peer->connection) continue;
+        hangUp(*peer);
+        failCalls(*peer, Which::sent, reason, endings);
+    }
+    for (Ended& ended : endings) failLater(ended.result.error(), std::move(ended.callback));
+}
+
 void ClientState::failLater(Error error, Client::Callback callback) {
     asio::post(io_, later([error = std::move(error), callback = std::move(callback)](ClientState&) {
                    callback(error);
--- a/src/rpc/client_state.hpp
+++ b/src/rpc/client_state.hpp
@@ -9,6 +9,10 @@
 //   any             | a call of this generation | idle, or dialling when calls wait that were not sent; those that were
 //                   | times out                 | sent fail
 //
+// An answer is taken for a call only from the peer that was asked and on the connection that the call was sent on: the call
+// ends with its connection, and a connection that has been let go of hands on no more frames. A call's number is not used
+// again on the same connection: when all have been used, all connections are closed.
+//
 // The generation rises whenever a peer goes back to idle: a call that began before the present connection or dial does
 // not end it when it times out, so that a burst of time-outs closes once.
 #pragma once
@@ -33,7 +37,11 @@
 
 class ClientState : public std::enable_shared_from_this<ClientState> {
 public:
-    ClientState(asio::io_context& io, Logger& log) : io_(io), log_(log), timer_(io) {}
+    using CallNumber = std::uint32_t;
+
+    // `lastNumber`: the number before that of the first call.
+    ClientState(asio::io_context& io, Logger& log, CallNumber lastNumber = 0)
+        : io_(io), log_(log), lastNumber_(lastNumber), timer_(io) {}
     ClientState(const ClientState&) = delete;
     ClientState& operator=(const ClientState&) = delete;
 
@@ -46,7 +54,6 @@
 
 private:
     using TimePoint = std::chrono::steady_clock::time_point;
-    using CallNumber = std::uint32_t;
 
     struct Peer {
         Peer(asio::io_context& io, std::string at, std::string nngUrl)
@@ -91,6 +98,7 @@
     void hangUp(Peer& peer);
 
     CallNumber nextNumber();
+    void closeConnections(const std::string& reason);
     void send(CallNumber number, Endings& endings);
     void end(CallNumber number, Result<std::string> result, Endings& endings);
     enum class Which { sent, all };
@@ -106,7 +114,7 @@
     std::map<std::string, std::unique_ptr<Peer>> peers_;
     std::uint64_t uses_ = 0;
     std::map<CallNumber, Call> calls_;
-    CallNumber lastNumber_ = 0;
+    CallNumber lastNumber_;
     std::set<std::pair<TimePoint, CallNumber>> deadlines_;
     asio::steady_timer timer_;
     std::optional<TimePoint> armedFor_;
