Tell a surplus answer and a reset from the answer and the end of the next try

An end behind a failed write is no clean end now. - The attempt id tells answers of two requests apart, not two answers to one request that is sent again on the same connection. A host that turned a request away and said so once more when it came again made the second try look as not run while it ran, so that a request that can't be repeated could be sent a third time. A connection now remembers the ids of its last 32 requests and is not taken for one of them; requests without an id count as having the same. At the most connections to a host the one unused longest makes room.

--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 
 namespace beechpoint::upstream {
 
@@ -105,6 +106,7 @@
 
 void Connection::sendRequest() {
     state_ = State::busy;
+    rememberId(exchange_->request.attemptId);
     head_ = requestHead(exchange_->request);
     written_ = 0;
     writeFailed_ = requestSent_ = answerBegun_ = reusable_ = false;
@@ -115,6 +117,21 @@
     read();
 }
 
+void Connection::rememberId(std::string_view attemptId) {
+    const std::size_t hash = std::hash<std::string_view>{}(attemptId);
+    if (carriedIds_.size() < kIdsRemembered)
+        carriedIds_.push_back(hash);
+    else
+        carriedIds_[carried_ % kIdsRemembered] = hash;
+    ++carried_;
+}
+
+bool Connection::hasCarried(std::string_view attemptId) const {
+    const std::size_t hash =
+        std::hash<std::string_view>{}(attemptId);  // an equal one of another id costs a dial
+    return std::find(carriedIds_.begin(), carriedIds_.end(), hash) != carriedIds_.end();
+}
+
 // A write that fails is not the end yet: the host may have answered before it closed.
 void Connection::write() {
     const auto& body = exchange_->request.body;
@@ -176,7 +193,8 @@
         ++counts_.idleClosed;
         return close();
     }
-    const bool clean = error == asio::error::eof;
+    // A reset is told once: where a write was told of it, what is read is an end.
+    const bool clean = error == asio::error::eof && !writeFailed_;
     const std::string message = clean ? "the host closed the connection" : error.message();
     if (!answerBegun_) {
         const bool begun = buffer_.size() > 0 || interimHeads_ > 0;
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -11,6 +11,8 @@
 #include <asio/steady_timer.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "net/buffer.hpp"
 #include "net/framing.hpp"
@@ -54,6 +56,9 @@
     void use(ExchangePtr exchange);
     // Whether the host has neither ended the unused connection nor sent anything on it.
     bool usable();
+    // Whether a request with that id was among the last kIdsRemembered on this connection. A surplus answer to that one would
+    // be taken for the answer to a second: a connection carries each id once.
+    bool hasCarried(std::string_view attemptId) const;
     // Drops the exchange in hand without a word and closes.
     void abandon();
     // Ends the exchange in hand with that failure and closes.
@@ -65,6 +70,7 @@
     const ExchangePtr& exchange() const { return exchange_; }
 
 private:
+    static constexpr std::size_t kIdsRemembered = 32;
     enum class State { dialling, busy, unused, closed };
     using Timepoint = std::chrono::steady_clock::time_point;
 
@@ -72,6 +78,7 @@
     void onTimer();
     void onConnected(asio::error_code error);
     void sendRequest();
+    void rememberId(std::string_view attemptId);
     void write();
     void read();
     void onReadable();
@@ -97,8 +104,10 @@
     std::uint64_t timerTurn_ = 0;  // which of the timer's settings is in force
     ExchangePtr exchange_;
     Millis dialBegan_ = 0, connectTime_ = 0;
-    std::string head_;         // of the request
-    std::size_t written_ = 0;  // bytes of head and body that the system has
+    std::vector<std::size_t> carriedIds_;  // hashes; a ring once it is full
+    std::size_t carried_ = 0;              // requests so far
+    std::string head_;                     // of the request
+    std::size_t written_ = 0;              // bytes of head and body that the system has
     bool writeFailed_ = false, requestSent_ = false;
     bool waitsReadable_ = false, waitsWritable_ = false;
     net::Buffer buffer_;
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -92,7 +92,8 @@
         Millis usedAt = 0;
     };
 
-    ConnectionPtr takeUnused(const HostAddress& host);
+    ConnectionPtr takeUnused(const HostAddress& host, std::string_view attemptId);
+    void closeLongestUnused(const HostAddress& host);
     void refuse(const ExchangePtr& exchange);
     void closeUnused(const HostAddress& host);
     void makeRoomForHost();
@@ -115,12 +116,13 @@
     exchange->deadline =
         std::chrono::steady_clock::now() + std::chrono::microseconds(std::llround(timeout * 1000));
     ++counts_.exchanges;
-    if (const ConnectionPtr kept = takeUnused(host)) {
+    if (const ConnectionPtr kept = takeUnused(host, exchange->request.attemptId)) {
         exchanges_[exchange->handle] = kept;
         pools_[host].most = maxConnections;
         kept->use(exchange);
         return exchange->handle;
     }
+    if (connections(host) >= maxConnections) closeLongestUnused(host);
     if (connections(host) >= maxConnections) {
         refuse(exchange);
         return exchange->handle;
@@ -137,20 +139,36 @@
     return exchange->handle;
 }
 
-ConnectionPtr Upstream::Impl::takeUnused(const HostAddress& host) {
-    for (;;) {
-        const auto pool = pools_.find(host);  // closing its last connection ends it
-        if (pool == pools_.end() || pool->second.unused.empty()) return nullptr;
-        const ConnectionPtr connection = pool->second.unused.back();
-        if (connection->usable()) {
-            pool->second.unused.pop_back();
-            pool->second.dropped = false;
-            pool->second.usedAt = clock_.now();
-            return connection;
+// The one used last among those that have not carried the id.
+ConnectionPtr Upstream::Impl::takeUnused(const HostAddress& host, std::string_view attemptId) {
+    const auto found = pools_.find(host);
+    if (found == pools_.end()) return nullptr;
+    const std::vector<ConnectionPtr> unused =
+        found->second.unused;  // closing one changes the pool, or ends it
+    for (auto next = unused.rbegin(); next != unused.rend(); ++next) {
+        const ConnectionPtr& connection = *next;
+        if (!connection->usable()) {
+            ++counts_.idleClosed;
+            connection->close();
+            continue;
         }
-        ++counts_.idleClosed;
-        connection->close();
+        if (connection->hasCarried(attemptId)) continue;
+        Pool& pool = pools_[host];
+        std::erase(pool.unused, connection);
+        pool.dropped = false;
+        pool.usedAt = clock_.now();
+        return connection;
     }
+    return nullptr;
+}
+
+// A place for a new connection, where those that lie unused can't be taken.
+void Upstream::Impl::closeLongestUnused(const HostAddress& host) {
+    const auto pool = pools_.find(host);
+    if (pool == pools_.end() || pool->second.unused.empty()) return;
+    const ConnectionPtr longest = pool->second.unused.front();
+    ++counts_.idleClosed;
+    longest->close();
 }
 
 // Told from the loop: no handler is called from within send().
--- a/src/upstream/upstream.hpp
+++ b/src/upstream/upstream.hpp
@@ -123,8 +123,8 @@
     Upstream(const Upstream&) = delete;
     Upstream& operator=(const Upstream&) = delete;
 
-    // Sends a request on an unused connection or a new one, of which there may be `maxConnections` to that host, dials
-    // under way included. `timeout`: ms from now to the end of the answer.
+    // Sends a request on an unused connection that has not carried its attempt id, or on a new one, of which there may be
+    // `maxConnections` to that host, dials under way included. `timeout`: ms from now to the end of the answer.
     Handle send(const HostAddress& host, std::size_t maxConnections, Request request, Millis timeout,
                 Handlers handlers);
     // Closes the exchange's connection at once, so that the host drops the request. Unknown and ended handles are ignored.
