Find taken calls by key, and evict them in the order of their revisions

Cause: what is remembered of taken calls was found by a walk over all of it, twice for each write that is accepted and once for each other one.

Change: a call names its revision in its body; its digest is looked up under that revision alone. Keys hold 20 digits, so that the first one is the lowest revision, and the number of entries stands under meta/taken: eviction takes the first key. Bounds: 2,048 entries, 118,784 bytes of keys and values. Another body under a taken revision can't be taken for it by its number, and a digest that another revision has is not looked at. The table of an earlier release is read as before and written anew, once, at the next accepted call. A version in If-Match is the same call however it is written.

Tests: taken_calls_test.cpp. Changed: Put.ChangesOnlyWhatDiffers, Put.KeepsTheOrderOfTheListWithFewChanges and Patch.ChangesOnlyWhatIsNamed name the new keys (one more change in a batch); Put.RemembersABoundedNumberOfCalls is replaced by TakenCalls.AreBoundedAndTheLowestRevisionsGiveWay, which checks every entry kept and every one evicted, and the bytes.

--- /dev/null
+++ b/src/configuration/body_revision.cpp
@@ -0,0 +1,69 @@
+#include "configuration/body_revision.hpp"
+
+#include <rapidjson/memorystream.h>
+#include <rapidjson/reader.h>
+
+#include <cmath>
+#include <cstddef>
+
+namespace beechpoint::configuration {
+namespace {
+
+constexpr std::string_view kRevisionMember = "revision";
+constexpr unsigned kFlags = rapidjson::kParseIterativeFlag | rapidjson::kParseFullPrecisionFlag;
+
+// Ends the parse (by returning false) at the value of the member.
+class RevisionFinder : public rapidjson::BaseReaderHandler<rapidjson::UTF8<>, RevisionFinder> {
+public:
+    bool Default() { return !atRevision_; }
+    bool Uint(unsigned number) { return take(std::uint64_t{number}); }
+    bool Uint64(std::uint64_t number) { return take(number); }
+    bool Double(double number) { return take(wholeRevision(number)); }
+    bool Key(const char* text, rapidjson::SizeType size, bool) {
+        atRevision_ = depth_ == 1 && std::string_view{text, size} == kRevisionMember;
+        return true;
+    }
+    bool StartObject() { return enter(); }
+    bool StartArray() { return enter(); }
+    bool EndObject(rapidjson::SizeType) { return leave(); }
+    bool EndArray(rapidjson::SizeType) { return leave(); }
+
+    std::optional<std::uint64_t> found() const { return found_; }
+
+private:
+    bool enter() {
+        depth_++;
+        return !atRevision_;
+    }
+    bool leave() {
+        depth_--;
+        return true;
+    }
+    bool take(std::optional<std::uint64_t> number) {
+        if (atRevision_) found_ = number;
+        return !atRevision_;
+    }
+
+    std::size_t depth_ = 0;
+    bool atRevision_ = false;
+    std::optional<std::uint64_t> found_;
+};
+
+}  // namespace
+
+std::optional<std::uint64_t> wholeRevision(double number) {
+    // A larger fraction may not be the whole number that was meant.
+    constexpr double kExactlyWhole = 9007199254740992.0;
+    if (!(number >= 0) || number > kExactlyWhole || number != std::floor(number)) return std::nullopt;
+    return static_cast<std::uint64_t>(number);
+}
+
+std::optional<std::uint64_t> revisionOfBody(std::string_view body) {
+    rapidjson::MemoryStream text{body.data(), body.size()};
+    rapidjson::Reader reader;
+    RevisionFinder finder;
+    reader.Parse<kFlags>(text, finder);
+    return finder.found();
+}
+
+}  // namespace beechpoint::configuration
--- a/src/configuration/document.cpp
+++ b/src/configuration/document.cpp
@@ -2,9 +2,9 @@
 
 #include <fmt/format.h>
 
-#include <cmath>
 #include <utility>
 
+#include "configuration/body_revision.hpp"
 #include "configuration/configuration_fields.hpp"
 #include "configuration/items.hpp"
 #include "configuration/json_source.hpp"
@@ -27,11 +27,9 @@
     const Json* const revision = memberOf(body, kRevision);
     if (!revision || !revision->IsNumber()) return unreadable;
     if (revision->IsUint64()) return revision->GetUint64();
-    // A larger fraction may not be the whole number that was meant.
-    constexpr double kExactlyWhole = 9007199254740992.0;
-    const double value = revision->GetDouble();
-    if (value < 0 || value > kExactlyWhole || value != std::floor(value)) return unreadable;
-    return static_cast<std::uint64_t>(value);
+    const std::optional<std::uint64_t> whole = wholeRevision(revision->GetDouble());
+    if (!whole) return unreadable;
+    return *whole;
 }
 
 // Takes a parsed body apart.
--- a/src/configuration/editing.cpp
+++ b/src/configuration/editing.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <optional>
 
+#include "configuration/body_revision.hpp"
 #include "configuration/document.hpp"
 #include "configuration/partial_change.hpp"
 #include "configuration/stored_item.hpp"
@@ -22,7 +23,7 @@
     return text.substr(begin, text.find_last_not_of(kBlank) - begin + 1);
 }
 
-// The version in an If-Match header, which may stand in quotes.
+// The version in an If-Match header, which may stand in quotes. However it is written, a call counts as the same one.
 std::optional<std::uint64_t> matchedVersion(std::string_view header) {
     std::string_view digits = trimmed(header);
     if (digits.size() >= 2 && digits.front() == '"' && digits.back() == '"')
@@ -52,11 +53,14 @@
 }
 
 Result<Decision> decide(const Table& table, const Call& call, DocumentKind kind) {
-    std::string digest = callDigest(call);
-    if (const auto revision = takenUnder(table, digest)) return Decision{AlreadyTaken{*revision}};
+    const std::optional<std::uint64_t> matched = matchedVersion(call.ifMatch);
+    const std::string ifMatch = matched ? std::to_string(*matched) : std::string{call.ifMatch};
+    std::string digest = callDigest({call.method, ifMatch, call.body});
+    const std::optional<std::uint64_t> named = revisionOfBody(call.body);
+    if (named && isTaken(table, *named, digest)) return Decision{AlreadyTaken{*named}};
     const std::uint64_t current = currentRevision(table);
     // Before the body is read: where it is invalid as well, either answer will do.
-    if (matchedVersion(call.ifMatch) != current) return versionConflict(current);
+    if (matched != current) return versionConflict(current);
     Result<Document> read = readDocument(call.body, kind);
     if (!read) return read.error();
     Document& document = read.value();
--- a/src/configuration/taken_calls.cpp
+++ b/src/configuration/taken_calls.cpp
@@ -5,22 +5,61 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-#include <algorithm>
 #include <charconv>
+#include <map>
+#include <optional>
+#include <utility>
 
-#include "configuration/editing.hpp"
-#include "configuration/stored_item.hpp"
 #include "configuration/table_ranges.hpp"
 
 namespace beechpoint::configuration {
 namespace {
 
-std::optional<std::uint64_t> revisionOf(std::string_view digits) {
-    std::uint64_t revision = 0;
+std::optional<std::uint64_t> numberOf(std::string_view digits) {
+    std::uint64_t number = 0;
     const char* const end = digits.data() + digits.size();
-    const auto [stop, error] = std::from_chars(digits.data(), end, revision);
+    const auto [stop, error] = std::from_chars(digits.data(), end, number);
     if (error != std::errc{} || stop != end) return std::nullopt;
-    return revision;
+    return number;
+}
+
+std::string takenKey(std::uint64_t revision) {
+    return fmt::format("{}{:0{}}", kTakenPrefix, revision, kRevisionDigits);
+}
+
+// As earlier releases wrote it.
+std::string unpaddedKey(std::uint64_t revision) { return fmt::format("{}{}", kTakenPrefix, revision); }
+
+bool holds(const Table& table, const std::string& key, std::string_view value) {
+    const auto found = table.find(key);
+    return found != table.end() && found->second == value;
+}
+
+std::optional<std::uint64_t> storedCount(const Table& table) {
+    const auto found = table.find(std::string{kTakenCountKey});
+    return found == table.end() ? std::nullopt : numberOf(found->second);
+}
+
+// A table of an earlier release has no count and shorter keys: they are written anew, once. Returns how many calls remain, with room
+// for one more.
+std::uint64_t rewriteKeys(const Table& table, std::vector<Change>& changes) {
+    std::map<std::uint64_t, std::string> digests;
+    eachWithPrefix(table, kTakenPrefix, [&](std::string_view name, std::string_view digest) {
+        changes.push_back({joinedKey(kTakenPrefix, name), std::nullopt});
+        if (const auto revision = numberOf(name)) digests.emplace(*revision, digest);
+    });
+    while (digests.size() >= kTakenKept) digests.erase(digests.begin());
+    for (auto& [revision, digest] : digests) changes.push_back({takenKey(revision), std::move(digest)});
+    return digests.size();
+}
+
+// The same for a table of this release: without its lowest revision where it is full.
+std::uint64_t makeRoom(const Table& table, std::uint64_t count, std::vector<Change>& changes) {
+    if (count < kTakenKept) return count;
+    const auto oldest = table.lower_bound(std::string{kTakenPrefix});
+    if (oldest == table.end() || !oldest->first.starts_with(kTakenPrefix)) return count;
+    changes.push_back({oldest->first, std::nullopt});
+    return count - 1;
 }
 
 }  // namespace
@@ -34,24 +73,16 @@
     return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
 }
 
-std::optional<std::uint64_t> takenUnder(const Table& table, std::string_view digest) {
-    std::optional<std::uint64_t> found;
-    eachWithPrefix(table, kTakenPrefix, [&](std::string_view revision, std::string_view value) {
-        if (value == digest) found = revisionOf(revision);
-    });
-    return found;
+bool isTaken(const Table& table, std::uint64_t revision, std::string_view digest) {
+    return holds(table, takenKey(revision), digest) || holds(table, unpaddedKey(revision), digest);
 }
 
 void rememberCall(const Table& table, std::uint64_t revision, std::string digest,
                   std::vector<Change>& changes) {
-    std::vector<std::uint64_t> revisions;
-    eachWithPrefix(table, kTakenPrefix, [&](std::string_view name, std::string_view) {
-        if (const auto older = revisionOf(name)) revisions.push_back(*older);
-    });
-    std::sort(revisions.begin(), revisions.end());
-    for (std::size_t index = 0; revisions.size() - index >= kTakenKept; ++index)
-        changes.push_back({joinedKey(kTakenPrefix, std::to_string(revisions[index])), std::nullopt});
-    changes.push_back({joinedKey(kTakenPrefix, std::to_string(revision)), std::move(digest)});
+    const auto count = storedCount(table);
+    const std::uint64_t kept = count ? makeRoom(table, *count, changes) : rewriteKeys(table, changes);
+    changes.push_back({takenKey(revision), std::move(digest)});
+    changes.push_back({std::string{kTakenCountKey}, std::to_string(kept + 1)});
 }
 
 }  // namespace beechpoint::configuration
--- a/src/configuration/taken_calls.hpp
+++ b/src/configuration/taken_calls.hpp
@@ -1,17 +1,29 @@
-// Memory of the operator's acknowledged calls, in the table: a call that comes again unchanged, to any member and
-// after any number of later ones, is recognised by its digest. The oldest revisions give way.
+// Memory of the operator's acknowledged calls, in the replicated table: a call that comes again unchanged, to any member and after
+// any number of later ones, is recognised by its digest under its own revision. A revision is given to one call only, so that
+// another call under it is never taken for it.
+//
+// Bounded in entries (kTakenKept) and so in bytes (kMaxTakenBytes). The lowest revisions give way; since revisions rise, they are
+// those acknowledged longest ago. Both the look-up and the eviction are by key: nothing is walked over.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "configuration/editing.hpp"
+#include "configuration/stored_item.hpp"
 #include "core/replicated_table.hpp"
 
 namespace beechpoint::configuration {
 
+inline constexpr std::size_t kRevisionDigits = 20;  // in keys, so that their order is that of the numbers
+inline constexpr std::size_t kDigestBytes = 32;
+// Of keys and values of all that is remembered.
+inline constexpr std::size_t kMaxTakenBytes =
+    kTakenKept * (kTakenPrefix.size() + kRevisionDigits + kDigestBytes);
+
 struct Call {
     std::string_view method;
     std::string_view ifMatch;
@@ -21,8 +33,8 @@
 // 32 hexadecimal digits of XXH3-128 over method, If-Match and body.
 std::string callDigest(const Call& call);
 
-// The revision under which the call was acknowledged.
-std::optional<std::uint64_t> takenUnder(const Table& table, std::string_view digest);
+// Whether the call that was acknowledged under this revision has this digest.
+bool isTaken(const Table& table, std::uint64_t revision, std::string_view digest);
 
 // Remembers the call and drops what is beyond kTakenKept.
 void rememberCall(const Table& table, std::uint64_t revision, std::string digest,
--- a/src/core/replicated_table.hpp
+++ b/src/core/replicated_table.hpp
@@ -5,7 +5,8 @@
 //   meta/version        decimal: revision of the configuration in force
 //   route/NAME          one route       service/NAME   one service       limits   the limits
 //   evacuated/ZONE      "1" while the zone is evacuated
-//   taken/REVISION      hex digest of the operator's call that was acknowledged under this revision
+//   taken/REVISION      hex digest of the operator's call that was acknowledged under this revision (20 digits)
+//   meta/taken          decimal: how many of these there are
 #pragma once
 
 #include <compare>
