--- /dev/null
+++ b/tests/control/operator_history.cpp
@@ -0,0 +1,605 @@
+#include "operator_history.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "configuration/editing.hpp"
+#include "control/operator_calls.hpp"
+#include "core/splitmix.hpp"
+
+namespace beechpoint::control {
+namespace {
+
+constexpr std::size_t kMembers = 3;
+constexpr std::size_t kOperators = 4;
+constexpr Millis kFaultsEnd = 40'000;
+constexpr Millis kEnd = 80'000;
+constexpr Millis kOperatorTimeout = 1000;
+constexpr Millis kLeaving = 200;
+constexpr Millis kMostWait = 10'000;  // for a clear answer, once faults are over
+constexpr int kRedirects = 2;
+constexpr std::size_t kMaxViolations = 20;
+
+// ---- The rules, written a second time and simply
+
+enum class Fault { none, cutShort, noTimeout, unknownService };
+
+struct Order {
+    OperatorCall call;
+    Fault fault = Fault::none;
+    std::uint64_t revision = 0;  // of a change
+    std::uint64_t ifMatch = 0;
+    std::map<std::string, int> routes;  // of PUT all, of PATCH those to add or replace
+    std::set<std::string> removed;      // of PATCH
+    std::string key;                    // tells calls apart
+
+    bool changes() const {
+        return call.kind == OperatorCallKind::put || call.kind == OperatorCallKind::patch;
+    }
+    bool evacuates() const { return call.kind == OperatorCallKind::evacuate; }
+};
+
+struct State {
+    std::uint64_t revision = 0;
+    std::map<std::string, int> routes;
+    std::set<std::string> evacuated;
+
+    void apply(const Order& order) {
+        if (!order.changes()) {
+            if (order.evacuates())
+                evacuated.insert(order.call.zone);
+            else
+                evacuated.erase(order.call.zone);
+            return;
+        }
+        revision = order.revision;
+        if (order.call.kind == OperatorCallKind::put) routes.clear();
+        for (const std::string& name : order.removed) routes.erase(name);
+        for (const auto& [name, timeout] : order.routes) routes[name] = timeout;
+    }
+};
+
+struct Entry {
+    Millis at = 0;
+    std::shared_ptr<const Table> table;
+    State state;
+    std::string key;  // of the change that brought it
+};
+
+std::string routeText(const std::string& name, int timeout, Fault fault) {
+    const int written = fault == Fault::noTimeout ? 0 : timeout;
+    const char* service = fault == Fault::unknownService ? "none" : "s";
+    return fmt::format(
+        R"({{"name":"{0}","hostname":"h.example","path_prefix":"/{0}/","timeout_ms":{1},"backend":"{2}"}})",
+        name, written, service);
+}
+
+std::string routesText(const std::map<std::string, int>& routes, Fault fault) {
+    std::string text;
+    for (const auto& [name, timeout] : routes)
+        text += (text.empty() ? "" : ",") + routeText(name, timeout, fault);
+    return text;
+}
+
+std::string bodyOf(const Order& order) {
+    const std::string routes = routesText(order.routes, order.fault);
+    std::string text;
+    if (order.call.kind == OperatorCallKind::put) {
+        text = fmt::format(R"({{"revision":{},"routes":[{}],"services":[{{"name":"s"}}]}})", order.revision,
+                           routes);
+    } else {
+        std::string removed;
+        for (const std::string& name : order.removed)
+            removed += fmt::format("{}\"{}\"", removed.empty() ? "" : ",", name);
+        text = fmt::format(R"({{"revision":{},"upsert":{{"routes":[{}]}},"remove":{{"routes":[{}]}}}})",
+                           order.revision, routes, removed);
+    }
+    if (order.fault == Fault::cutShort) text.resize(text.size() - 1);
+    return text;
+}
+
+// ---- The world
+
+struct View {
+    std::uint64_t epoch = 0;
+    std::vector<std::size_t> order;
+    bool has(std::size_t member) const {
+        return std::find(order.begin(), order.end(), member) != order.end();
+    }
+};
+
+struct Served {
+    Order order;
+    Millis began = 0;
+    std::size_t logAtBegin = 0;  // entries in the log when it came
+    std::size_t operatorNumber = 0;
+    std::uint64_t attempt = 0;
+};
+
+struct Member {
+    OperatorCalls calls;
+    View view;
+    std::size_t known = 0;  // entry of the log that its committed table is
+    bool settled = false, inFlight = false, cut = false, frozen = false, down = false;
+    std::uint64_t start = 1;
+    std::deque<std::function<void()>> held;  // while it is frozen
+    std::map<CallId, Served> served;
+};
+
+struct InFlight {
+    std::size_t member = 0;
+    std::uint64_t token = 0;
+    std::vector<Change> changes;
+    std::optional<Order> order;  // nothing for an empty batch
+};
+
+struct Operator {
+    std::optional<Order> order;
+    std::uint64_t attempt = 0;  // answers to earlier ones are not looked at
+    std::uint64_t version = 0;
+    std::vector<Order> past;
+    Millis since = 0;      // when the order in hand was begun
+    bool closing = false;  // sends what was taken again, and stops
+    std::size_t next = 0;
+};
+
+class World {
+public:
+    explicit World(std::uint64_t seed) : random_(seed) {
+        log_.push_back({0, std::make_shared<const Table>(), {}, ""});
+        changeView({0, 1, 2});
+        for (std::size_t each = 0; each < kOperators; ++each) think(each);
+        at(2000 * random_(), [this] { beginFault(); });
+    }
+
+    HistoryReport play() {
+        while (!events_.empty() && events_.begin()->first <= kEnd) {
+            auto event = events_.extract(events_.begin());
+            now_ = event.key();
+            event.mapped()();
+        }
+        for (std::size_t each = 0; each < kOperators; ++each)
+            if (operators_[each].order && kEnd - operators_[each].since > kMostWait)
+                violate(fmt::format("a call never ended: {}", operators_[each].order->key));
+        report_.taken = inLog_.size();
+        return std::move(report_);
+    }
+
+private:
+    // ---- Time and chance
+
+    void at(Millis after, std::function<void()> action) { events_.emplace(now_ + after, std::move(action)); }
+    Millis between(Millis low, Millis high) { return low + (high - low) * random_(); }
+    bool chance(double share) { return random_() < share; }
+    bool faultsOver() const { return now_ >= kFaultsEnd; }
+
+    void violate(std::string what) {
+        if (report_.violations.size() < kMaxViolations)
+            report_.violations.push_back(fmt::format("{:.0f} ms: {}", now_, what));
+    }
+
+    // Runs at the member unless it was started anew meanwhile; after its freeze where it is frozen.
+    void atMember(std::size_t member, Millis after, std::function<void()> action) {
+        at(after, [this, member, start = members_[member].start, action = std::move(action)]() mutable {
+            Member& here = members_[member];
+            if (here.down || here.start != start) return;
+            if (here.frozen)
+                here.held.push_back(std::move(action));
+            else
+                action();
+        });
+    }
+
+    // ---- Members
+
+    bool real(std::size_t member) const {
+        const Member& here = members_[member];
+        return !here.down && !here.cut && !here.frozen && here.settled && here.view.epoch == view_.epoch &&
+               view_.has(member);
+    }
+
+    ReplicaState stateOf(std::size_t member) const {
+        const Member& here = members_[member];
+        ReplicaState state;
+        const auto holder = [&](std::size_t other) {
+            const bool silent = members_[other].down || members_[other].cut || here.cut;
+            return RoleHolder{std::to_string(other), other != member && !silent};
+        };
+        state.inView = here.view.has(member);
+        state.isHead = state.inView && here.view.order.front() == member;
+        state.isTail = state.inView && here.view.order.back() == member;
+        state.writable = state.isHead && here.settled && !here.inFlight;
+        if (!here.view.order.empty()) {
+            state.head = holder(here.view.order.front());
+            state.tail = holder(here.view.order.back());
+        }
+        state.position = {here.view.epoch, here.known};
+        state.table = log_[here.known].table;
+        return state;
+    }
+
+    void tell(std::size_t member, OperatorEvent event) {
+        std::vector<OperatorAction> actions;
+        members_[member].calls.handle(now_, stateOf(member), std::move(event), actions);
+        for (OperatorAction& action : actions)
+            std::visit([&](auto& what) { carryOut(member, what); }, action);
+        if (members_[member].calls.waiting()) lookLater(member);
+    }
+
+    void lookLater(std::size_t member) {
+        if (!looks_.insert({member, members_[member].start}).second) return;
+        atMember(member, 25, [this, member] {
+            looks_.erase({member, members_[member].start});
+            tell(member, Look{});
+        });
+    }
+
+    void carryOut(std::size_t, const Note&) {}
+
+    void carryOut(std::size_t member, const StartBarrier& action) {
+        if (action.emptyBatch)
+            return write(member, {}, std::nullopt, [this, member, id = action.id](WriteResult result) {
+                tell(member, BarrierDone{id, result == WriteResult::committed});
+            });
+        const bool begun = real(member) && view_.order.back() == member;
+        const std::uint64_t epoch = view_.epoch;
+        atMember(member, begun ? between(1, 30) : between(200, 1500),
+                 [this, member, id = action.id, begun, epoch] {
+                     const bool ok = begun && real(member) && view_.epoch == epoch;
+                     tell(member, BarrierDone{id, ok});
+                 });
+    }
+
+    void carryOut(std::size_t member, StartWrite& action) {
+        if (action.base != stateOf(member).position)
+            return tell(member, WriteDone{action.id, WriteResult::notStarted});
+        const Order order = members_[member].served.at(action.id).order;
+        write(member, std::move(action.changes), order, [this, member, id = action.id](WriteResult result) {
+            report_.unknown += result == WriteResult::unknown ? 1 : 0;
+            tell(member, WriteDone{id, result});
+        });
+    }
+
+    // A batch goes down the chain to the tail, which commits it, and the news comes back to the head.
+    void write(std::size_t member, std::vector<Change> changes, std::optional<Order> order,
+               std::function<void(WriteResult)> done) {
+        members_[member].inFlight = true;
+        const std::uint64_t token = ++lastToken_;
+        const auto finish = [this, member, done = std::move(done)](WriteResult result) {
+            members_[member].inFlight = false;
+            // Still in the view, it has heard of the commit before it is writable again.
+            learn(member, log_.size() - 1);
+            done(result);
+        };
+        const auto giveUp = [this, member, finish] {
+            atMember(member, between(100, 3000), [finish] { finish(WriteResult::unknown); });
+        };
+        if (!real(member) || view_.order.front() != member) return giveUp();
+        inFlight_ = InFlight{member, token, std::move(changes), std::move(order)};
+        at(between(2, 250), [this, member, token, finish, giveUp] {
+            if (!inFlight_ || inFlight_->token != token) return giveUp();
+            commitInFlight();
+            const std::uint64_t epoch = view_.epoch;
+            const std::size_t entry = log_.size() - 1;
+            at(between(1, 30), [this, member, epoch, entry, finish, giveUp] {
+                if (!real(member) || view_.epoch != epoch) return giveUp();
+                for (const std::size_t each : view_.order) learn(each, entry);
+                finish(WriteResult::committed);
+            });
+        });
+    }
+
+    void learn(std::size_t member, std::size_t entry) {
+        if (real(member)) members_[member].known = std::max(members_[member].known, entry);
+    }
+
+    void commitInFlight() {
+        const InFlight batch = std::move(*inFlight_);
+        inFlight_.reset();
+        const Entry& last = log_.back();
+        Table table = *last.table;
+        beechpoint::apply(batch.changes, table);
+        Entry entry{now_, nullptr, last.state, ""};
+        if (batch.order) {
+            checkBatch(*batch.order, last.state);
+            entry.state.apply(*batch.order);
+            entry.key = batch.order->key;
+            if (batch.order->changes()) inLog_.insert(entry.key);
+        }
+        entry.table = std::make_shared<const Table>(std::move(table));
+        checkTable(entry);
+        log_.push_back(std::move(entry));
+        members_[view_.order.back()].known = log_.size() - 1;
+    }
+
+    // ---- Views and faults
+
+    void changeView(std::vector<std::size_t> order) {
+        report_.viewChanges++;
+        // What is in flight becomes part of the new view's state, or is dropped.
+        if (inFlight_ && chance(0.5))
+            commitInFlight();
+        else
+            inFlight_.reset();
+        view_ = {view_.epoch + 1, std::move(order)};
+        for (std::size_t member = 0; member < kMembers; ++member) {
+            Member& here = members_[member];
+            if (here.down || here.cut || here.frozen) continue;
+            here.view = view_;
+            here.settled = false;
+            if (!view_.has(member)) continue;
+            atMember(member, between(20, 300), [this, member, epoch = view_.epoch] {
+                Member& settling = members_[member];
+                if (settling.view.epoch != epoch || view_.epoch != epoch || settling.cut) return;
+                settling.settled = true;
+                settling.known = log_.size() - 1;
+                tell(member, Look{});
+            });
+            tell(member, Look{});
+        }
+    }
+
+    void beginFault() {
+        if (faultsOver()) return;
+        const std::size_t member = random_.below(kMembers);
+        const Millis length = chance(0.2) ? between(50, 900) : between(1200, 12'000);
+        switch (random_.below(4)) {
+            case 0:
+                members_[member].cut = true;
+                at(length, [this, member] { members_[member].cut = false; });
+                break;
+            case 1:
+                members_[member].frozen = true;
+                at(length, [this, member] { thaw(member); });
+                break;
+            case 2:
+                restart(member, length);
+                break;
+            default:
+                atMember(member, 0, [this, member] { tell(member, Leaving{}); });
+                at(kLeaving, [this, member, length] { restart(member, std::max(length - kLeaving, 1.0)); });
+                break;
+        }
+        constexpr Millis kNoticed = 1000;
+        if (length > kNoticed) at(kNoticed, [this, member] { leaveOut(member); });
+        at(length + between(300, 900), [this, member] { bringBack(member); });
+        at(length + 1000 + between(0, 3000), [this] { beginFault(); });
+    }
+
+    void thaw(std::size_t member) {
+        members_[member].frozen = false;
+        auto held = std::move(members_[member].held);
+        members_[member].held.clear();
+        for (auto& action : held) action();
+    }
+
+    void restart(std::size_t member, Millis length) {
+        const std::uint64_t start = members_[member].start + 1;
+        members_[member] = Member{};
+        members_[member].start = start;
+        members_[member].down = true;
+        at(length, [this, member] { members_[member].down = false; });
+    }
+
+    void leaveOut(std::size_t member) {
+        std::vector<std::size_t> order = view_.order;
+        std::erase(order, member);
+        changeView(std::move(order));
+    }
+
+    void bringBack(std::size_t member) {
+        std::vector<std::size_t> order = view_.order;
+        std::erase(order, member);
+        order.insert(chance(0.5) ? order.begin() : order.end(), member);
+        changeView(std::move(order));
+    }
+
+    // ---- Operators
+
+    void think(std::size_t number) {
+        at(faultsOver() ? 1 : between(5, 700), [this, number] {
+            Operator& one = operators_[number];
+            if (faultsOver()) one.closing = true;
+            one.since = now_;
+            one.order = one.closing ? nextToCheck(one) : draw(one);
+            if (one.order) attempt(number, random_.below(kMembers), 0);
+        });
+    }
+
+    std::optional<Order> nextToCheck(Operator& one) {
+        if (one.next >= one.past.size()) return std::nullopt;
+        return one.past[one.next++];
+    }
+
+    Order draw(Operator& one) {
+        if (!one.past.empty() && chance(0.15)) return one.past[random_.below(one.past.size())];
+        Order order;
+        const double kind = random_();
+        if (kind < 0.25) {
+            order.call = parseOperatorCall("GET", "/configuration", "").value();
+        } else if (kind < 0.45) {
+            const char* method = chance(0.5) ? "POST" : "DELETE";
+            order.call = parseOperatorCall(method, chance(0.5) ? "/evacuate/a" : "/evacuate/b", "").value();
+        } else {
+            drawChange(one, order);
+        }
+        order.key = fmt::format("{} {} {} {}", static_cast<int>(order.call.kind), order.call.target,
+                                order.call.ifMatch, order.call.body);
+        if (order.changes()) one.past.push_back(order);
+        return order;
+    }
+
+    // Small numbers and few contents, so that operators pick the same ones.
+    void drawChange(const Operator& one, Order& order) {
+        const bool whole = chance(0.6);
+        order.ifMatch = one.version - std::min<std::uint64_t>(one.version, chance(0.15) ? 2 : 0);
+        order.revision = order.ifMatch + (chance(0.1) ? 0 : 1 + random_.below(3));
+        order.call = parseOperatorCall(whole ? "PUT" : "PATCH", "/configuration",
+                                       fmt::format("{0}{1}{0}", chance(0.5) ? "\"" : "", order.ifMatch))
+                         .value();
+        order.routes["r"] = static_cast<int>(1 + random_.below(2));
+        if (chance(0.5)) order.routes["q"] = static_cast<int>(1 + random_.below(2));
+        if (!whole && chance(0.3)) order.removed.insert("p");
+        if (chance(0.15)) order.fault = static_cast<Fault>(1 + random_.below(3));
+        order.call.body = bodyOf(order);
+    }
+
+    void attempt(std::size_t number, std::size_t member, int redirects) {
+        Operator& one = operators_[number];
+        const std::uint64_t attempt = ++one.attempt;
+        const Order order = *one.order;
+        send(number, attempt, member, order, between(1, 20));
+        if (chance(0.05)) send(number, attempt, random_.below(kMembers), order, between(1, 4000));  // strays
+        at(kOperatorTimeout, [this, number, attempt] {
+            if (operators_[number].attempt == attempt) again(number);
+        });
+        redirects_[number] = redirects;
+    }
+
+    void send(std::size_t number, std::uint64_t attempt, std::size_t member, const Order& order,
+              Millis after) {
+        atMember(member, after, [this, number, attempt, member, order] {
+            Member& here = members_[member];
+            const CallId id = ++lastId_;
+            report_.atStaleMember += here.view.epoch != view_.epoch ? 1 : 0;
+            here.served[id] = {order, now_, log_.size(), number, attempt};
+            tell(member, CallCame{id, order.call});
+            if (chance(0.7))
+                atMember(member, kOperatorTimeout, [this, member, id] { tell(member, ClientLeft{id}); });
+        });
+    }
+
+    void again(std::size_t number) {
+        operators_[number].attempt++;
+        at(between(50, 400), [this, number] { attempt(number, random_.below(kMembers), 0); });
+    }
+
+    void carryOut(std::size_t member, const Answer& answer) {
+        auto node = members_[member].served.extract(answer.id);
+        if (node.empty()) return violate("a call was answered twice");
+        const Served served = std::move(node.mapped());
+        report_.answers++;
+        check(served, answer);
+        if (chance(faultsOver() ? 0 : 0.25)) return;  // lost
+        at(between(1, 20), [this, served, answer] { receive(served, answer); });
+    }
+
+    void receive(const Served& served, const Answer& answer) {
+        const std::size_t number = served.operatorNumber;
+        Operator& one = operators_[number];
+        if (one.attempt != served.attempt || !one.order) return;
+        if (answer.status == 307 && redirects_[number] < kRedirects) {
+            const std::size_t colon = answer.headers.find("//");
+            return attempt(number, static_cast<std::size_t>(answer.headers.at(colon + 2) - '0'),
+                           redirects_[number] + 1);
+        }
+        if (answer.status >= 500 || answer.status == 307) return again(number);
+        if (served.order.changes() && answer.status == 200) one.version = served.order.revision;
+        if (served.order.call.kind == OperatorCallKind::read)
+            one.version = log_[served.logAtBegin - 1].state.revision;
+        if (answer.status == 412) one.version = log_.back().state.revision;
+        one.attempt++;
+        one.order.reset();
+        think(number);
+    }
+
+    // ---- What must hold
+
+    void checkBatch(const Order& order, const State& before) {
+        if (!order.changes()) return;
+        if (inLog_.contains(order.key)) violate("entered the log twice: " + order.key);
+        if (order.fault != Fault::none) violate("a bad one entered the log: " + order.key);
+        if (order.ifMatch != before.revision || order.revision <= before.revision)
+            violate(fmt::format("on version {} entered the log: {}", before.revision, order.key));
+    }
+
+    void checkTable(const Entry& entry) {
+        const Table& table = *entry.table;
+        if (configuration::currentRevision(table) != entry.state.revision) violate("the version differs");
+        std::size_t routes = 0, zones = 0;
+        for (const auto& [key, value] : table) {
+            routes += key.starts_with("route/") ? 1 : 0;
+            zones += key.starts_with("evacuated/") ? 1 : 0;
+        }
+        bool same = routes == entry.state.routes.size() && zones == entry.state.evacuated.size();
+        for (const auto& [name, timeout] : entry.state.routes) {
+            const auto found = table.find("route/" + name);
+            same = same && found != table.end() &&
+                   found->second.ends_with(routeText(name, timeout, Fault::none));
+        }
+        for (const std::string& zone : entry.state.evacuated)
+            same = same && table.contains("evacuated/" + zone);
+        if (!same) violate("the table differs from the orders that made it");
+    }
+
+    // Whether something holds of the log at a moment between the call's coming and now.
+    bool atSomeMoment(const Served& served, const std::function<bool(const Entry&)>& holds) const {
+        return std::any_of(log_.begin() + static_cast<std::ptrdiff_t>(served.logAtBegin) - 1, log_.end(),
+                           holds);
+    }
+
+    void check(const Served& served, const Answer& answer) {
+        if (answer.status == 307 || answer.status == 503) return;
+        const Order& order = served.order;
+        if (answer.status == 200) return checkSuccess(served, answer);
+        report_.refused++;
+        const std::string what = fmt::format("{} to {}", answer.status, order.key);
+        if (!order.changes()) return violate("refused: " + what);
+        if (inLog_.contains(order.key)) violate("refused though taken: " + what);
+        const bool called = atSomeMoment(served, [&](const Entry& entry) {
+            const std::uint64_t version = entry.state.revision;
+            if (answer.status == 412) return order.ifMatch != version;
+            const bool noService = order.call.kind == OperatorCallKind::patch && version == 0;
+            return answer.status == 400 &&
+                   (order.fault != Fault::none || noService || order.revision <= version);
+        });
+        if (!called) violate("nothing called for " + what);
+    }
+
+    void checkSuccess(const Served& served, const Answer& answer) {
+        const Order& order = served.order;
+        if (order.changes()) {
+            if (!inLog_.contains(order.key)) return violate("acknowledged and not in the log: " + order.key);
+            const auto begin = log_.begin() + static_cast<std::ptrdiff_t>(served.logAtBegin);
+            report_.takenAgain +=
+                std::any_of(log_.begin(), begin, [&](const Entry& entry) { return entry.key == order.key; });
+            return;
+        }
+        const bool read = order.call.kind == OperatorCallKind::read;
+        report_.reads += read ? 1 : 0;
+        const bool held = atSomeMoment(served, [&](const Entry& entry) {
+            if (read) return answer.body == configuration::renderConfiguration(*entry.table);
+            return entry.state.evacuated.contains(order.call.zone) == order.evacuates();
+        });
+        if (!held) violate("answered by an old state: " + order.key);
+    }
+
+    SplitMix random_;
+    Millis now_ = 0;
+    std::multimap<Millis, std::function<void()>> events_;
+    std::array<Member, kMembers> members_;
+    std::array<Operator, kOperators> operators_;
+    std::array<int, kOperators> redirects_{};
+    View view_;
+    std::vector<Entry> log_;
+    std::set<std::string> inLog_;  // keys of changes
+    std::optional<InFlight> inFlight_;
+    std::set<std::pair<std::size_t, std::uint64_t>> looks_;
+    std::uint64_t lastToken_ = 0;
+    CallId lastId_ = 0;
+    HistoryReport report_;
+};
+
+}  // namespace
+
+HistoryReport playHistory(std::uint64_t seed) { return World(seed).play(); }
+
+}  // namespace beechpoint::control
