Bound what recovery costs a gateway: admission, packed state, increments

Cause: N gateways coming back made their member share all leases with all others and answer all polls with the whole directory; a first answer with table, host list and directory was given up after 600 ms and begun again at the next member, so that the same bytes went again and again.

Change: ControlLink and GatewayService decide in state machines without I/O (ControlLinkState, GatewayServiceState).

--- a/src/control/codec.cpp
+++ b/src/control/codec.cpp
@@ -24,6 +24,10 @@
     static auto of(auto& lease) { return std::tie(lease.gateway, lease.age); }
 };
 template <>
+struct Fields<leases::Renewal> {
+    static auto of(auto& renewal) { return std::tie(renewal.id, renewal.ageMs); }
+};
+template <>
 struct Fields<instances::HostListVersion> {
     static auto of(auto& version) { return std::tie(version.fence, version.number, version.reader); }
 };
@@ -56,7 +60,8 @@
 struct Fields<PollRequest> {
     static auto of(auto& request) {
         return std::tie(request.gateway, request.position, request.hostList, request.waitMs,
-                        request.wantsLoad, request.directoryDigest, request.takesHostChanges);
+                        request.wantsLoad, request.directoryDigest, request.takesHostChanges,
+                        request.takesPackedState);
     }
 };
 template <>
@@ -65,19 +70,24 @@
         return std::tie(reply.status, reply.packedTable, reply.hostList, reply.hostListVersion,
                         reply.hostListAge, reply.liveGateways, reply.largestLive, reply.members,
                         reply.othersLoad, reply.leaseMs, reply.directoryDigest, reply.directory,
-                        reply.hostChanges);
+                        reply.hostChanges, reply.packedHostList, reply.packedHostChanges,
+                        reply.packedDirectory, reply.hostListReadAge, reply.retryAfterMs,
+                        reply.memberRegions);
     }
 };
 template <>
 struct Fields<Share> {
     static auto of(auto& share) {
         return std::tie(share.member, share.session, share.epoch, share.leases, share.hostListVersion,
-                        share.hostListAge, share.hostList, share.readsHosts);
+                        share.hostListAge, share.hostList, share.readsHosts, share.renewals,
+                        share.packedHostList, share.packedHostChanges, share.hostListReadAge);
     }
 };
 template <>
 struct Fields<ShareReply> {
-    static auto of(auto& reply) { return std::tie(reply.hostListVersion); }
+    static auto of(auto& reply) {
+        return std::tie(reply.hostListVersion, reply.takesIncrements, reply.unknownLeases);
+    }
 };
 
 template <>
@@ -91,6 +101,47 @@
 
 namespace {
 
+// Reads a packed field into the plain one; an error where it can't be read.
+template <class T, class Take>
+std::optional<Error> unpackField(std::string& packed, const Take& take) {
+    if (packed.empty()) return std::nullopt;
+    const auto plain = unpackBytes(packed);
+    if (!plain) return plain.error();
+    auto value = rpc::unpack<T>(plain.value());
+    if (!value) return value.error();
+    take(std::move(value.value()));
+    packed.clear();
+    return std::nullopt;
+}
+
+// The list's fields of a PollReply or a Share.
+template <class Message, class TakeChanges>
+std::optional<Error> unpackHosts(Message& message, const TakeChanges& takeChanges) {
+    const auto takeList = [&](SharedHostList list) {
+        list.readAge = message.hostListReadAge;
+        message.hostList = std::move(list);
+    };
+    if (auto error = unpackField<SharedHostList>(message.packedHostList, takeList)) return error;
+    return unpackField<instances::HostListChanges>(message.packedHostChanges, takeChanges);
+}
+
+std::optional<Error> unpackFields(PollReply& reply) {
+    if (!reply.packedTable.empty()) {
+        auto table = unpackTable(reply.packedTable);
+        if (!table) return table.error();
+        reply.table = std::move(table.value());
+        reply.packedTable.clear();
+    }
+    const auto takeChanges = [&](instances::HostListChanges changes) {
+        reply.hostChanges = SharedHostChanges{std::move(changes), reply.hostListReadAge};
+    };
+    if (auto error = unpackHosts(reply, takeChanges)) return error;
+    const auto takeDirectory = [&](std::vector<leases::Gateway> gateways) {
+        reply.directory = std::move(gateways);
+    };
+    return unpackField<std::vector<leases::Gateway>>(reply.packedDirectory, takeDirectory);
+}
+
 template <class T>
 std::string enveloped(RequestKind kind, const T& message) {
     return static_cast<char>(kind) + rpc::pack(message);
@@ -116,6 +167,16 @@
 }
 std::string encode(const ShareReply& reply) { return rpc::pack(reply); }
 
+std::string packHostList(const instances::HostList& list) {
+    return packBytes(rpc::pack(SharedHostList{list.version, 0, list.hosts}));
+}
+std::string packHostChanges(const instances::HostListChanges& changes) {
+    return packBytes(rpc::pack(changes));
+}
+std::string packDirectory(const std::vector<leases::Gateway>& gateways) {
+    return packBytes(rpc::pack(gateways));
+}
+
 Result<Envelope> openEnvelope(std::string_view bytes) {
     const auto first = bytes.empty() ? std::uint8_t{0} : static_cast<std::uint8_t>(bytes.front());
     const auto last = static_cast<std::uint8_t>(RequestKind::share);
@@ -129,14 +190,19 @@
 Result<PollRequest> decodePollRequest(std::string_view body) { return rpc::unpack<PollRequest>(body); }
 Result<PollReply> decodePollReply(std::string_view bytes) {
     auto reply = rpc::unpack<PollReply>(bytes);
-    if (!reply || reply.value().packedTable.empty()) return reply;
-    auto table = unpackTable(reply.value().packedTable);
-    if (!table) return table.error();
-    reply.value().table = std::move(table.value());
-    reply.value().packedTable.clear();
+    if (!reply) return reply;
+    if (auto error = unpackFields(reply.value())) return *error;
     return reply;
 }
-Result<Share> decodeShare(std::string_view body) { return rpc::unpack<Share>(body); }
+Result<Share> decodeShare(std::string_view body) {
+    auto share = rpc::unpack<Share>(body);
+    if (!share) return share;
+    const auto takeChanges = [&](instances::HostListChanges changes) {
+        share.value().hostChanges = SharedHostChanges{std::move(changes), share.value().hostListReadAge};
+    };
+    if (auto error = unpackHosts(share.value(), takeChanges)) return *error;
+    return share;
+}
 Result<ShareReply> decodeShareReply(std::string_view bytes) { return rpc::unpack<ShareReply>(bytes); }
 
 }  // namespace beechpoint::control
--- a/src/control/gateway_service.hpp
+++ b/src/control/gateway_service.hpp
@@ -1,6 +1,6 @@
 // What gateways get from a control member: answers to their polls, by which they hold their leases, and the platform's host list.
-// Members tell each other their grants and the list (Share). Which polls wait is decided in waiting_polls.hpp, who reads the list in
-// shared_hosts.hpp.
+// Members tell each other their grants and the list (Share). GatewayServiceState decides; this sends its answers and shares, and reads
+// the platform's list while it says so.
 #pragma once
 
 #include <functional>
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "control/gateway_service_state.hpp"
 #include "control/messages.hpp"
 #include "control/status.hpp"
 #include "core/logger.hpp"
@@ -26,10 +27,6 @@
 
 class ReplicaDriver;
 
-inline constexpr Millis kServiceTick = 100;  // tick() is to be called so often
-inline constexpr Millis kShareEvery = 500;   // to each other member of the view
-// One more is answered at once and asks again at once: as many as there are connections (rpc::kMaxConnections).
-
 class GatewayService {
 public:
     struct Settings {
--- a/src/control/messages.hpp
+++ b/src/control/messages.hpp
@@ -32,6 +32,7 @@
     bool wantsLoad = false;               // send the other gateways' load by host
     std::uint64_t directoryDigest = 0;    // of the gateways held for the directory; 0: none
     bool takesHostChanges = false;        // understands PollReply::hostChanges; gateways of before don't
+    bool takesPackedState = false;  // understands PollReply's packed fields and comes back after retryAfterMs
 };
 
 inline constexpr Millis kMaxPollWait = 2000;
@@ -75,6 +76,11 @@
     std::uint64_t directoryDigest = 0;             // of the gateways with a lease, as far as clients care
     std::optional<std::vector<leases::Gateway>> directory;  // those, without load, where the digest differs
     std::optional<SharedHostChanges> hostChanges;           // in place of hostList, where few hosts differ
+    // For a gateway that takes them (PollRequest::takesPackedState). A receiver finds them unpacked in the fields above.
+    std::string packedHostList, packedHostChanges, packedDirectory;  // table_packing.hpp; empty: not here
+    Millis hostListReadAge = 0;                                      // of the list in the packed ones
+    Millis retryAfterMs = 0;  // there is more than this member sends now: ask again after so long
+    std::vector<std::string> memberRegions;  // of `members`, in their order; empty: not known
 };
 
 // What one control member tells each other member of the view every half second, and at once where something changed that can't wait.
@@ -84,13 +90,19 @@
     std::uint64_t epoch = 0;
     std::vector<leases::SharedLease> leases;  // granted by the sender since its last share
     instances::HostListVersion hostListVersion;
-    std::optional<Millis> hostListAge;       // since it was last read or confirmed
-    std::optional<SharedHostList> hostList;  // where the receiver is not known to have it
-    bool readsHosts = false;                 // the sender reads the platform's list, with success
+    std::optional<Millis> hostListAge;              // since it was last read or confirmed
+    std::optional<SharedHostList> hostList;         // where the receiver is not known to have it
+    bool readsHosts = false;                        // the sender reads the platform's list, with success
+    std::vector<leases::Renewal> renewals;          // of leases that the receiver was told before
+    std::string packedHostList, packedHostChanges;  // as in PollReply; to a member that takes them
+    Millis hostListReadAge = 0;                     // of the list in these
+    std::optional<SharedHostChanges> hostChanges;   // not on the wire: packedHostChanges as received
 };
 
 struct ShareReply {
     instances::HostListVersion hostListVersion;  // that the receiver has now
+    bool takesIncrements = false;                // understands Share::renewals and the packed fields
+    std::vector<std::uint64_t> unknownLeases;    // renewed, and not known here: to be told whole
 };
 
 }  // namespace beechpoint::control
--- a/src/control/shared_hosts.cpp
+++ b/src/control/shared_hosts.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "control/codec.hpp"
 #include "leases/duty.hpp"
-#include "replica/replica.hpp"
 
 namespace beechpoint::control {
 namespace {
@@ -13,48 +13,52 @@
 constexpr Millis kReaderHeard = 1500;  // a reader that has not said so for longer is not counted on
 // An older list of another reader is sent to a gateway only where it was confirmed as lately as this.
 constexpr Millis kListWorthSending = 1500;
+constexpr std::size_t kMostPackedBases = 64;
 
 }  // namespace
 
-SharedHosts::SharedHosts(asio::io_context& io, const Clock& clock, Logger& logger,
-                         instances::Poller::Settings settings, std::uint64_t seed,
-                         std::function<void()> onChange)
-    : clock_(clock),
-      startedAt_(clock.now()),
-      onChange_(std::move(onChange)),
-      poller_(io, clock, logger, std::move(settings), seed, seed,
-              [this](const auto& list, Millis confirmedAt, bool) { offer(list, confirmedAt); }) {}
+bool SharedHosts::take(Millis now, const Share& share) {
+    const bool isChanged = takeList(now, share);
+    if (share.hostListAge) holder_.confirm(share.hostListVersion, now - *share.hostListAge);
+    if (share.readsHosts) readElsewhere_[share.member] = now;
+    if (share.hostListVersion.fence == fence_) source_.raiseNumber(share.hostListVersion.number);
+    return isChanged;
+}
 
-void SharedHosts::take(Millis now, const Share& share) {
+bool SharedHosts::takeList(Millis now, const Share& share) {
     if (share.hostList)
-        offer(receivedList(*share.hostList, now), now - share.hostListAge.value_or(share.hostList->readAge));
-    else if (share.hostListAge)
-        holder_.confirm(share.hostListVersion, now - *share.hostListAge);
-    if (share.readsHosts) readElsewhere_[share.member] = now;
-    if (share.hostListVersion.fence == fence_) poller_.raiseNumber(share.hostListVersion.number);
+        return offer(now, receivedList(*share.hostList, now),
+                     now - share.hostListAge.value_or(share.hostList->readAge));
+    if (!share.hostChanges || !list()) return false;
+    const Millis readAge = share.hostChanges->readAge;
+    auto changed = instances::applyChanges(*list(), share.hostChanges->changes, now - readAge);
+    return changed && offer(now, std::move(changed), now - share.hostListAge.value_or(readAge));
 }
 
 void SharedHosts::forget(const std::function<bool(const std::string& member)>& isMember) {
     std::erase_if(readElsewhere_, [&](const auto& entry) { return !isMember(entry.first); });
 }
 
-void SharedHosts::offer(std::shared_ptr<const instances::HostList> list, Millis confirmedAt) {
-    if (!holder_.offer(std::move(list), confirmedAt, clock_.now())) return;
+bool SharedHosts::offer(Millis now, std::shared_ptr<const instances::HostList> list, Millis confirmedAt) {
+    if (!holder_.offer(std::move(list), confirmedAt, now)) return false;
     history_.take(holder_.list());
-    onChange_();
+    takenAt_ = now;
+    packedList_.clear();
+    packedChanges_.clear();
+    return true;
 }
 
-void SharedHosts::look(Millis now, const replica::Replica* replica) {
-    if (!replica || !replica->inView() || !replica->fresh(now)) return poller_.stop();
+void SharedHosts::look(Millis now, const VouchedTable* replica) {
+    if (!replica || !replica->inView() || !replica->fresh(now)) return source_.stop();
     std::vector<std::string> names;
     for (const replica::Member& member : replica->view().members) names.push_back(member.name);
     const auto order = leases::rendezvousOrder(kHostsDuty, std::move(names));
     const auto place = std::find(order.begin(), order.end(), replica->self().name);
     const auto rank = static_cast<std::size_t>(place - order.begin());
     if (rank == 0) return read(replica->view().epoch);
-    if (isReadBefore(order, rank, now)) return poller_.stop();
+    if (isReadBefore(order, rank, now)) return source_.stop();
     const Millis unconfirmed = age(now).value_or(now - startedAt_);
-    if (poller_.running() || unconfirmed > kTakeoverAfter * static_cast<double>(rank))
+    if (source_.running() || unconfirmed > kTakeoverAfter * static_cast<double>(rank))
         read(replica->view().epoch);
 }
 
@@ -69,7 +73,7 @@
 void SharedHosts::read(std::uint64_t epoch) {
     fence_ = epoch;
     const bool sameFence = version().fence == epoch;
-    poller_.start(epoch, sameFence ? version().number : 0, list());
+    source_.start(epoch, sameFence ? version().number : 0, list());
 }
 
 Millis SharedHosts::readAge(Millis now) const { return std::max(0.0, now - list()->readAt); }
@@ -79,12 +83,47 @@
     return SharedHostList{list()->version, readAge(now), list()->hosts};
 }
 
-void SharedHosts::answer(Millis now, const PollRequest& request, PollReply& reply) const {
+const std::string& SharedHosts::packedList() {
+    if (packedList_.empty()) packedList_ = packHostList(*list());
+    return packedList_;
+}
+
+// Many gateways and members hold the same list: the changes are compared and packed once.
+const std::string& SharedHosts::packedChanges(const instances::HostListVersion& held) {
+    const auto known = packedChanges_.find(held);
+    if (known != packedChanges_.end()) return known->second;
+    if (packedChanges_.size() >= kMostPackedBases) packedChanges_.clear();
+    const auto changes = history_.since(held);
+    return packedChanges_[held] = changes ? packHostChanges(*changes) : std::string{};
+}
+
+bool SharedHosts::isToTell(Millis now, const instances::HostListVersion& held) const {
+    if (!list() || held >= version()) return false;
+    return reads() || now - takenAt_ >= kRelayAfter;
+}
+
+void SharedHosts::tell(Millis now, const instances::HostListVersion& held, bool packed, Share& share) {
+    if (!packed) {
+        share.hostList = whole(now);
+        return;
+    }
+    share.hostListReadAge = readAge(now);
+    share.packedHostChanges = packedChanges(held);
+    if (share.packedHostChanges.empty()) share.packedHostList = packedList();
+}
+
+void SharedHosts::answer(Millis now, const PollRequest& request, PollReply& reply) {
     reply.hostListVersion = version();
     reply.hostListAge = age(now);
     if (!list() || version() == request.hostList) return;
     const bool newer = version() > request.hostList;
     if (!newer && *reply.hostListAge >= kListWorthSending) return;
+    if (request.takesPackedState) {
+        reply.hostListReadAge = readAge(now);
+        if (newer) reply.packedHostChanges = packedChanges(request.hostList);
+        if (reply.packedHostChanges.empty()) reply.packedHostList = packedList();
+        return;
+    }
     auto changes = newer && request.takesHostChanges ? history_.since(request.hostList) : std::nullopt;
     if (changes)
         reply.hostChanges = SharedHostChanges{std::move(*changes), readAge(now)};
@@ -96,7 +135,7 @@
     share.hostListVersion = version();
     share.hostListAge = age(now);
     const bool lately = share.hostListAge && *share.hostListAge < kReaderHeard;
-    share.readsHosts = poller_.running() && poller_.failures() == 0 && lately;
+    share.readsHosts = source_.running() && source_.failures() == 0 && lately;
 }
 
 }  // namespace beechpoint::control
--- a/src/control/shared_hosts.hpp
+++ b/src/control/shared_hosts.hpp
@@ -12,62 +12,65 @@
 #include <string>
 #include <vector>
 
+#include "control/host_list_source.hpp"
 #include "control/messages.hpp"
-#include "core/logger.hpp"
-#include "instances/poller.hpp"
-
-namespace asio {
-class io_context;
-}
-namespace beechpoint::replica {
-class Replica;
-}
+#include "control/vouched_table.hpp"
 
 namespace beechpoint::control {
 
 inline constexpr Millis kTakeoverAfter =
-    2000;  // an unconfirmed list, for each place in the order of the duty
+    2000;                                    // an unconfirmed list, for each place in the order of the duty
+inline constexpr Millis kRelayAfter = 1200;  // two shares: the reader has told all members by then
 
 class SharedHosts {
 public:
-    // `onChange` is called with each list that takes another's place, not from within the constructor.
-    SharedHosts(asio::io_context& io, const Clock& clock, Logger& logger,
-                instances::Poller::Settings settings, std::uint64_t seed, std::function<void()> onChange);
+    // `source` must outlive it; what it reads is to be handed to offer().
+    SharedHosts(Millis now, HostListSource& source) : startedAt_(now), source_(source) {}
 
     // Reads or leaves it to another, by the view. Null: this process may not read.
-    void look(Millis now, const replica::Replica* replica);
-    void stop() { poller_.stop(); }
-    // What another member told.
-    void take(Millis now, const Share& share);
+    void look(Millis now, const VouchedTable* replica);
+    void stop() { source_.stop(); }
+    // A list, read here or told. Whether it is the newest now.
+    bool offer(Millis now, std::shared_ptr<const instances::HostList> list, Millis confirmedAt);
+    // What another member told. Whether there is another list now.
+    bool take(Millis now, const Share& share);
     // A member that is no longer in the view can't hold the duty.
     void forget(const std::function<bool(const std::string& member)>& isMember);
 
     // Fills in the version, the age and what the gateway lacks.
-    void answer(Millis now, const PollRequest& request, PollReply& reply) const;
+    void answer(Millis now, const PollRequest& request, PollReply& reply);
     bool hasNewsFor(const PollRequest& request) const { return list() && version() > request.hostList; }
     // Fills in the version, the age and whether this member reads.
     void describe(Millis now, Share& share) const;
-    std::optional<SharedHostList> whole(Millis now) const;  // nothing: none known
+    // Whether another member, which said that it has `held`, is to be sent the list by this one: by the reader at once, by others where the
+    // reader did not within kRelayAfter.
+    bool isToTell(Millis now, const instances::HostListVersion& held) const;
+    // Fills in what it lacks; packed only where it takes that.
+    void tell(Millis now, const instances::HostListVersion& held, bool packed, Share& share);
 
     const std::shared_ptr<const instances::HostList>& list() const { return holder_.list(); }
     instances::HostListVersion version() const { return holder_.version(); }
     std::optional<Millis> age(Millis now) const { return holder_.age(now); }
-    bool reads() const { return poller_.running(); }
+    bool reads() const { return source_.running(); }
 
 private:
-    void offer(std::shared_ptr<const instances::HostList> list, Millis confirmedAt);
+    bool takeList(Millis now, const Share& share);
+    const std::string& packedList();
+    const std::string& packedChanges(const instances::HostListVersion& held);  // empty: none, or not worth it
+    std::optional<SharedHostList> whole(Millis now) const;                     // nothing: none known
     bool isReadBefore(const std::vector<std::string>& order, std::size_t rank, Millis now) const;
     void read(std::uint64_t epoch);
     Millis readAge(Millis now) const;
 
-    const Clock& clock_;
     Millis startedAt_;
+    HostListSource& source_;
     instances::HostListHolder holder_;
-    instances::HostListHistory history_;  // of holder_
-    std::function<void()> onChange_;
+    instances::HostListHistory history_;                               // of holder_
+    Millis takenAt_ = 0;                                               // when holder_ took its list
+    std::string packedList_;                                           // of holder_; empty: not packed yet
+    std::map<instances::HostListVersion, std::string> packedChanges_;  // to holder_'s list, by the base
     std::map<std::string, Millis> readElsewhere_;  // when each other member last said that it reads
     std::uint64_t fence_ = 0;
-    instances::Poller poller_;
 };
 
 }  // namespace beechpoint::control
--- a/src/control/table_packing.cpp
+++ b/src/control/table_packing.cpp
@@ -15,13 +15,13 @@
 constexpr int kFastestLevel = 1;
 
 Error malformed(std::string why) {
-    return {ErrorKind::invalid, "table", std::move(why), "check that both processes are of one version"};
+    return {ErrorKind::invalid, "packed state", std::move(why),
+            "check that both processes are of one version"};
 }
 
 }  // namespace
 
-std::string packTable(const TableUpdate& update) {
-    const std::string plain = rpc::pack(update);
+std::string packBytes(const std::string& plain) {
     if (plain.size() < kWorthCompressing) return kPlain + plain;
     std::string packed(1 + ZSTD_compressBound(plain.size()), kCompressed);
     const std::size_t size =
@@ -31,17 +31,25 @@
     return packed;
 }
 
-Result<TableUpdate> unpackTable(std::string_view bytes) {
-    if (bytes.empty()) return malformed("the update is empty");
+Result<std::string> unpackBytes(std::string_view bytes) {
+    if (bytes.empty()) return malformed("it is empty");
     const std::string_view body = bytes.substr(1);
-    if (bytes.front() == kPlain) return rpc::unpack<TableUpdate>(body);
-    if (bytes.front() != kCompressed) return malformed("the update is of no known form");
+    if (bytes.front() == kPlain) return std::string(body);
+    if (bytes.front() != kCompressed) return malformed("it is of no known form");
     const auto size = ZSTD_getFrameContentSize(body.data(), body.size());
-    if (size > kMostUnpackedBytes) return malformed("the update states no size, or too large a one");
+    if (size > kMostUnpackedBytes) return malformed("it states no size, or too large a one");
     std::string plain(static_cast<std::size_t>(size), '\0');
     const std::size_t got = ZSTD_decompress(plain.data(), plain.size(), body.data(), body.size());
-    if (ZSTD_isError(got) || got != plain.size()) return malformed("the update can't be decompressed");
-    return rpc::unpack<TableUpdate>(plain);
+    if (ZSTD_isError(got) || got != plain.size()) return malformed("it can't be decompressed");
+    return plain;
+}
+
+std::string packTable(const TableUpdate& update) { return packBytes(rpc::pack(update)); }
+
+Result<TableUpdate> unpackTable(std::string_view bytes) {
+    const auto plain = unpackBytes(bytes);
+    if (!plain) return plain.error();
+    return rpc::unpack<TableUpdate>(plain.value());
 }
 
 }  // namespace beechpoint::control
--- a/src/control/waiting_polls.cpp
+++ b/src/control/waiting_polls.cpp
@@ -5,8 +5,8 @@
 
 namespace beechpoint::control {
 
-void WaitingPolls::hold(Millis now, PollRequest request, rpc::Reply reply, Millis wait, bool fresh) {
-    WaitingPoll poll{std::move(request), std::move(reply), now + wait};
+void WaitingPolls::hold(Millis now, PollRequest request, PollTicket ticket, Millis wait, bool fresh) {
+    WaitingPoll poll{std::move(request), ticket, now + wait};
     poll.anyAnswer = !fresh;
     poll.refuseAt = fresh ? 0 : now + kNotFreshWait;
     const std::string gateway = poll.request.gateway.name;
--- a/src/control/waiting_polls.hpp
+++ b/src/control/waiting_polls.hpp
@@ -5,22 +5,25 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "control/messages.hpp"
-#include "rpc/server.hpp"
 
 namespace beechpoint::control {
 
+// Names a poll to whoever brought it and is to send its answer.
+using PollTicket = std::uint64_t;
+
 inline constexpr std::size_t kMaxWaitingPolls = 512;
 inline constexpr Millis kNotFreshWait = 300;
 
 struct WaitingPoll {
     PollRequest request;
-    rpc::Reply reply;
+    PollTicket ticket = 0;
     Millis deadline = 0;
     bool anyAnswer =
         false;            // came while this member could not vouch for its table: answered as soon as it can
@@ -32,7 +35,7 @@
     using HasNews = std::function<bool(const PollRequest&)>;
 
     // Takes the place of an earlier poll of the same gateway, which must have been taken out.
-    void hold(Millis now, PollRequest request, rpc::Reply reply, Millis wait, bool fresh);
+    void hold(Millis now, PollRequest request, PollTicket ticket, Millis wait, bool fresh);
     // The poll of that gateway, taken out, if there is one.
     std::vector<WaitingPoll> take(const std::string& gateway);
     // Those that are due, taken out; the ends of waits within `ahead` count as come.
--- /dev/null
+++ b/src/gateway/control_link_state.hpp
@@ -0,0 +1,102 @@
+// What a gateway's link to the control members decides: which member to poll, when, for how long to wait, when to go elsewhere. A state
+// machine free of I/O and clock: events come with the time, a call to make comes back, wakeAt() says when the next timer is due.
+//
+//   order of the members   those of the gateway's own region, then the others, then seeds that are no members; within each by rendezvous
+//                          hashing of the gateway's name, so that gateways spread evenly
+//   member that answers    polled again after kSpacing, held there up to kWait; where it has more than it sends now it says after how long
+//                          the gateway is to ask again (PollReply::retryAfterMs), which is spread by jitter
+//   no answer, or refused  the next member after a pause with jitter that doubles with each round of all members; the time given to
+//                          a member that has not answered yet doubles with each round as well, up to kFirstTimeoutMost: an answer that is
+//                          slow because all ask at once is not given up and begun again for ever
+//   no failure for long    back to the first of the order
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "control/messages.hpp"
+#include "core/splitmix.hpp"
+
+namespace beechpoint::gateway {
+
+// A poll to be sent now; those before it are given up.
+struct LinkCall {
+    std::uint64_t number = 0;
+    std::string address;
+    Millis waitMs = 0;   // the member may hold it so long
+    Millis timeout = 0;  // from now
+};
+
+class ControlLinkState {
+public:
+    static constexpr Millis kWait = 1000;        // a poll is held so long by a member that has nothing new
+    static constexpr Millis kAnswerSlack = 500;  // beyond kWait, before another member is asked
+    static constexpr Millis kFirstTimeout =
+        600;  // for a member that has not answered before: it is asked not to wait
+    static constexpr Millis kFirstTimeoutMost = 4800;
+    static constexpr Millis kSpacing =
+        20;  // between answer and poll: changes that come together travel together
+    static constexpr Millis kRetryFirst =
+        60;  // after a failure; doubles with each further round of all members
+    static constexpr Millis kRetryMost = 800;
+    static constexpr Millis kComeBackMost = 1500;  // a member's retryAfterMs counts up to this
+    static constexpr Millis kReturnAfter = 5000;   // without a failure: to the first member of the order
+
+    ControlLinkState(std::string name, std::uint64_t seed);
+
+    // This gateway's region; empty: not known, all members are alike.
+    void region(std::string region);
+    // Internal addresses (IP:PORT) of the seeds; may change at any time.
+    void seeds(std::vector<std::string> addresses);
+
+    std::optional<LinkCall> start(Millis now);
+    // Asks anew at once.
+    std::optional<LinkCall> pollNow(Millis now);
+    std::optional<LinkCall> onTimer(Millis now);
+    void stop();
+
+    // An answer with status ok. Answers to polls that were given up teach the members only.
+    void onAnswer(Millis now, std::uint64_t number, const control::PollReply& reply);
+    // No answer, one that can't be read, or one of a member that can't vouch for its table.
+    void onFailure(Millis now, std::uint64_t number);
+
+    bool running() const { return running_; }
+    // When onTimer() is to be called; nothing: a poll is out, or it is stopped.
+    std::optional<Millis> wakeAt() const { return wakeAt_; }
+    // When the last answer of a member that is up to date came; 0: never.
+    Millis heardAt() const { return heardAt_; }
+
+private:
+    std::optional<LinkCall> poll(Millis now);
+    void learnMembers(const control::PollReply& reply);
+    void orderMembers();
+    int distanceOf(const std::string& address) const;
+    std::string nextAddress() const;
+    std::size_t rounds() const;  // of all members that failed in a row
+
+    struct Known {
+        std::string address;
+        std::string region;  // empty: not known
+        bool operator==(const Known&) const = default;
+    };
+
+    SplitMix random_;
+    std::string name_, region_;
+    std::vector<std::string> seeds_;
+    std::vector<Known> members_;
+    std::vector<std::string> order_;  // of all of them
+    std::size_t turn_ = 0;            // place in the order
+    std::string polled_;              // the member whose answer is awaited
+    std::string current_;             // the member that answered last
+    Millis failedAt_ = 0;             // when a member last failed to answer
+    std::size_t failures_ = 0;        // in a row
+    std::uint64_t asked_ = 0;         // number of the poll that is out; earlier ones are given up
+    std::optional<Millis> wakeAt_;
+    bool running_ = false;
+    Millis heardAt_ = 0;
+};
+
+}  // namespace beechpoint::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -185,6 +185,7 @@
     request.position = table_.position();
     request.hostList = hosts_.versionToAskWith();
     request.takesHostChanges = true;
+    request.takesPackedState = true;
     request.directoryDigest = directoryDigest_;
     return request;
 }
--- a/src/leases/lease_table.cpp
+++ b/src/leases/lease_table.cpp
@@ -3,8 +3,28 @@
 #include <algorithm>
 #include <utility>
 
+#include "leases/duty.hpp"
+
 namespace beechpoint::leases {
 
+namespace {
+
+constexpr char kBetweenFields = '\n';
+
+}  // namespace
+
+std::uint64_t idOf(const Gateway& gateway) {
+    std::string text;
+    for (const std::string* field : {&gateway.zone, &gateway.region, &gateway.frontAddress}) {
+        text += *field;
+        text += kBetweenFields;
+    }
+    text += std::to_string(gateway.session);
+    text += gateway.ready ? '1' : '0';
+    text += gateway.draining ? '1' : '0';
+    return rendezvousWeight(gateway.name, text);
+}
+
 LeaseTable::LeaseTable(Settings settings, Millis now)
     : settings_(settings), wholeSince_(now), lookedAt_(now) {}
 
@@ -32,16 +52,50 @@
             return false;
         }
         found = leases_.emplace(gateway.name, Lease{}).first;
-    } else if (runs(found->second, now) && grantedAt < found->second.grantedAt) {
-        return true;  // a younger grant is known, of this or of a later session
     }
     Lease& lease = found->second;
+    if (!takeGrant(lease, now, grantedAt, here)) return true;
+    const std::uint64_t id = idOf(gateway);
+    if (lease.id != id) {
+        names_.erase(lease.id);
+        names_[id] = gateway.name;
+    }
+    lease.id = id;
     lease.gateway = std::move(gateway);
+    return true;
+}
+
+// False where a younger grant is known, of this or of a later session.
+bool LeaseTable::takeGrant(Lease& lease, Millis now, Millis grantedAt, bool here) const {
+    const bool isNew = lease.id == 0;
+    if (!isNew && runs(lease, now) && grantedAt < lease.grantedAt) return false;
     lease.grantedAt = grantedAt;
     lease.grantedHere = here;
     return true;
 }
 
+std::vector<std::uint64_t> LeaseTable::mergeRenewals(Millis now, const std::vector<Renewal>& renewals) {
+    look(now);
+    std::vector<std::uint64_t> unknown;
+    for (const Renewal& renewal : renewals) {
+        const auto name = names_.find(renewal.id);
+        if (name == names_.end())
+            unknown.push_back(renewal.id);
+        else if (renewal.ageMs < settings_.leaseMs)
+            takeGrant(leases_.at(name->second), now, now - renewal.ageMs, false);
+    }
+    note(now);
+    return unknown;
+}
+
+std::vector<LeaseTable::Granted> LeaseTable::grantedSince(Millis since, Millis now) const {
+    std::vector<Granted> granted;
+    for (const auto& [name, lease] : leases_)
+        if (lease.grantedHere && lease.grantedAt >= since && runs(lease, now))
+            granted.push_back({&lease.gateway, lease.id, now - lease.grantedAt});
+    return granted;
+}
+
 std::vector<SharedLease> LeaseTable::granted(Millis now) const {
     std::vector<SharedLease> granted;
     for (const auto& [name, lease] : leases_)
@@ -57,7 +111,12 @@
 }
 
 void LeaseTable::expire(Millis now) {
-    std::erase_if(leases_, [&](const auto& entry) { return !runs(entry.second, now); });
+    for (auto next = leases_.begin(); next != leases_.end();) {
+        const auto lease = next++;
+        if (runs(lease->second, now)) continue;
+        names_.erase(lease->second.id);
+        leases_.erase(lease);
+    }
 }
 
 void LeaseTable::note(Millis now) {
--- a/src/leases/lease_table.hpp
+++ b/src/leases/lease_table.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/clock.hpp"
@@ -44,6 +45,16 @@
     Millis age = 0;  // since it was granted
 };
 
+// A lease that the receiver was told whole before, granted anew. `id` stands for all that the gateway says of itself.
+struct Renewal {
+    std::uint64_t id = 0;
+    std::uint32_t ageMs = 0;
+    bool operator==(const Renewal&) const = default;
+};
+
+// Names what a gateway says of itself; another where any of it differs but for its load.
+std::uint64_t idOf(const Gateway& gateway);
+
 class LeaseTable {
 public:
     struct Settings {
@@ -61,10 +72,19 @@
     void merge(Millis now, const std::vector<SharedLease>& leases);
     // The live leases granted here, by name: what the other members are told again and again, so that no loss matters.
     std::vector<SharedLease> granted(Millis now) const;
+    // Those of them that were granted at or after `since`, and their ids.
+    struct Granted {
+        const Gateway* gateway;
+        std::uint64_t id;
+        Millis age;
+    };
+    std::vector<Granted> grantedSince(Millis since, Millis now) const;  // pointers hold until the next change
+    // What another member renewed. Returns the ids that name no lease known here.
+    std::vector<std::uint64_t> mergeRenewals(Millis now, const std::vector<Renewal>& renewals);
     // To be called every few hundred ms: ends leases, notes the count, notices a late wake.
     void look(Millis now);
 
-    std::vector<Gateway> live(Millis now) const;  // by name
+    std::vector<Gateway> live(Millis now) const;            // by name
     std::vector<SharedLease> liveLeases(Millis now) const;  // the same, with their ages
     bool isLive(const std::string& name, Millis now) const { return find(name, now) != nullptr; }
     // What a gateway said last, while its lease runs; else nullptr. Holds until the next call that is not const.
@@ -84,6 +104,7 @@
         Gateway gateway;
         Millis grantedAt = 0;
         bool grantedHere = false;
+        std::uint64_t id = 0;
     };
     struct Count {
         Millis until = 0;  // when it was last so
@@ -94,11 +115,13 @@
     std::uint32_t countLive(Millis now) const;
     void expire(Millis now);
     void note(Millis now);
+    bool takeGrant(Lease& lease, Millis now, Millis grantedAt, bool here) const;
     bool put(Millis now, Gateway gateway, Millis grantedAt, bool here);
 
     Settings settings_;
     std::map<std::string, Lease> leases_;
-    std::deque<Count> counts_;  // falling: each is the largest from then on
+    std::unordered_map<std::uint64_t, std::string> names_;  // by id, of all leases
+    std::deque<Count> counts_;                              // falling: each is the largest from then on
     Millis wholeSince_;
     Millis lookedAt_;
     std::uint64_t refused_ = 0;
--- a/src/scale/hollow_gateway.cpp
+++ b/src/scale/hollow_gateway.cpp
@@ -44,6 +44,7 @@
     request.position = table_.position();
     request.hostList = hosts_.versionToAskWith();
     request.takesHostChanges = true;
+    request.takesPackedState = true;
     request.directoryDigest = directoryDigest_;
     return request;
 }
--- a/tests/control/codec_test.cpp
+++ b/tests/control/codec_test.cpp
@@ -127,7 +127,7 @@
     EXPECT_EQ(read.value().leases.front().age, 250);
     EXPECT_EQ(read.value().hostList->hosts, share.hostList->hosts);
     EXPECT_TRUE(read.value().readsHosts);
-    const auto answer = decodeShareReply(encode(ShareReply{{1, 2, 3}}));
+    const auto answer = decodeShareReply(encode(ShareReply{{1, 2, 3}, true, {7}}));
     ASSERT_TRUE(answer.has_value());
     EXPECT_EQ(answer.value().hostListVersion, (instances::HostListVersion{1, 2, 3}));
 }
--- a/tests/leases/lease_table_test.cpp
+++ b/tests/leases/lease_table_test.cpp
@@ -173,5 +173,48 @@
     EXPECT_EQ(table.loadOfOthers(kStart, "g3"), expected);
 }
 
+TEST(LeaseTable, TakesRenewalsOfWhatItWasTold) {
+    LeaseTable here(settings(), kStart), there(settings(), kStart);
+    here.renew(kStart, gateway("g1"));
+    there.merge(kStart, here.granted(kStart));
+    run(here, kStart, kStart + 2000);
+    run(there, kStart, kStart + 2000);
+    here.renew(kStart + 2000, gateway("g1"));
+    const auto granted = here.grantedSince(kStart + 1000, kStart + 2100);
+    ASSERT_EQ(granted.size(), 1u);
+    EXPECT_TRUE(here.grantedSince(kStart + 2001, kStart + 2100).empty());
+    EXPECT_TRUE(there.mergeRenewals(kStart + 2100, {{granted.front().id, 100}}).empty());
+    EXPECT_TRUE(there.isLive("g1", kStart + 4999));
+    EXPECT_FALSE(there.isLive("g1", kStart + 5000));
+}
+
+TEST(LeaseTable, SaysWhichRenewalsItDoesNotKnow) {
+    LeaseTable table(settings(), kStart);
+    table.renew(kStart, gateway("g1"));
+    Gateway later = gateway("g1", 2);
+    EXPECT_NE(idOf(gateway("g1")), idOf(later));
+    EXPECT_EQ(table.mergeRenewals(kStart, {{idOf(later), 0}}), std::vector<std::uint64_t>{idOf(later)});
+    table.renew(kStart + 1, later);
+    EXPECT_EQ(table.mergeRenewals(kStart + 2, {{idOf(gateway("g1")), 0}}),
+              std::vector<std::uint64_t>{idOf(gateway("g1"))});
+    EXPECT_EQ(table.find("g1", kStart + 2)->session, 2u);
+}
+
+TEST(LeaseTable, ARenewalOlderThanTheGrantKnownChangesNothing) {
+    LeaseTable table(settings(), kStart);
+    table.renew(kStart, gateway("g1"));
+    run(table, kStart, kStart + 1000);
+    EXPECT_TRUE(table.mergeRenewals(kStart + 1000, {{idOf(gateway("g1")), 2000}}).empty());
+    EXPECT_TRUE(table.isLive("g1", kStart + 2999));
+}
+
+TEST(LeaseTable, ForgetsTheIdsOfLeasesThatEnded) {
+    LeaseTable table(settings(), kStart);
+    table.renew(kStart, gateway("g1"));
+    run(table, kStart, kStart + 3500);
+    EXPECT_EQ(table.mergeRenewals(kStart + 3500, {{idOf(gateway("g1")), 0}}).size(), 1u);
+    EXPECT_EQ(table.size(), 0u);
+}
+
 }  // namespace
 }  // namespace beechpoint::leases
