Begin a barrier that failed again only after a pause

Cause, found by the simulation of the whole control side: the tail of a view that has promised for the next one fails a read's barrier in the same step, and the call was looked at again at once; so each GET in hand during a view change held the member's loop for up to 850 ms, just when its vote was needed. Change: 25 ms before a barrier is begun again. Changed tests: two named the immediate repetition; they now require that nothing is begun in the same step, and that it is after the pause.

--- a/src/control/operator_calls.cpp
+++ b/src/control/operator_calls.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Millis kComeBackAfter = 300;
+constexpr Millis kTryAgainAfter = 25;  // a barrier that failed may fail again in the same step
 constexpr int kOk = 200;
 constexpr int kTemporaryRedirect = 307;
 constexpr int kUnavailable = 503;
@@ -79,7 +80,10 @@
     if (pending == calls_.end()) return;
     pending->state = State::waiting;
     if (pending->clientLeft) return forget(pending);
-    if (!event.ok || !moment.replica.table) return;
+    if (!event.ok || !moment.replica.table) {
+        pending->notBefore = moment.now + kTryAgainAfter;
+        return;
+    }
     if (pending->call.writes()) return decideWrite(moment, pending, true);
     answer(moment, pending, kOk, configuration::renderConfiguration(*moment.replica.table));
 }
@@ -121,12 +125,13 @@
         return redirect(moment, pending, holder.controlAddress);
     if (leaving_) return sendAway(moment, pending, "this member is leaving");
     if (moment.now >= pending->deadline) return sendAway(moment, pending, waitReason(replica, pending->call));
+    const bool due = moment.now >= pending->notBefore;
     if (!pending->call.writes()) {
-        if (here) startBarrier(moment, pending);
+        if (here && due) startBarrier(moment, pending);
         return;
     }
     const bool first = !std::exchange(writeAhead, true);
-    if (first && here && replica.writable) decideWrite(moment, pending, false);
+    if (first && here && due && replica.writable) decideWrite(moment, pending, false);
 }
 
 void OperatorCalls::startBarrier(const Moment& moment, Iterator pending) {
--- a/src/control/operator_calls.hpp
+++ b/src/control/operator_calls.hpp
@@ -124,6 +124,8 @@
         State state = State::waiting;
         std::uint64_t revision = 0;  // while committing
         bool clientLeft = false;
+        // No barrier is begun before that: one that failed may fail again in the same step.
+        Millis notBefore = 0;
     };
     using Iterator = std::list<Pending>::iterator;
 
--- a/tests/control/operator_calls_test.cpp
+++ b/tests/control/operator_calls_test.cpp
@@ -209,6 +209,12 @@
     place(false, true);
     id = come(get());
     tell(BarrierDone{id, false});
+    EXPECT_TRUE(actions.empty()) << "it would fail again in the same step, without end";
+    now += 10;
+    tell(Look{});
+    EXPECT_TRUE(actions.empty());
+    now += 20;
+    tell(Look{});
     EXPECT_TRUE(only<StartBarrier>()) << "still the tail: once more";
     now += kOperatorWait;
     tell(BarrierDone{id, false});
@@ -248,6 +254,9 @@
         ASSERT_TRUE(only<StartBarrier>());
         EXPECT_TRUE(only<StartBarrier>()->emptyBatch);
         tell(BarrierDone{id, false});
+        EXPECT_TRUE(actions.empty()) << "not in the same step";
+        now += 25;
+        tell(Look{});
         EXPECT_TRUE(only<StartBarrier>()) << "still the head: once more";
         tell(BarrierDone{id, true});
         EXPECT_GE(answered(), 400);
