Force late, second and lost answers on the server's and the operator client's side

Ruled out by tests, no change to the program: an answer given twice, in one turn or once it has gone, or after its client has left, reaches no other request; a client that is still sending a body that is too large gets its refusal whole (the connection lingers, it is not reset); a request in hand keeps its answer when the limits shrink, while one that is half read is refused and not taken; a change whose answer was lost goes to the next member in the same bytes; the same member is asked again on a new connection, since answers of members bear no id.

--- a/tests/operator_client/client_test.cpp
+++ b/tests/operator_client/client_test.cpp
@@ -98,6 +98,40 @@
     EXPECT_EQ(reply.address, head.address);
 }
 
+// The answer is lost on the way: the same bytes go to the next member, which answers for what the first has taken.
+TEST_F(ClientTest, AChangeWhoseAnswerWasLostIsSentAgainUnchanged) {
+    const auto textOf = [](const net::HttpMessage& message) {
+        return std::string(message.method) + ' ' + std::string(message.target) + ' ' +
+               std::string(message.header("If-Match")) + ' ' + std::string(message.body);
+    };
+    std::vector<std::string> lost, again;
+    ScriptedMember first([&](const net::HttpMessage& message, net::HttpConnection& connection) {
+        lost.push_back(textOf(message));
+        connection.reset();
+    });
+    ScriptedMember second([&](const net::HttpMessage& message, net::HttpConnection& connection) {
+        again.push_back(textOf(message));
+        connection.respond(200, "application/json", R"({"revision":7})");
+    });
+    const Reply reply =
+        perform({first.address, second.address}, {"PATCH", "/configuration", R"({"a":1})", 5});
+    EXPECT_EQ(reply.ending, Ending::done);
+    EXPECT_EQ(lost, std::vector<std::string>{R"(PATCH /configuration 5 {"a":1})"});
+    EXPECT_EQ(again, lost);
+}
+
+// Answers of members bear no id, so a second answer to one call must not be taken for the answer to the same call made again.
+TEST_F(ClientTest, TheSameMemberIsAskedAgainOnANewConnection) {
+    std::vector<std::weak_ptr<net::HttpConnection>> asked;
+    ScriptedMember member([&](const net::HttpMessage&, net::HttpConnection& connection) {
+        asked.push_back(connection.weak_from_this());
+        connection.respond(asked.size() == 1 ? 503 : 200, "application/json", "{}");
+    });
+    EXPECT_EQ(perform({member.address}, {"PUT", "/configuration", "{}", 5}).ending, Ending::done);
+    ASSERT_EQ(asked.size(), 2u);
+    EXPECT_TRUE(asked[0].owner_before(asked[1]) || asked[1].owner_before(asked[0]));
+}
+
 TEST_F(ClientTest, ARefusalComesWithItsBody) {
     ScriptedMember member([](const net::HttpMessage&, net::HttpConnection& connection) {
         connection.respond(412, "application/json", R"({"error":{"message":"m"}})");
--- a/tests/upstream/server_test.cpp
+++ b/tests/upstream/server_test.cpp
@@ -98,6 +98,66 @@
     EXPECT_TRUE(taken.empty());
 }
 
+// Closing with bytes unread would reset the connection, and the client would lose the answer with it.
+TEST_F(StrictServer, AClientThatIsStillSendingGetsItsRefusalWhole) {
+    constexpr std::size_t kBody = 24 * 1024 * 1024;  // more than the systems hold between them
+    const PeerPtr peer = ask(kPost + "Content-Length: " + std::to_string(kBody) + "\r\n\r\n");
+    peer->send(std::string(kBody, 'x'));
+    ASSERT_TRUE(until(io, [&] { return peer->has("message too large\n"); }));
+    ASSERT_TRUE(until(io, [&] { return peer->ended; }));
+    EXPECT_FALSE(peer->wasReset);
+    EXPECT_EQ(peer->got.find("HTTP/1.1", 1), std::string::npos) << "more than one answer";
+    EXPECT_TRUE(taken.empty());
+}
+
+// An answer that is given late, or once more, is for the request in hand or for none.
+TEST_F(StrictServer, AnAnswerGivenTwiceOrLateReachesNoOtherRequest) {
+    PeerPtr peer;
+    const ConnectionPtr first = take(kGet, &peer);
+    first->respond(200, "text/plain", "first");
+    first->respond(200, "text/plain", "once more");
+    EXPECT_FALSE(first->beginStream(200, "", 1));
+    ASSERT_TRUE(until(io, [&] { return peer->has("first"); }));
+    first->respond(200, "text/plain", "once more");
+    const std::size_t before = taken.size();
+    peer->send(kGet);
+    ASSERT_TRUE(until(io, [&] { return taken.size() > before; }));
+    ASSERT_EQ(taken.back().connection, first);
+    first->respond(200, "text/plain", "second");
+    ASSERT_TRUE(until(io, [&] { return peer->has("second"); }));
+    EXPECT_FALSE(peer->has("once more"));
+
+    PeerPtr gone, other;
+    const ConnectionPtr left = take(kGet, &gone);
+    gone->reset();
+    ASSERT_TRUE(until(io, [&] { return !left->waiting(); }));
+    const ConnectionPtr next = take(kGet, &other);
+    ASSERT_NE(left, next);
+    left->respond(200, "text/plain", "late");
+    next->respond(200, "text/plain", "own");
+    ASSERT_TRUE(until(io, [&] { return other->has("own"); }));
+    EXPECT_FALSE(other->has("late"));
+}
+
+// The limits change while one client's request is half read and another's is in hand.
+TEST_F(StrictServer, ARequestInHandKeepsItsAnswerWhenTheLimitsShrink) {
+    PeerPtr inHand;
+    const std::string body(10'000, 'x');
+    const std::string whole = kPost + "Content-Length: 10000\r\n\r\n" + body;
+    const ConnectionPtr handled = take(whole, &inHand);
+    const PeerPtr half = ask(whole.substr(0, whole.size() - 1));
+    settle(io);
+    net::HttpLimits small = limits();
+    small.body = 5000;
+    server->limits(small);
+    half->send(whole.substr(whole.size() - 1));
+    ASSERT_TRUE(until(io, [&] { return half->ended; }));
+    EXPECT_TRUE(half->has(" 413 ")) << half->got;
+    EXPECT_EQ(taken.size(), 1u);  // the half one was not taken
+    handled->respond(200, "text/plain", "own");
+    ASSERT_TRUE(until(io, [&] { return inHand->has("own"); }));
+}
+
 TEST_F(StrictServer, TakesLargeBodiesInBothCodings) {
     std::string body;
     for (int i = 0; body.size() < 4 * 1024 * 1024; ++i) body += std::to_string(i) + ",";
