Put a gateway's drain on one time line, and test the newer rules of its path

Cause: a gateway accepted for 4 s after SIGTERM and cut what still ran at the end of the grace time; a request taken after 3.9 s with a stream longer than what was left was lost.

DrainTimeline, free of I/O, decides the drain: everything is taken while the directory's answers live (2.75 s and half of grace_s at most); later the port is closed, resting connections are closed, and what is still read is taken only if all the time it may last ends first, else 503 with Retry-After.

Checks changed: MaxAttemptsBoundsTheHosts wants 502 in place of 503 for what has run twice; the random scenarios refuse the promise to repeatable requests too, and check departures, deadlines and max_attempts besides; the directory's expected lists leave other regions out.

Ruled out: contact_ms (a draining gateway is not in touch), closing resting connections at once (their clients would only connect again).

--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -29,7 +29,8 @@
             if (!usable || distanceTo(gateway, zone, region) != distance) continue;
             if (addresses.size() < kMaxResolved) addresses.push_back(gateway.frontAddress);
         }
-        if (addresses.size() >= kEnoughNear) break;
+        const std::size_t enough = distance == sameZone ? kEnoughNear : 1;
+        if (addresses.size() >= enough) break;
     }
     return addresses;
 }
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -367,7 +367,7 @@
         const RequestId id = request.asked.id;
         if (request.open) {
             act(BreakOff{id});
-        } else if (request.repeatable() || !request.mayHaveRun()) {
+        } else if (!request.mayHaveRun()) {  // a refusal promises that, also where a repeat would do no harm
             act(Refuse{id, 503, retryAfter(0, request.deadlineAt - now_)});
         } else {
             act(Fail{id, 502});
@@ -603,6 +603,12 @@
         fleet_ = fleet;
         for (auto& [name, state] : services_) applyFleet(state);
     }
+    void on(const Closing&) {
+        std::vector<RequestId> ids;
+        for (const auto& [id, request] : requests_) ids.push_back(id);
+        std::sort(ids.begin(), ids.end());
+        for (const RequestId id : ids) giveUp(requests_.at(id));
+    }
     void on(const Tick&) {}  // handle() looks at what is due, whatever the event
 
     // ---- time
--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -153,10 +153,13 @@
     bool answered = false;  // an HTTP answer came from it, whatever it says
 };
 
+// The process ends: every request gets its final action now, and no host is asked any more.
+struct Closing {};
+
 struct Tick {};
 
 using Event = std::variant<RequestArrived, AttemptHead, AttemptFirstByte, AttemptEnded, ClientGone, Hosts,
-                           Services, Evacuated, Fleet, WarmupSeen, ProbeEnded, Tick>;
+                           Services, Evacuated, Fleet, WarmupSeen, ProbeEnded, Closing, Tick>;
 
 // ---- actions
 
--- a/src/gateway/client_request.hpp
+++ b/src/gateway/client_request.hpp
@@ -23,7 +23,7 @@
     upstream::Headers headers;  // end to end
     std::shared_ptr<const std::string> body;
     std::optional<std::string> lastEventId;  // a stream that the client takes up again
-    Millis deadline = kDefaultDeadline;      // what the client will wait from when the request was read
+    Millis deadline = kDefaultDeadline;      // what the client will wait from the request's first byte on
     std::vector<dispatch::PromptPart> prompt;
     std::uint32_t promptTokens = 0, outTokens = 0;
 };
@@ -34,7 +34,8 @@
 // "ID:TOKENS,ID:TOKENS"; parts that can't be read are left out.
 std::vector<dispatch::PromptPart> parsePromptPrefix(std::string_view text);
 
-// The dispatcher's event for a request on this route; `waited`: since the request's last byte came.
+// The dispatcher's event for a request on this route; `waited`: since the request's first byte came, from when on the client counts
+// its deadline and the operator the route's time.
 dispatch::RequestArrived arrival(dispatch::RequestId id, const ClientRequest& request,
                                  const routing::RouteEntry& route, Millis waited);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,16 +18,17 @@
 constexpr Millis kControlSilent =
     2500;                             // without an answer of control: the platform's list is read from here
 constexpr Millis kOwnReading = 2500;  // between own readings of the platform's list
-constexpr Millis kFleetMemory = 20'000;        // the number of gateways last heard of counts so long
-constexpr Millis kAcceptWhileStopping = 4000;  // clients may hold the directory's answer so long
-constexpr Millis kIdleWhileStopping = 500;     // a kept connection is closed after being idle so long
-constexpr Millis kBeforeKill = 400;            // the process has ended by then
+constexpr Millis kFleetMemory = 20'000;     // the number of gateways last heard of counts so long
+constexpr Millis kIdleWhileStopping = 500;  // a kept connection is closed after being idle so long
 constexpr Millis kStopLook = 50;
 constexpr std::size_t kReservedDescriptors = 232;  // 200 are the platform's; listeners, control, platform
 constexpr std::size_t kReadinessClients = 16;
 constexpr std::size_t kDirectoryClients = 256;
 constexpr double kMostTtlS = 2;          // of the directory's answers
 constexpr Millis kClientPause = 10'000;  // between bytes of a body
+// What a client may send before a configuration is known: a request must not be called too large by a bound that nobody set.
+constexpr std::size_t kHeadUnconfigured = 64 * 1024;
+constexpr std::size_t kBodyUnconfigured = 4 * 1024 * 1024;
 
 asio::ip::tcp::endpoint endpointOf(const std::string& text, const char* field) {
     const auto endpoint = back::readEndpoint(text);
@@ -56,6 +57,18 @@
     return out;
 }
 
+DrainSettings drainSettings(const settings::ProcessSettings& settings, double directoryTtlS) {
+    DrainSettings out;
+    out.grace = settings.timingBounds.graceS * 1000;
+    out.directoryTtl = directoryTtlS * 1000;
+    out.seedLag = settings.timingBounds.seedLagS * 1000;
+    return out;
+}
+
+double directoryTtl(const settings::ProcessSettings& settings) {
+    return std::min(settings.timingBounds.ttlMaxS, kMostTtlS);
+}
+
 // Control members listen for their own kind, and for gateways, at the first internal port.
 std::vector<std::string> internalAddresses(const settings::ProcessSettings& settings) {
     std::vector<std::string> addresses;
@@ -89,7 +102,7 @@
                     if (hosts_.offer(list, confirmedAt, clock_.now())) tellHosts();
                 }),
       directory_(
-          clock, [this] { return knownGateways(); }, std::min(settings_.timingBounds.ttlMaxS, kMostTtlS)),
+          clock, [this] { return knownGateways(); }, directoryTtl(settings_)),
       front_(io, clock, log, clientConnections(settings_),
              [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
                  exchange_.take(message, client);
@@ -106,12 +119,16 @@
           [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
               directory_.handle(message, client);
           }),
-      timer_(io) {
+      timer_(io),
+      drain_(drainSettings(settings_, directoryTtl(settings_))) {
     net::HttpLimits limits;
     limits.strict = true;
     limits.announceIdle = true;
     limits.bodyPause = kClientPause;
+    limits.head = kHeadUnconfigured;
+    limits.body = kBodyUnconfigured;
     front_.limits(limits);
+    exchange_.takeOnlyIf([this](Millis mayLast) { return drain_.takes(clock_.now(), mayLast); });
 }
 
 void Gateway::start() {
@@ -134,7 +151,7 @@
     log_.info("settings read again: {} seeds", field("seeds", settings_.seedNodes.size()));
 }
 
-bool Gateway::ready() const { return stoppingAt_ == 0 && table_.configured() && hosts_.list() != nullptr; }
+bool Gateway::ready() const { return !drain_.begun() && table_.configured() && hosts_.list() != nullptr; }
 
 std::string Gateway::metrics() const {
     const Millis now = clock_.now();
@@ -143,7 +160,7 @@
     const auto seconds = [now](Millis since) { return (now - since) / 1000; };
     MetricsText text;
     text.gauge("beechpoint_gateway_ready", "1 while clients may be sent here.", figure(ready()));
-    text.gauge("beechpoint_gateway_draining", "1 after SIGTERM.", figure(stoppingAt_ != 0));
+    text.gauge("beechpoint_gateway_draining", "1 after SIGTERM.", figure(drain_.begun()));
     text.gauge("beechpoint_gateway_position_epoch", "Epoch of the table held.",
                figure(table_.position().epoch));
     text.gauge("beechpoint_gateway_position_sequence", "Sequence of the table held.",
@@ -198,7 +215,7 @@
     gateway.region = settings_.region;
     gateway.frontAddress = settings_.advertised(settings_.listenAddresses.front);
     gateway.ready = ready();
-    gateway.draining = stoppingAt_ != 0;
+    gateway.draining = drain_.begun();
     return gateway;
 }
 
@@ -305,13 +322,13 @@
     timer_.expires_after(toMicroseconds(pause));
     timer_.async_wait([this](asio::error_code error) {
         if (error) return;
-        stoppingAt_ == 0 ? look() : lookWhileStopping();
+        drain_.begun() ? lookWhileStopping() : look();
     });
 }
 
 void Gateway::stop(std::function<void()> ended) {
-    if (stoppingAt_ != 0) return;
-    stoppingAt_ = clock_.now();
+    if (drain_.begun()) return;
+    drain_.begin(clock_.now());
     ended_ = std::move(ended);
     log_.info("gateway {} drains: {} requests are open", field("name", settings_.nodeName),
               field("open", exchange_.live()));
@@ -322,14 +339,13 @@
 }
 
 void Gateway::lookWhileStopping() {
-    const Millis passed = clock_.now() - stoppingAt_;
-    const Millis grace = settings_.timingBounds.graceS * 1000 - kBeforeKill;
-    if (passed > kAcceptWhileStopping) {
+    const Millis now = clock_.now();
+    if (!drain_.listens(now)) {
         front_.stopAccepting();
         front_.closeIdle(kIdleWhileStopping);
     }
-    const bool empty = passed > kAcceptWhileStopping && exchange_.live() == 0 && front_.connections() == 0;
-    if (!empty && passed < grace) return lookAfter(kStopLook);
+    const bool busy = exchange_.live() > 0 || front_.connections() > 0;
+    if (!drain_.ends(now, busy)) return lookAfter(kStopLook);
     exchange_.endAll();
     control_.stop();
     platform_.stop();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,6 +2,8 @@
 //
 //   starting --table and hosts known--> ready --SIGTERM--> draining --no request left, or time up--> ended
 //
+// What happens when while it drains is decided by the DrainTimeline.
+//
 // A gateway is ready once it has a configuration and a list of hosts, and stays so when control is away: it goes on with what
 // it holds, and reads the platform's list by itself, slowly.
 #pragma once
@@ -14,6 +16,7 @@
 #include "control/directory_service.hpp"
 #include "core/logger.hpp"
 #include "gateway/control_link.hpp"
+#include "gateway/drain_timeline.hpp"
 #include "gateway/host_list_copy.hpp"
 #include "gateway/request_exchange.hpp"
 #include "instances/poller.hpp"
@@ -35,6 +38,7 @@
     // Where clients connect.
     asio::ip::tcp::endpoint frontEndpoint() const { return front_.endpoint(); }
     asio::ip::tcp::endpoint directoryEndpoint() const { return directoryServer_.endpoint(); }
+    asio::ip::tcp::endpoint readinessEndpoint() const { return readiness_.endpoint(); }
     bool ready() const;
 
 private:
@@ -68,7 +72,7 @@
     std::uint32_t liveGateways_ = 0;         // 0: not known
     Millis liveKnownAt_ = 0;
     Millis startedAt_ = 0;
-    Millis stoppingAt_ = 0;  // 0: not stopping
+    DrainTimeline drain_;
     std::function<void()> ended_;
 };
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -18,6 +18,7 @@
 constexpr double kConnectionsUsed = 0.9;         // of a host's connections: others may count them late
 constexpr std::size_t kLeastConnections = 2;
 constexpr Millis kProbeTimeout = 800;
+constexpr Millis kElsewhereAfter = 50;  // advice to a client that is to go to another gateway
 constexpr std::string_view kJson = "application/json";
 
 // Statuses that promise that the request has not run and never will.
@@ -132,7 +133,11 @@
         return client->respond(400, kJson,
                                R"({"error":"X-Attempt-Id must be there once; send one id a try"})");
     const dispatch::RequestId id = ++lastId_;
-    dispatch::RequestArrived event = arrival(id, asked, *route, clock_.now() - client->receivedAt());
+    dispatch::RequestArrived event = arrival(id, asked, *route, clock_.now() - client->begunAt());
+    if (!mayTake_(event.deadline))
+        return client->respond(503, kJson,
+                               R"({"error":"ending; not taken and not run; ask another gateway"})",
+                               net::retryAfterHeader(kElsewhereAfter));
     LiveRequest& request = requests_[id];
     request.client = client;
     request.asked = std::move(asked);
@@ -414,16 +419,6 @@
     request.client->endStream();
 }
 
-void RequestExchange::endAll() {
-    std::vector<dispatch::RequestId> open;
-    for (const auto& [id, request] : requests_)
-        if (!request.done) open.push_back(id);
-    for (const dispatch::RequestId id : open) {
-        LiveRequest* const request = find(id);
-        const bool untouched = request && request->attempts.empty();
-        answer(id, untouched ? 503 : 502, "this process is ending", 0);
-        tell(dispatch::ClientGone{id});
-    }
-}
+void RequestExchange::endAll() { tell(dispatch::Closing{}); }
 
 }  // namespace beechpoint::gateway
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -9,6 +9,7 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,9 @@
     void tell(dispatch::Event event);
     // How many gateways share the connections to each host, this one included.
     void sharedBy(std::uint32_t gateways) { gateways_ = std::max<std::uint32_t>(gateways, 1); }
+    // Only requests for which this holds are taken from now on, asked with the time that each may last; others are refused.
+    using MayTake = std::function<bool(Millis mayLast)>;
+    void takeOnlyIf(MayTake mayTake) { mayTake_ = std::move(mayTake); }
     // A client's request; its slices hold during the call only.
     void take(const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client);
 
@@ -44,7 +48,7 @@
     std::uint64_t requestsTaken() const { return lastId_; }
     const upstream::UpstreamCounts& upstreamCounts() const { return upstream_.counts(); }
     std::size_t upstreamConnections() const { return upstream_.connections(); }
-    // Answers each request that no host has answered yet with 503 or 502, whichever is true, and ends the rest.
+    // Ends every request: 503 for what has not run, 502 for what may have, and answers that have begun are broken off.
     void endAll();
 
 private:
@@ -105,6 +109,7 @@
     asio::steady_timer timer_;
     std::shared_ptr<const routing::RoutingTable> routes_;
     std::uint32_t gateways_ = 1;
+    MayTake mayTake_ = [](Millis) { return true; };
     std::unordered_map<dispatch::RequestId, LiveRequest> requests_;
     dispatch::RequestId lastId_ = 0;
     std::deque<dispatch::Event> events_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -103,6 +103,7 @@
         return;
     }
     state_ = State::handling;
+    begunAt_ = partialSince_ > 0 ? partialSince_ : receivedAt_;
     partialSince_ = 0;
     if (state == HttpReader::State::complete) return takeMessage(reader_.message());
     keepAlive_ = noBody_ = false;  // where the next message begins is unknown
@@ -134,7 +135,8 @@
 // A strict connection is not closed behind this answer where another request has come already: that one counts as read.
 void HttpConnection::decideKeepAlive() {
     const bool leave = server_.closing_ || server_.crowded();
-    const bool moreCame = strict_ && (buffer_.size() > 0 || unread());
+    // Where the answer is given while its request is being handed over, the buffer still holds that.
+    const bool moreCame = strict_ && (buffer_.size() > reader_.messageSize() || unread());
     if (farAhead_ || (leave && !moreCame)) keepAlive_ = false;
 }
 
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -60,6 +60,8 @@
     State finish();         // the peer ended the connection: completes an answer that lasts until then
     HttpMessage message();  // after complete
     void next();            // gives up the message's bytes and begins another
+    // Bytes of the message in hand, where it is complete: what lies behind them belongs to the next one.
+    std::size_t messageSize() const { return complete_ ? parsed_ : 0; }
     bool inHead() const { return !headDone_; }
     // In a body whose client waits for "100 Continue" and has sent nothing of it yet. Strict reading only.
     bool awaitsContinue() const;
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -46,6 +46,8 @@
     void start() { read(); }
     // When the last byte read so far came: the request in hand came no later.
     Millis receivedAt() const { return receivedAt_; }
+    // When the first byte of the request in hand was read.
+    Millis begunAt() const { return begunAt_; }
     // The answer to the request in hand.
     // `handedOver` is called once its last byte is; dropped uncalled where the client has gone.
     void respond(int status, std::string_view type, std::string_view body, std::string_view extra = {},
@@ -134,7 +136,7 @@
     bool asked_ = false;       // at least one whole message has come
     Millis since_ = 0;         // of the state it is in; until a whole message has come, of its connecting
     Millis partialSince_ = 0;  // of the first byte of a message that is not whole; 0: none
-    Millis receivedAt_ = 0;
+    Millis receivedAt_ = 0, begunAt_ = 0;
     std::list<std::shared_ptr<HttpConnection>>::iterator place_;
 };
 
--- a/tests/control/directory_test.cpp
+++ b/tests/control/directory_test.cpp
@@ -26,9 +26,10 @@
     EXPECT_EQ(resolve(three(), "za", "r1"), (Addresses{"a1", "a2"}));
 }
 
-TEST(Directory, GoesOnToTheRegionAndThenToAll) {
+TEST(Directory, GoesOnToTheRegionAndOnlyWithoutOneThereToAll) {
     EXPECT_EQ(resolve(three(), "zb", "r1"), (Addresses{"b1", "a1", "a2"}));
-    EXPECT_EQ(resolve(three(), "zc", "r2"), (Addresses{"c1", "a1", "a2", "b1"}));
+    EXPECT_EQ(resolve(three(), "zc", "r2"), (Addresses{"c1"}));
+    EXPECT_EQ(resolve(three(), "ze", "r3"), (Addresses{"a1", "a2", "b1", "c1"}));
     EXPECT_EQ(resolve(three(), "zd", "r1"), (Addresses{"a1", "a2", "b1"}));
     EXPECT_EQ(resolve(three(), "", ""), (Addresses{"a1", "a2", "b1", "c1"}));
 }
@@ -37,7 +38,9 @@
     auto gateways = three();
     gateways[0].ready = false;
     gateways[2].draining = true;
-    EXPECT_EQ(resolve(gateways, "za", "r1"), (Addresses{"a2", "c1"}));
+    EXPECT_EQ(resolve(gateways, "za", "r1"), (Addresses{"a2"}));
+    gateways[1].ready = false;
+    EXPECT_EQ(resolve(gateways, "za", "r1"), (Addresses{"c1"}));
     for (auto& each : gateways) each.ready = false;
     EXPECT_TRUE(resolve(gateways, "za", "r1").empty());
 }
--- a/tests/dispatch/random_test.cpp
+++ b/tests/dispatch/random_test.cpp
@@ -23,6 +23,8 @@
         int relayed = -1;
         bool over = false;
         int sent = 0;
+        Millis arrivedAt = 0;
+        std::size_t gateway = 0;
     };
     struct Pending {
         Millis at = 0;
@@ -99,6 +101,9 @@
             << "may run twice";
         EXPECT_EQ(send.resume, life.open);
         EXPECT_GT(send.within, 0);
+        EXPECT_LE(now + send.within, life.arrivedAt + life.asked.deadline) << "more than is left";
+        const int hostsBefore = arrived.contains(send.id) ? static_cast<int>(arrived.at(send.id).size()) : 0;
+        EXPECT_LT(hostsBefore, life.asked.maxAttempts) << "too many hosts";
         EXPECT_EQ(send.attempt, life.sent);
         ++life.sent;
         life.out.insert(send.attempt);
@@ -136,9 +141,7 @@
     void did(std::size_t, const Refuse& refuse) {
         Life& life = lifeOf(refuse.id);
         EXPECT_FALSE(life.open);
-        const bool repeatable = life.asked.type == RequestType::idempotent || life.asked.resumable;
-        EXPECT_TRUE(repeatable || life.possiblyRun + static_cast<int>(life.out.size()) == 0)
-            << "refused, yet may have run";
+        EXPECT_EQ(life.possiblyRun + static_cast<int>(life.out.size()), 0) << "refused, yet may have run";
         EXPECT_LE(refuse.retryAfter, life.asked.deadline / 3);
         life.over = true;
     }
@@ -171,9 +174,27 @@
         asked.maxAttempts = 1 + static_cast<int>(random.below(3));
         if (random() < 0.3) asked.allowedRegions = {"north"};
         asked.prompt = {{"p" + std::to_string(random.below(10)), 3000}, {"own", 100}};
-        lives[asked.id].asked = asked;
+        Life& life = lives[asked.id];
+        life.asked = asked;
+        life.arrivedAt = now;
+        life.gateway = random.below(gateways.size());
         requests.push_back(now);
-        tell(random.below(gateways.size()), asked);
+        if (random() < 0.1) departures.emplace(now + 300 * random(), asked.id);
+        tell(life.gateway, asked);
+    }
+    // Its client leaves: nothing is done about it any more, and what is out is cancelled at once.
+    void depart(RequestId id) {
+        Life& life = lives.at(id);
+        if (life.over) return;
+        life.over = true;
+        tell(life.gateway, ClientGone{id});
+        for (const int attempt : life.out) EXPECT_TRUE(cancelled.contains({id, attempt})) << "works on";
+    }
+    // No request is without its final answer later than its deadline (a tick is at most 1 ms late here).
+    void checkOverdue() {
+        for (; oldest <= lastId && now > lives.at(oldest).arrivedAt + lives.at(oldest).asked.deadline + 2;
+             ++oldest)
+            EXPECT_TRUE(lives.at(oldest).over) << "request " << oldest << " is held past its time";
     }
     void finish(const Pending& next) {
         Life& life = lives.at(next.id);
@@ -224,6 +245,11 @@
         Millis nextArrival = now, nextChange = now + 3000;
         while (now < end + 5000) {
             if (now < end && now >= nextArrival) arrive(), nextArrival = now + 20 * random();
+            while (!departures.empty() && departures.begin()->first <= now) {
+                const RequestId id = departures.begin()->second;
+                departures.erase(departures.begin());
+                depart(id);
+            }
             if (now >= nextChange) change(), nextChange = now + 2000 * random();
             while (!pending.empty() && pending.top().at <= now) {
                 const Pending next = pending.top();
@@ -240,6 +266,7 @@
                 gateways[g].timerAt = 0;
                 tell(g, Tick{});
             }
+            checkOverdue();
             now += 1;
         }
     }
@@ -285,13 +312,15 @@
     std::map<std::string, std::vector<Millis>> coldSends;
     std::priority_queue<Pending> pending;
     std::queue<std::pair<Millis, std::pair<std::size_t, std::string>>> probes;
-    RequestId lastId = 0;
+    std::set<std::pair<Millis, RequestId>> departures;
+    RequestId lastId = 0, oldest = 1;
     int lastHost = 0;
 };
 
 // In every scenario: no send to a host that is gone, draining, evacuated or outside the allowed regions; at most one
 // send that may have run of a request that can't be repeated; no refusal of one that may have run; one end for each
-// request; the shared budget and the cold bound hold over all gateways.
+// request, no later than its deadline; no more hosts than its route allows, each handed no more time than is left; nothing
+// more once its client has left; the shared budget and the cold bound hold over all gateways.
 TEST(RandomScenarios, KeepTheRules) {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         SCOPED_TRACE(seed);
--- a/tests/dispatch/requests_test.cpp
+++ b/tests/dispatch/requests_test.cpp
@@ -112,7 +112,8 @@
     EXPECT_EQ(only<Send>(h.ended(arrived.id, 0, Outcome::hostError)).size(), 1u);
     const std::vector<Action> end = h.ended(arrived.id, 1, Outcome::hostError);
     EXPECT_TRUE(only<Send>(end).empty());
-    EXPECT_EQ(only<Refuse>(end).size(), 1u);
+    EXPECT_TRUE(only<Refuse>(end).empty());  // it has run, twice
+    EXPECT_EQ(only<Fail>(end).size(), 1u);
 }
 
 TEST_F(RequestsTest, WhatNeverRanIsRefusedWithATimeToComeBack) {
@@ -262,5 +263,28 @@
     EXPECT_EQ(h.dispatcher.live(), 1u);
 }
 
+// The process ends: who may have run is not promised otherwise, and no host is asked any more.
+TEST_F(RequestsTest, ClosingGivesEachRequestItsTrueEnd) {
+    RequestArrived out = h.request(RequestType::nonIdempotent);
+    h.tell(out);
+    RequestArrived begun = h.request(RequestType::streaming);
+    h.tell(begun);
+    h.head(begun.id, 0);
+    h.tell(AttemptFirstByte{begun.id, 0});
+    h.tell(Hosts{});
+    RequestArrived waiting = h.request(RequestType::nonIdempotent);
+    h.tell(waiting);
+    const std::vector<Action> end = h.tell(Closing{});
+    ASSERT_EQ(only<Fail>(end).size(), 1u);
+    EXPECT_EQ(only<Fail>(end)[0].id, out.id);
+    ASSERT_EQ(only<BreakOff>(end).size(), 1u);
+    EXPECT_EQ(only<BreakOff>(end)[0].id, begun.id);
+    ASSERT_EQ(only<Refuse>(end).size(), 1u);
+    EXPECT_EQ(only<Refuse>(end)[0].id, waiting.id);
+    EXPECT_EQ(only<Cancel>(end).size(), 2u);
+    EXPECT_EQ(h.dispatcher.live(), 0u);
+    EXPECT_TRUE(only<Send>(h.pass(5000)).empty());
+}
+
 }  // namespace
 }  // namespace beechpoint::dispatch
