Split the dispatcher by concern: services, routes, health, attempts, arrival

Tables of services and routes, the health of hosts, the log of attempts with what their ends teach, the arrival of requests, the list of what is due, the budget of copies and the list of actions have their own modules; what stays is the way of one request.

--- /dev/null
+++ b/src/dispatch/attempt_log.cpp
@@ -0,0 +1,78 @@
+#include "dispatch/attempt_log.hpp"
+
+namespace beechpoint::dispatch {
+
+void AttemptLog::sent(const Request& request, int number, int host, double tokens, Millis now) {
+    HostSlot& slot = hosts_.at(host);
+    Sent sent;
+    sent.host = host;
+    sent.service = request.service;
+    sent.route = request.asked.route;
+    sent.sentAt = now;
+    sent.tokens = tokens;
+    sent.ahead = slot.waiting;
+    sent.aheadTokens = slot.waitingTokens;
+    Predictor::sent(slot, routes_.use(sent.route, now).id, sent);
+    slot.sends.sent(now);
+    sent_.emplace(Key{request.asked.id, number}, std::move(sent));
+}
+
+bool AttemptLog::firstByte(const AttemptFirstByte& first, const Request* request, Millis now) {
+    const auto out = sent_.find({first.id, first.attempt});
+    if (out == sent_.end()) return false;
+    Sent& sent = out->second;
+    const bool proper = !request || !request->attempt(first.attempt).unusable;
+    const bool streaming = request && request->streaming();
+    HostSlot& slot = hosts_.at(sent.host);
+    RouteRecord& route = routes_.use(sent.route, now);
+    if (streaming && proper && sent.waiting)
+        Predictor::learnTime(slot, route, services_.at(sent.service, now).load, sent,
+                             (now - sent.sentAt) / 1000, false, now);
+    if (streaming) Predictor::waitingEnded(slot, route.id, sent);
+    health_.reached(slot, now);
+    return true;
+}
+
+bool AttemptLog::ended(const AttemptEnded& ended, const Request* request, Millis now) {
+    const auto out = sent_.find({ended.id, ended.attempt});
+    if (out == sent_.end()) return false;
+    Sent sent = std::move(out->second);
+    sent_.erase(out);
+    if (ended.warmupLeft > 0)
+        health_.warming(WarmupSeen{hosts_.at(sent.host).host.instanceId, ended.warmupLeft}, now);
+    learn(sent, ended.outcome, request && request->attempt(ended.attempt).unusable, now);
+    return true;
+}
+
+void AttemptLog::learn(Sent& sent, Outcome outcome, bool unusable, Millis now) {
+    HostSlot& slot = hosts_.at(sent.host);
+    RouteRecord& route = routes_.use(sent.route, now);
+    ServiceLoad& load = services_.at(sent.service, now).load;
+    const double took = (now - sent.sentAt) / 1000;
+    const bool served = outcome == Outcome::served && !unusable;
+    const bool calledOff = outcome == Outcome::cancelled || outcome == Outcome::timedOut;
+    if (sent.waiting && (served || calledOff))
+        Predictor::learnTime(slot, route, load, sent, took, calledOff, now);
+    Predictor::waitingEnded(slot, route.id, sent);
+    --slot.out;
+    if (served) health_.reached(slot, now);
+    switch (outcome) {
+        case Outcome::cancelled:
+            if (unusable) Predictor::learnEnd(slot, route.id, false, now);
+            break;
+        case Outcome::notExecuted:
+        case Outcome::noCapacity:
+            health_.full(slot, route, now);
+            break;
+        case Outcome::notConnected:
+            health_.cutOff(slot, true, now);
+            break;
+        case Outcome::resetBeforeAnswer:
+            health_.cutOff(slot, false, now);
+            [[fallthrough]];
+        default:
+            Predictor::learnEnd(slot, route.id, served, now);
+    }
+}
+
+}  // namespace beechpoint::dispatch
--- a/src/dispatch/request.hpp
+++ b/src/dispatch/request.hpp
@@ -38,11 +38,12 @@
     bool copiesAlone = false;
     bool waiting = false;  // for a host that may take it
     Millis giveUpAt = 0;   // while waiting
-    Millis dueAt = 0;      // when it is to be looked at
     bool open = false;     // the client has a head
     int relayed = -1;      // the attempt whose answer goes to the client
     std::string lastEventId;
 
+    Attempt& attempt(int number) { return attempts[static_cast<std::size_t>(number)]; }
+    const Attempt& attempt(int number) const { return attempts[static_cast<std::size_t>(number)]; }
     bool streaming() const { return asked.type == RequestType::streaming; }
     bool resumable() const { return streaming() && asked.resumable; }
     bool repeatable() const { return asked.type == RequestType::idempotent || resumable(); }
--- /dev/null
+++ b/src/dispatch/service_table.cpp
@@ -0,0 +1,79 @@
+#include "dispatch/service_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "dispatch/dispatcher.hpp"
+
+namespace beechpoint::dispatch {
+
+namespace {
+
+constexpr double kUsualMemoryMs = 10000;
+
+}  // namespace
+
+ServiceState& ServiceTable::at(const std::string& name, Millis now) {
+    const auto found = services_.find(name);
+    if (found != services_.end()) return found->second;
+    const RetryBounds bounds{settings_.retryBudgetRatio, settings_.retryWindow, settings_.retryBudgetSlack};
+    ServiceState& state = services_.emplace(name, ServiceState(bounds)).first->second;
+    state.service.name = name;
+    applyFleet(state, now);
+    return state;
+}
+
+ServiceState& ServiceTable::use(const std::string& name, Millis now) {
+    ServiceState& state = at(name, now);
+    if (state.coldShareBlind && !blind(now)) applyFleet(state, now);
+    state.usedAt = now;
+    return state;
+}
+
+// While blind, an earlier process of this gateway may have sent as well.
+void ServiceTable::applyFleet(ServiceState& state, Millis now) {
+    const double bound = state.service.warmupPerS * settings_.warmupOvershoot + settings_.warmupSlack;
+    state.coldShareBlind = blind(now);
+    state.coldShare =
+        ColdShare(bound, fleet_.liveGateways, fleet_.known && !state.coldShareBlind, fleet_.rank);
+    state.budget.fleet(fleet_.liveGateways, fleet_.known);
+    state.load.gateways = std::max(1, fleet_.liveGateways);
+}
+
+void ServiceTable::configure(const Services& list, Millis now) {
+    for (auto& [name, state] : services_) state.configured = false;
+    for (const Service& each : list.services) {
+        ServiceState& state = at(each.name, now);
+        state.service = each;
+        state.configured = true;
+        state.load.engine = each.engine;
+        applyFleet(state, now);
+    }
+}
+
+void ServiceTable::share(const Fleet& fleet, Millis now) {
+    fleet_ = fleet;
+    for (auto& [name, state] : services_) applyFleet(state, now);
+}
+
+void ServiceTable::smoothWaiting(const HostTable& hosts, Millis passed) {
+    if (passed <= 0) return;
+    const double keep = std::exp(-passed / kUsualMemoryMs);
+    for (auto& [name, state] : services_) {
+        const std::vector<int>& own = hosts.ofService(name);
+        double waiting = 0;
+        for (const int i : own) waiting += hosts.at(i).waiting;
+        const double mean = waiting / static_cast<double>(std::max<std::size_t>(1, own.size()));
+        state.load.usualWaiting = keep * state.load.usualWaiting + (1 - keep) * mean;
+    }
+}
+
+void ServiceTable::prune(Millis oldest) {
+    std::erase_if(services_, [&](const auto& entry) {
+        const ServiceState& state = entry.second;
+        return !state.configured && state.usedAt < oldest;
+    });
+}
+
+}  // namespace beechpoint::dispatch
