Count a gateway's directory lag as shares and polls take it: 1.5 s

The news that a gateway drains goes with members' shares (0.5 s) and gateways' polls (1 s). It matters only where the directory's answers live for less than 1.25 s; elsewhere the leaving phase is bounded by 2.75 s as before.

--- a/src/gateway/drain_timeline.hpp
+++ b/src/gateway/drain_timeline.hpp
@@ -17,7 +17,8 @@
 //            deadline lies behind the end of the grace time; it is ended as broken.
 //
 // The leaving phase is no longer than kMostLeaving, since only for requests sent within 3 s of SIGTERM a stream may be cut at the
-// end of the grace time, and no longer than half of the grace time, so that the other half is left to finish them.
+// end of the grace time, and no longer than half of the grace time, so that the other half is left to finish them. Where that is
+// less than the life of the directory's answers, the last of those who hold one find the port closed, as said above.
 //
 // A gateway that has nothing to do may end from mayEndAt on: not sooner, since clients find the directory by a list that is
 // seed_lag_s old and would meet a closed port here.
@@ -37,11 +38,12 @@
 public:
     enum class Phase { serving, leaving, finishing, ended };
 
-    static constexpr Millis kDirectoryLag = 1000;  // from SIGTERM until no gateway names this one any more
-    static constexpr Millis kMostLeaving = 2750;   // 3 s, less what a signal may take to be seen
-    static constexpr double kLeavingPart = 0.5;    // of the grace time, at most
-    static constexpr Millis kBeforeKill = 400;     // the process has ended by then
-    static constexpr Millis kLagMargin = 500;      // behind seedLag
+    static constexpr Millis kDirectoryLag =
+        1500;  // from SIGTERM until no gateway names this one: shares 0.5 s, polls 1 s
+    static constexpr Millis kMostLeaving = 2750;  // 3 s, less what a signal may take to be seen
+    static constexpr double kLeavingPart = 0.5;   // of the grace time, at most
+    static constexpr Millis kBeforeKill = 400;    // the process has ended by then
+    static constexpr Millis kLagMargin = 500;     // behind seedLag
 
     explicit DrainTimeline(const DrainSettings& settings);
 
