--- a/src/control/directory_sample.cpp
+++ b/src/control/directory_sample.cpp
@@ -37,7 +37,7 @@
                                              const std::string& zone, const std::string& region,
                                              std::size_t group) {
     std::map<std::pair<std::string_view, std::string_view>, std::vector<Candidate>> zones;
-    const std::string drawer = std::to_string(group);
+    const std::string drawer = zone + '/' + std::to_string(group);
     for (const leases::Gateway& gateway : live)
         if (isUsable(gateway))
             zones[{gateway.region, gateway.zone}].push_back(
--- a/src/control/directory_sample.hpp
+++ b/src/control/directory_sample.hpp
@@ -5,7 +5,7 @@
 //   its region             up to kFromOwnRegion of each zone
 //   elsewhere              up to kFromElsewhere of each zone, above kEnoughNear: a client from there is not sent farther than with all
 //
-// A zone that has a usable gateway is never left out by the sampling. Which of them is drawn by rendezvous of the reader's group, so that
+// A zone that has a usable gateway is never left out by the sampling. Which of them is drawn by rendezvous of the reader's zone and group, so that
 // the clients of different gateways spread over all. Free of I/O.
 #pragma once
 
--- a/tests/control/codec_test.cpp
+++ b/tests/control/codec_test.cpp
@@ -130,6 +130,52 @@
     const auto answer = decodeShareReply(encode(ShareReply{{1, 2, 3}, true, {7}}));
     ASSERT_TRUE(answer.has_value());
     EXPECT_EQ(answer.value().hostListVersion, (instances::HostListVersion{1, 2, 3}));
+    EXPECT_TRUE(answer.value().takesIncrements);
+    EXPECT_EQ(answer.value().unknownLeases, std::vector<std::uint64_t>{7});
+}
+
+TEST(Codec, PackedStateOfAPollReplyIsReadIntoThePlainFields) {
+    PollReply reply;
+    const SharedHostList shared = hostList();
+    reply.packedHostList = packHostList(*receivedList(shared, 0));
+    reply.hostListReadAge = 70;
+    reply.packedDirectory = packDirectory({gateway()});
+    reply.retryAfterMs = 250;
+    reply.members = {"a:1", "b:1"};
+    reply.memberRegions = {"r1", ""};
+    const auto read = decodePollReply(encode(reply));
+    ASSERT_TRUE(read.has_value()) << read.error().text();
+    ASSERT_TRUE(read.value().hostList.has_value());
+    EXPECT_EQ(read.value().hostList->version, shared.version);
+    EXPECT_EQ(read.value().hostList->hosts, shared.hosts);
+    EXPECT_EQ(read.value().hostList->readAge, 70);
+    EXPECT_EQ(read.value().directory, std::vector<leases::Gateway>{gateway()});
+    EXPECT_EQ(read.value().retryAfterMs, 250);
+    EXPECT_EQ(read.value().memberRegions, reply.memberRegions);
+    EXPECT_TRUE(read.value().packedHostList.empty());
+    reply.packedHostList.resize(reply.packedHostList.size() / 2);
+    EXPECT_FALSE(decodePollReply(encode(reply)).has_value());
+}
+
+TEST(Codec, IncrementsOfAShareGoThereAndBack) {
+    Share share;
+    share.renewals = {{7, 250}, {8, 0}};
+    instances::HostListChanges changes;
+    changes.base = {1, 1, 1};
+    changes.version = {1, 2, 1};
+    changes.gone = {"i-1"};
+    share.packedHostChanges = packHostChanges(changes);
+    share.hostListReadAge = 30;
+    const std::string bytes = encode(share);
+    const auto read = decodeShare(openEnvelope(bytes).value().body);
+    ASSERT_TRUE(read.has_value()) << read.error().text();
+    EXPECT_EQ(read.value().renewals, share.renewals);
+    ASSERT_TRUE(read.value().hostChanges.has_value());
+    EXPECT_EQ(read.value().hostChanges->changes, changes);
+    EXPECT_EQ(read.value().hostChanges->readAge, 30);
+    share.packedHostChanges = "x";
+    const std::string spoilt = encode(share);
+    EXPECT_FALSE(decodeShare(openEnvelope(spoilt).value().body).has_value());
 }
 
 TEST(Codec, RefusesWhatIsNoMessage) {
