Test on sockets that an order whose sender has gone is not begun

The sender's end stands behind the order, unread, as after a cut that held both up. Another change on the same version is then taken: the first was not begun.

--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -4,7 +4,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <asio/buffer.hpp>
+#include <asio/ip/address.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 
 #include "cluster.hpp"
@@ -113,6 +116,23 @@
     EXPECT_EQ(revisionAt(0), answers[0].status == 200 ? 2 : 3);
 }
 
+// Its end comes right behind the order, as after a cut that held both up: by now the order was sent again elsewhere, or given up.
+TEST_F(ControlTest, AnOrderWhoseSenderHasGoneIsNotBegun) {
+    found();
+    const std::string address = cluster.controlAddress(head());
+    const std::size_t colon = address.rfind(':');
+    const std::string body = configuration(1);
+    asio::ip::tcp::socket sender(cluster.io());
+    sender.connect({asio::ip::make_address(address.substr(0, colon)),
+                    static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    asio::write(sender,
+                asio::buffer("PUT /configuration HTTP/1.1\r\nHost: c\r\nIf-Match: 0\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body));
+    sender.close();
+    EXPECT_EQ(cluster.call(head(), "PUT", "/configuration", "0", configuration(2)).status, 200);
+    EXPECT_EQ(revisionAt(0), 2);
+}
+
 TEST_F(ControlTest, EvacuatesAZoneAndTakesItBack) {
     found();
     EXPECT_EQ(cluster.call(0, "POST", "/evacuate/za").status, 200);
