--- /dev/null
+++ b/tests/replica/explore_world.hpp
@@ -0,0 +1,206 @@
+// A small deterministic world of three replicas for exploration: fixed delays, no luck. Each message that is sent and each
+// update that is given to a disk is a numbered point of the run; a plan says at which points what deviates.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <limits>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "replica/replica.hpp"
+
+namespace beechpoint::replica::exploration {
+
+inline constexpr std::size_t kFounders = 3;
+inline constexpr std::size_t kNodes = 4;  // the last one is a spare, which a scenario may start
+
+enum class Deviation {
+    // of a message
+    lost,
+    lostForAWhile,  // with all of its step between the two
+    repeated,       // comes a second time, much later
+    late,
+    senderCutOff,  // both ways, for a while
+    senderFrozen,
+    // of an update of a disk
+    powerBefore,  // the machine loses its power; the update is not there
+    powerAfter,   // the update is there; nobody was told
+    allPowerBefore,
+    allPowerAfter,
+    wiped,  // the machine comes back with an empty disk
+    failed,
+    failedThere,  // reported as failed, though it took effect
+    slow,
+};
+inline constexpr std::size_t kDeviations = 14;
+const char* nameOf(Deviation deviation);
+bool ofMessage(Deviation deviation);
+
+// What a point is part of.
+enum class Step {
+    heartbeat,
+    joining,
+    vote,
+    voteRecord,
+    decision,
+    opening,
+    batch,
+    commit,
+    handOver,
+    otherRecord
+};
+inline constexpr std::size_t kSteps = 10;
+const char* nameOf(Step step);
+
+struct Point {
+    Step step;
+    bool message;
+    bool open;  // to deviations: the scenario has begun and is not long over
+};
+
+using Plan = std::map<std::size_t, Deviation>;  // by the number of the point
+
+class World;
+// What happens in the base run.
+struct Scenario {
+    std::string name;
+    std::function<void(World&)> begin;  // called once writes are acknowledged
+    bool allowed = true;                // by itself no more than the system must bear
+};
+const std::vector<Scenario>& scenarios();
+
+struct Outcome {
+    std::string failure;  // empty: none
+    bool whole = false;   // all are in one view again in the end, and it takes writes
+    std::size_t acknowledged = 0;
+    std::size_t reads = 0;
+    std::vector<Point> points;
+};
+
+class World {
+public:
+    // `states`: hashes of the states reached are added to it.
+    World(const Scenario& scenario, Plan plan, std::unordered_set<std::uint64_t>& states);
+    ~World();
+
+    Outcome run();
+
+    // ---- For scenarios
+    void after(Millis delay, std::function<void()> action);
+    void losePower(std::size_t node);
+    void wipe(std::size_t node);  // loses its power and its disk
+    void start(std::size_t node);
+    void cut(std::size_t from, std::size_t to, Millis span);
+    void cutOff(std::size_t node, Millis span);
+    void freeze(std::size_t node, Millis span);
+    // Leaves by agreement, and ends once it has left.
+    void leave(std::size_t node);
+    // Messages of handing over are lost for so long.
+    void loseHandOver(Millis span) { handOverLostUntil_ = now_ + span; }
+    // The node at this place of the newest view.
+    std::size_t head() const;
+    std::size_t tail() const;
+    std::size_t between() const { return kFounders - head() - tail(); }  // of a view of the founders
+
+private:
+    struct QueuedPersist {
+        std::uint64_t token;
+        DurableUpdate update;
+        std::size_t point;
+    };
+    struct Node {
+        Member member;
+        std::unique_ptr<Replica> replica;
+        std::uint64_t life = 0;
+        bool leaving = false;
+        bool gone = false;  // for good
+        Millis frozenUntil = 0;
+        std::deque<Event> waiting;
+        DurableState written;
+        DurableState synced;
+        std::deque<QueuedPersist> persists;
+        bool diskBusy = false;
+        std::uint64_t diskOrder = 0;
+        Millis diskStalledUntil = 0;
+        Millis timer = 0;
+        Position shown;
+        std::uint64_t hash = 0;
+    };
+    struct Due {
+        Millis time;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator>(const Due& other) const {
+            return time != other.time ? time > other.time : order > other.order;
+        }
+    };
+    struct Known {
+        Position position;
+        Table table;
+    };
+    struct OpenWrite {
+        std::size_t node;
+        std::string value;
+    };
+
+    void at(Millis time, std::function<void()> action);
+    bool runUntil(Millis end, const std::function<bool()>& condition);
+    std::size_t pass(Step step, bool message);
+    const Deviation* planned(std::size_t point) const;
+
+    void deliver(std::size_t node, Event event);
+    void carryOut(std::size_t node, const std::vector<Action>& actions);
+    void send(std::size_t from, const Send& send);
+    void transmit(std::size_t from, std::size_t to, const Message& message, Millis delay);
+    void startPersist(std::size_t node);
+    void finishPersist(std::size_t node);
+    bool strikeDisk(std::size_t node, const QueuedPersist& persist);
+    void losePowerAndReturn(std::size_t node);
+    void thaw(std::size_t node);
+    void client();
+    void onWriteDone(std::size_t node, const WriteDone& done);
+    void onReadDone(std::size_t node, const ReadDone& done);
+    void onCommitted(std::size_t node, const Batch& batch);
+    void onView(const View& view);
+    void checkStart(const View& view, Position acknowledged);
+    void check(std::size_t node);
+    void know(std::size_t node, Position position, const Table& table);
+    void fail(const std::string& text);
+    bool failed() const { return !outcome_.failure.empty(); }
+    bool whole() const;
+    void endIfLeft(std::size_t node);
+    void checkCopies(const View& view);
+    void remember(std::size_t node);
+
+    const Scenario& scenario_;
+    Plan plan_;
+    std::unordered_set<std::uint64_t>& states_;
+    Outcome outcome_;
+    Millis now_ = 1'000'000;
+    std::uint64_t order_ = 0;
+    std::vector<Due> due_;  // a heap, earliest first
+    std::deque<Node> nodes_;
+    std::map<std::pair<std::size_t, std::size_t>, Millis> cutUntil_;
+    std::map<std::tuple<std::size_t, std::size_t, Step>, Millis> lostUntil_;
+    Millis handOverLostUntil_ = 0;
+    std::uint64_t inFlight_ = 0;  // sum of the hashes of the messages on their way
+    Millis begunAt_ = std::numeric_limits<Millis>::infinity();  // the scenario
+    bool clientRuns_ = true;
+    std::uint64_t nextToken_ = 1;
+    std::map<std::uint64_t, OpenWrite> openWrites_;
+    std::map<std::uint64_t, Position> openReads_;  // what was acknowledged when it began
+    Position acknowledged_;
+    std::deque<std::pair<Millis, Position>> acknowledgements_;
+    std::map<std::uint64_t, Known> history_;  // by sequence
+    std::map<std::uint64_t, View> views_;     // by epoch
+};
+
+}  // namespace beechpoint::replica::exploration
