Let a process copy the committed table before a view takes it in

Cause: a process that joined became a link of the chain before it had the state, so writes waited for its whole copy of the table.

Settled members alone answer, with committed batches only.

--- a/src/control/replica_codec.cpp
+++ b/src/control/replica_codec.cpp
@@ -36,7 +36,8 @@
 struct Fields<replica::Status> {
     static auto of(auto& status) {
         return std::tie(status.sealed, status.settled, status.diskFailing, status.syncedEpoch, status.chained,
-                        status.committed, status.reached, status.unheard, status.stalledAt, status.leaving);
+                        status.committed, status.reached, status.unheard, status.stalledAt, status.leaving,
+                        status.stored);
     }
 };
 template <>
--- a/src/replica/chain.cpp
+++ b/src/replica/chain.cpp
@@ -81,29 +81,56 @@
     startRetryAt_ = now + kChainRetry;
 }
 
+// To a learner goes what is committed: in a settled epoch that is the folded table.
 void Chain::onSyncRequest(const Message& message, const SyncRequest& request) {
     const View& view = membership_.view;
-    if (message.epoch != view.epoch || !view.findDisk(message.from) || !synced()) return;
+    if (message.epoch != view.epoch || !synced()) return;
+    std::optional<TableUpdate> update;
+    if (view.findDisk(message.from))
+        update = startFor(request);
+    else if (membership_.active() && settled_)
+        update = request.whole ? table_.whole() : table_.updateSince(request.position);
+    if (update) outbox_.send(message.from.internalAddress, SyncReply{request.position, std::move(*update)});
+}
+
+std::optional<TableUpdate> Chain::startFor(const SyncRequest& request) const {
     TableUpdate update = request.whole ? table_.whole() : table_.updateSince(request.position);
-    const bool withPending = pending_ && pendingStored_ && pending_->position == view.start;
+    const bool withPending = pending_ && pendingStored_ && pending_->position == membership_.view.start;
     if (withPending) {
         update.changes.insert(update.changes.end(), pending_->changes.begin(), pending_->changes.end());
         update.position = pending_->position;
     }
-    if (update.position != view.start) return;
-    outbox_.send(message.from.internalAddress, SyncReply{request.position, std::move(update)});
+    if (update.position != membership_.view.start) return std::nullopt;
+    return update;
 }
 
 void Chain::onSyncReply(const Message& message, const SyncReply& reply) {
     const View& view = membership_.view;
-    if (message.epoch != view.epoch || !membership_.active() || synced() || startPersisting_) return;
-    if (reply.update.position != view.start || !view.findDisk(message.from)) return;
-    if (!reply.update.whole && (rewriteTable_ || reply.since != table_.position())) return;
-    bring(reply.update);
+    if (message.epoch != view.epoch || !view.findDisk(message.from) || startPersisting_) return;
+    if (!membership_.voter()) return learn(reply);
+    if (!membership_.active() || synced() || reply.update.position != view.start) return;
+    if (fits(reply)) bring(reply.update, view.epoch);
 }
 
-void Chain::bring(TableUpdate update) {
-    const std::uint64_t epoch = membership_.view.epoch;
+bool Chain::fits(const SyncReply& reply) const {
+    return reply.update.whole || (!rewriteTable_ && reply.since == table_.position());
+}
+
+std::optional<SyncRequest> Chain::lacks() const {
+    if (startPersisting_) return std::nullopt;
+    return SyncRequest{table_.position(), rewriteTable_};
+}
+
+// A copy for later, by a process that no view it knows lists: `syncedEpoch` stays, so it counts for nothing until a view that
+// lists this process has brought it to its starting state. What is committed only grows, so an older answer is dropped.
+void Chain::learn(const SyncReply& reply) {
+    const bool newer = reply.update.position > table_.position() ||
+                       (rewriteTable_ && reply.update.position == table_.position());
+    if (newer && fits(reply)) bring(reply.update, std::nullopt);
+}
+
+// With an epoch: it is the epoch's starting state, and this disk is synced into the epoch then.
+void Chain::bring(TableUpdate update, std::optional<std::uint64_t> epoch) {
     DurableUpdate change;
     change.table = update;
     if (!update.whole && unconfirmedFold_) {
@@ -122,7 +149,7 @@
         pending_.reset();
         pendingStored_ = false;
         unconfirmedFold_.reset();
-        syncedEpoch_ = epoch;
+        syncedEpoch_ = epoch.value_or(syncedEpoch_);
         startRetryAt_ = now;
         resolveStart(now);
         open(now);
@@ -351,6 +378,11 @@
     return {};
 }
 
+bool Chain::isNear(Position position) const {
+    const std::optional<std::size_t> bytes = settled_ ? table_.bytesSince(position) : std::nullopt;
+    return bytes && *bytes <= kNearBytes;
+}
+
 std::optional<TableUpdate> Chain::updateSince(Position position) const {
     if (!settled_ || position > servedPosition_) return std::nullopt;
     return table_.updateSince(position);
--- a/src/replica/chain.hpp
+++ b/src/replica/chain.hpp
@@ -36,6 +36,8 @@
     void onCommit(Millis now, const Message& message, const Commit& commit);
     void onSyncRequest(const Message& message, const SyncRequest& request);
     void onSyncReply(const Message& message, const SyncReply& reply);
+    // What a process outside the view asks a member for; nothing while the disk is at work on an earlier answer.
+    std::optional<SyncRequest> lacks() const;
     // Another process's status tells of commits whose message was lost.
     void onStatus(Millis now, const Message& message, const Status& status);
 
@@ -49,6 +51,10 @@
     // Of all that is stored here, the pending batch included.
     Position storedPosition() const;
     Position foldedPosition() const { return table_.position(); }
+    // The same, where the disk is known to hold it.
+    Position tablePosition() const { return rewriteTable_ ? Position{} : table_.position(); }
+    // A process that holds this position lacks only a few batches of what is committed.
+    bool isNear(Position position) const;
     // The member at which the head's item hangs, by what the others say of themselves; empty: none.
     std::string stalledAt(Millis now, const FailureDetector& detector) const;
 
@@ -68,7 +74,10 @@
     void resolveStart(Millis now);
     void claimStart(DurableUpdate update);
     void requestSync(Millis now);
-    void bring(TableUpdate update);
+    std::optional<TableUpdate> startFor(const SyncRequest& request) const;
+    void learn(const SyncReply& reply);
+    bool fits(const SyncReply& reply) const;
+    void bring(TableUpdate update, std::optional<std::uint64_t> epoch);
     bool synced() const;
 
     // Opening.
--- a/src/replica/failure_detector.cpp
+++ b/src/replica/failure_detector.cpp
@@ -65,6 +65,7 @@
     const bool sameAsBefore = sameProcess(peer.member, message.from);
     if (!sameAsBefore || reply.sentAt - peer.answeredSentAt > kReachableFor)
         peer.answeringSince = reply.sentAt;
+    if (!sameAsBefore || reply.sentAt - peer.answeredSentAt > kLearnMost) peer.heardSince = reply.sentAt;
     peer.member = message.from;
     peer.epoch = message.epoch;
     peer.status = reply.status;
--- a/src/replica/failure_detector.hpp
+++ b/src/replica/failure_detector.hpp
@@ -26,6 +26,7 @@
     Millis watchedSince = kNever;       // silence counts from here on at the earliest
     Millis answeredSentAt = kNever;     // when the heartbeat that it answered last was sent
     Millis answeringSince = kNever;     // it has answered steadily since
+    Millis heardSince = kNever;         // the same, but for gaps below kLearnMost
     std::uint64_t vouchedSequence = 0;  // last round that it answered in the present epoch, unsealed
     Millis vouchedSentAt = kNever;
     Millis joinedAt = kNever;  // of its last Join
--- /dev/null
+++ b/src/replica/learner.cpp
@@ -0,0 +1,30 @@
+#include "replica/learner.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace beechpoint::replica {
+
+bool Learner::learns() const {
+    const bool outside = membership_.view.epoch > 0 && !membership_.voter();
+    return outside && !membership_.leaving && !membership_.diskFailing && !outbox_.congested();
+}
+
+void Learner::tick(Millis now) {
+    if (!learns() || now < askAt_) return;
+    const std::optional<SyncRequest> request = chain_.lacks();
+    if (!request) return;
+    askAt_ = now + kLearnRetry;
+    outbox_.send(nextSource().internalAddress, *request);
+}
+
+const Member& Learner::nextSource() {
+    std::vector<const Member*> sources;
+    for (const Member& member : membership_.view.members) sources.push_back(&member);
+    std::ranges::stable_partition(
+        sources, [&](const Member* member) { return member->zone == membership_.self.zone; });
+    return *sources[asked_++ % sources.size()];
+}
+
+}  // namespace beechpoint::replica
--- a/src/replica/messages.hpp
+++ b/src/replica/messages.hpp
@@ -30,6 +30,7 @@
     std::vector<std::string> reached;  // answered lately
     std::vector<std::string> unheard;  // members of the view that have not answered for the suspicion time
     std::string stalledAt;             // member at which the sender's batch hangs; empty: none
+    Position stored;                   // of the table on disk; a learner's progress
     bool leaving = false;              // is to end: asks for a view without it, and not to be taken in
 };
 
@@ -98,6 +99,7 @@
     Position position;
 };
 
+// From a member of the view: answered with the starting state. From a process outside of it: with the committed state.
 struct SyncRequest {
     Position position;   // of the asker's table
     bool whole = false;  // a delta will not do
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -9,6 +9,7 @@
 #include "core/splitmix.hpp"
 #include "replica/chain.hpp"
 #include "replica/failure_detector.hpp"
+#include "replica/learner.hpp"
 #include "replica/membership.hpp"
 #include "replica/outbox.hpp"
 #include "replica/read_barriers.hpp"
@@ -57,6 +58,7 @@
           outbox_(membership_),
           detector_(membership_, outbox_, random_.bits(), now),
           chain_(membership_, outbox_, state),
+          learner_(membership_, outbox_, chain_),
           viewChange_(membership_, outbox_, detector_, chain_, state.control, random_.bits(), now,
                       [this](Millis at, const View& view) { install(at, view); }),
           reads_(membership_, outbox_, detector_, chain_) {
@@ -178,6 +180,7 @@
         status.reached = detector_.reached(now);
         status.unheard = detector_.unheard(now);
         status.stalledAt = chain_.stalledAt(now, detector_);
+        status.stored = chain_.tablePosition();
         status.leaving = membership_.leaving;
         return status;
     }
@@ -192,6 +195,7 @@
         detector_.enterView(now);
         reads_.failAll();
         chain_.enterView(now);
+        learner_.enterView(now);
         outbox_.emit(ViewChanged{view});
         outbox_.log(fmt::format("view of epoch {}, {} members, {}", view.epoch, view.members.size(),
                                 membership_.index ? "this process is one" : "this process is none"));
@@ -207,6 +211,7 @@
         if (!identified_) return identify(now);
         viewChange_.tick(now);
         chain_.tick(now);
+        learner_.tick(now);
         reads_.tick(now);
         detector_.tick(now);
         join(now);
@@ -276,6 +281,7 @@
     Outbox outbox_;
     FailureDetector detector_;
     Chain chain_;
+    Learner learner_;
     ViewChange viewChange_;
     ReadBarriers reads_;
 };
--- a/src/replica/table_history.cpp
+++ b/src/replica/table_history.cpp
@@ -1,6 +1,7 @@
 #include "replica/table_history.hpp"
 
 #include <algorithm>
+#include <ranges>
 #include <set>
 #include <string>
 #include <utility>
@@ -59,6 +60,16 @@
     return update;
 }
 
+std::optional<std::size_t> TableHistory::bytesSince(Position since) const {
+    std::size_t bytes = 0;
+    if (since == position_) return bytes;
+    for (const Batch& batch : batches_ | std::views::reverse) {
+        if (batch.position == since) return bytes;
+        bytes += bytesOf(batch);
+    }
+    return since == base_ ? std::optional(bytes) : std::nullopt;
+}
+
 TableUpdate TableHistory::whole() const {
     TableUpdate update{position_, true, {}};
     for (const auto& [key, value] : *table_) update.changes.push_back({key, value});
--- a/src/replica/table_history.hpp
+++ b/src/replica/table_history.hpp
@@ -25,6 +25,8 @@
     // From `since` to the present position: the keys that changed, or the whole table if `since` is not in the history.
     TableUpdate updateSince(Position since) const;
     TableUpdate whole() const;
+    // Of the batches since that position; nothing if it is not in the history.
+    std::optional<std::size_t> bytesSince(Position since) const;
     std::size_t batches() const { return batches_.size(); }
 
 private:
--- a/src/replica/view_planner.cpp
+++ b/src/replica/view_planner.cpp
@@ -50,7 +50,8 @@
     assessLinks(now, assessment);
     assessStalls(now, assessment);
     assessLeavers(now, assessment);
-    assessJoiners(now, assessment);
+    assessJoiners(now, assessment, Joiners::ready);
+    if (!enough(planned(assessment))) assessJoiners(now, assessment, Joiners::any);
     assessment.possible = enough(planned(assessment));
     return assessment;
 }
@@ -152,7 +153,7 @@
         if (assessment.excluded.contains(address) || !leaves(member, now)) continue;
         Assessment without = assessment;
         without.excluded.insert(address);
-        assessJoiners(now, without);
+        assessJoiners(now, without, Joiners::ready);
         if (!maySpare(planned(without))) continue;
         assessment.excluded.insert(address);
         assessment.observed = true;
@@ -166,17 +167,24 @@
            peer->status.leaving;
 }
 
-void ViewPlanner::assessJoiners(Millis now, Assessment& assessment) const {
+// A process is taken in once it is near, so that the chain does not wait for its copy of the table; or after a time, so that
+// no availability rests on that copy. Without it the view would not bear enough: then at once.
+void ViewPlanner::assessJoiners(Millis now, Assessment& assessment, Joiners which) const {
     std::size_t room = kMaxMembers - std::min(kMaxMembers, membership_.view.members.size());
     room += assessment.excluded.size();
     for (const auto& [address, peer] : detector_.peers()) {
         if (assessment.joiners.size() >= room) return;
+        if (which == Joiners::ready && !isReady(peer, now)) continue;
         if (!mayJoin(peer, now, assessment)) continue;
         assessment.joiners.push_back(peer.member);
         assessment.observed = true;
     }
 }
 
+bool ViewPlanner::isReady(const Peer& peer, Millis now) const {
+    return chain_.isNear(peer.status.stored) || now - peer.heardSince >= kLearnMost;
+}
+
 bool ViewPlanner::mayJoin(const Peer& peer, Millis now, const Assessment& assessment) const {
     const View& view = membership_.view;
     const Member& member = peer.member;
--- a/src/replica/view_planner.hpp
+++ b/src/replica/view_planner.hpp
@@ -53,10 +53,12 @@
     void assessLinks(Millis now, Assessment& assessment) const;
     void assessStalls(Millis now, Assessment& assessment) const;
     void assessLeavers(Millis now, Assessment& assessment) const;
-    void assessJoiners(Millis now, Assessment& assessment) const;
+    enum class Joiners { ready, any };
+    void assessJoiners(Millis now, Assessment& assessment, Joiners which) const;
     std::vector<Member> planned(const Assessment& assessment) const;
     bool leaves(const Member& member, Millis now) const;
     bool heardByAny(const std::string& address, Millis now) const;
+    bool isReady(const Peer& peer, Millis now) const;
     bool mayJoin(const Peer& peer, Millis now, const Assessment& assessment) const;
     bool reachedByAll(const std::string& address, Millis now, const Assessment& assessment) const;
     bool enough(const std::vector<Member>& members) const;
--- a/tests/control/codec_test.cpp
+++ b/tests/control/codec_test.cpp
@@ -4,6 +4,7 @@
 
 #include "control/durable_records.hpp"
 #include "control/replica_codec.hpp"
+#include "rpc/server.hpp"
 
 namespace beechpoint::control {
 namespace {
@@ -206,6 +207,7 @@
     status.reached = {"a"};
     status.unheard = {"b"};
     status.stalledAt = "b";
+    status.stored = {4, 3};
     const Batch batch{{4, 6}, {{"k", "v"}, {"gone", std::nullopt}}};
     replica::Promise promise;
     promise.ballot = ballot;
@@ -252,11 +254,31 @@
     EXPECT_EQ(promise.folded, (Position{4, 5}));
     EXPECT_TRUE(promise.diskFailing);
     EXPECT_TRUE(std::get<replica::HeartbeatReply>(read.value()[1].body).status.leaving);
+    EXPECT_EQ(std::get<replica::HeartbeatReply>(read.value()[1].body).status.stored, (Position{4, 3}));
     const auto& request = std::get<replica::SyncRequest>(read.value()[11].body);
     EXPECT_EQ(request.position, (Position{1, 1}));
     EXPECT_TRUE(request.whole);
 }
 
+// The routes of 2,700 tenants and all calls that are remembered, in one message.
+TEST(ReplicaCodec, AWholeLargeTableFitsIntoOneMessage) {
+    constexpr std::size_t kTenants = 2'700;
+    constexpr std::size_t kRouteBytes = 550;
+    constexpr std::size_t kRememberedCalls = 2'048;
+    constexpr std::size_t kDigestBytes = 64;
+    TableUpdate whole{{9, 9}, true, {}};
+    for (std::size_t tenant = 0; tenant < kTenants; tenant++)
+        whole.changes.push_back({fmt::format("route/tenant-{:05}", tenant), std::string(kRouteBytes, 'r')});
+    for (std::size_t call = 0; call < kRememberedCalls; call++)
+        whole.changes.push_back({fmt::format("taken/{}", call), std::string(kDigestBytes, 'd')});
+    const std::string bytes = encodeMessages({{member("a"), 4, replica::SyncReply{{1, 1}, whole}}});
+    EXPECT_GT(bytes.size(), kTenants * kRouteBytes);
+    EXPECT_LT(bytes.size(), rpc::kMaxMessageBytes / 4);
+    const auto read = decodeMessages(bytes);
+    ASSERT_TRUE(read.has_value()) << read.error().text();
+    EXPECT_EQ(std::get<replica::SyncReply>(read.value()[0].body).update.changes, whole.changes);
+}
+
 TEST(ReplicaCodec, RefusesWhatIsNoMessage) {
     EXPECT_FALSE(decodeMessages("").has_value());
     EXPECT_FALSE(decodeMessages("\x91\x93").has_value());
--- /dev/null
+++ b/tests/replica/learner_test.cpp
@@ -0,0 +1,79 @@
+// Processes outside the view that copy the committed table before a view takes them in.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "replica/settings.hpp"
+#include "simulated_cluster.hpp"
+
+namespace beechpoint::replica::simulation {
+namespace {
+
+constexpr Millis kCatchUp = 4'000;
+constexpr Millis kCopy = 700;       // that a whole table takes
+constexpr Millis kPauseMost = 450;  // between two acknowledgements, view changes and all
+
+class LearnerTest : public ::testing::TestWithParam<std::uint64_t> {
+protected:
+    Cluster make(Millis wholeCopy) const {
+        ClusterOptions options;
+        options.seed = GetParam();
+        options.wholeCopy = wholeCopy;
+        return Cluster(options);
+    }
+    // Founded, and with more batches behind it than the history keeps.
+    static void age(Cluster& cluster) {
+        cluster.startClient();
+        ASSERT_TRUE(cluster.runUntil(6'000, [&] { return cluster.whole(); })) << cluster.describe();
+        const std::uint64_t enough = cluster.acknowledged() + kHistoryBatches + 20;
+        ASSERT_TRUE(cluster.runUntil(60'000, [&] { return cluster.acknowledged() >= enough; }));
+    }
+    // The longest time without an acknowledgement until the condition holds.
+    static Millis longestPause(Cluster& cluster, Millis span, const std::function<bool()>& condition) {
+        std::uint64_t seen = cluster.acknowledged();
+        Millis since = cluster.now();
+        Millis longest = 0;
+        cluster.runUntil(span, [&] {
+            longest = std::max(longest, cluster.now() - since);
+            if (cluster.acknowledged() != seen) since = cluster.now();
+            seen = cluster.acknowledged();
+            return condition();
+        });
+        return longest;
+    }
+};
+
+TEST_P(LearnerTest, WritesDoNotWaitForTheCopyOfAnEmptyMachine) {
+    Cluster cluster = make(kCopy);
+    age(cluster);
+    const std::size_t node = GetParam() % 3;
+    cluster.losePower(node);
+    cluster.wipe(node);
+    cluster.runFor(2'000);
+    cluster.start(node);
+    const Millis began = cluster.now();
+    const Millis pause = longestPause(cluster, kCatchUp, [&] { return cluster.whole(); });
+    EXPECT_TRUE(cluster.whole()) << cluster.describe();
+    EXPECT_LT(cluster.now() - began, kLearnMost + 500);
+    EXPECT_LT(pause, kPauseMost) << "writes waited for the copy of an empty machine";
+    EXPECT_FALSE(cluster.failed()) << cluster.failure();
+}
+
+// The copy takes longer than a learner may wait: it is taken in as it is, well inside the time that a loss counts for.
+TEST_P(LearnerTest, AMachineWhoseCopyIsSlowIsTakenInAllTheSame) {
+    Cluster cluster = make(kLearnMost + 1'000);
+    age(cluster);
+    const std::size_t node = GetParam() % 3;
+    cluster.losePower(node);
+    cluster.wipe(node);
+    cluster.runFor(2'000);
+    cluster.start(node);
+    EXPECT_TRUE(cluster.runUntil(kLearnMost + 1'000, [&] { return cluster.replica(node).inView(); }))
+        << cluster.describe();
+    EXPECT_FALSE(cluster.failed()) << cluster.failure();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LearnerTest, ::testing::Range<std::uint64_t>(1, 9));
+
+}  // namespace
+}  // namespace beechpoint::replica::simulation
--- a/tests/replica/replica_test.cpp
+++ b/tests/replica/replica_test.cpp
@@ -684,6 +684,60 @@
 
 // ---- Bounds
 
+// ---- Outside the view
+
+TEST_F(ReplicaTest, ALearnerAsksAnotherSourceAfterATimeOut) {
+    startWith(usedDisk());
+    receive("a", Decided{View{2, {memberOf("a"), memberOf("c")}, {1, 5}}}, 2);
+    storeAll();
+    EXPECT_EQ(sent<SyncRequest>("a"), 1u);
+    EXPECT_EQ(last<SyncRequest>()->position, (Position{1, 3}));
+    pass(kLearnRetry - 100);
+    EXPECT_EQ(sent<SyncRequest>(), 1u);
+    pass(200);
+    EXPECT_EQ(sent<SyncRequest>("c"), 1u);
+    EXPECT_EQ(sent<SyncRequest>(), 2u);
+}
+
+TEST_F(ReplicaTest, WhatALearnerStoresCountsForNoEpoch) {
+    startWith(usedDisk());
+    receive("a", Decided{View{2, {memberOf("a"), memberOf("c")}, {1, 5}}}, 2);
+    storeAll();
+    receive("a", SyncReply{{1, 3}, TableUpdate{{2, 6}, false, {{"k", "6"}}}});
+    ASSERT_EQ(persists_.size(), 1u);
+    EXPECT_FALSE(persists_[0].update.syncedEpoch.has_value());
+    EXPECT_EQ(persists_[0].update.table->position, (Position{2, 6}));
+    storeAll();
+    EXPECT_EQ(replica_->committedPosition(), Position{});
+    receive("c", Heartbeat{1, now_});
+    EXPECT_EQ(last<HeartbeatReply>()->status.stored, (Position{2, 6}));
+    EXPECT_EQ(last<HeartbeatReply>()->status.syncedEpoch, 1u);
+    // Older answers, and deltas on another state, are dropped.
+    receive("a", SyncReply{{2, 6}, TableUpdate{{2, 5}, false, {{"k", "5"}}}});
+    receive("a", SyncReply{{1, 3}, TableUpdate{{2, 7}, false, {{"k", "7"}}}});
+    EXPECT_TRUE(persists_.empty());
+}
+
+TEST_F(ReplicaTest, OnlyASettledMemberServesALearner) {
+    startWith(usedDisk());
+    enter(1);
+    receive("d", SyncRequest{{1, 3}, true});
+    EXPECT_EQ(sent<SyncReply>("d"), 0u);
+    receive("a", Propose{true, {}, {{1, 3}, {}}});
+    receive("c", Commit{{1, 3}});
+    receive("a", kPropose);
+    storeAll();
+    receive("d", SyncRequest{{1, 3}, true});
+    ASSERT_EQ(sent<SyncReply>("d"), 1u);
+    // The pending batch is not part of it: nobody knows yet whether it will be committed.
+    EXPECT_EQ(last<SyncReply>()->update.position, (Position{1, 3}));
+    EXPECT_TRUE(last<SyncReply>()->update.whole);
+    receive("c", Commit{kBatch.position});
+    receive("d", SyncRequest{{1, 3}});
+    EXPECT_EQ(last<SyncReply>()->update.position, kBatch.position);
+    EXPECT_FALSE(last<SyncReply>()->update.whole);
+}
+
 TEST_F(ReplicaTest, RemembersOnlySoManyProcessesThatAskToJoin) {
     enterSettled(0);
     for (int count = 0; count < 500; ++count) {
--- a/tests/replica/simulated_cluster.cpp
+++ b/tests/replica/simulated_cluster.cpp
@@ -255,6 +255,11 @@
     }
 }
 
+Millis Cluster::copyTime(const Message& message) const {
+    const auto* reply = std::get_if<SyncReply>(&message.body);
+    return reply && reply->update.whole ? options_.wholeCopy : 0;
+}
+
 void Cluster::send(std::size_t from, const Send& send) {
     const auto found = byAddress_.find(send.address);
     if (found == byAddress_.end()) return;
@@ -265,7 +270,7 @@
         if (random_() < network_.loss) continue;
         const bool sameZone = nodes_[from].member.zone == nodes_[to].member.zone;
         const Millis delay = (sameZone ? 0.5 : draw(0.9, 13)) + draw(0, 0.5) + draw(0, network_.extraDelay) +
-                             (random_() < network_.late ? draw(0, 3'000) : 0);
+                             (random_() < network_.late ? draw(0, 3'000) : 0) + copyTime(send.message);
         at(now_ + delay, [this, from, to, message = send.message]() mutable {
             if (!cuts_.contains({from, to})) deliver(to, MessageReceived{std::move(message)});
         });
--- a/tests/replica/simulated_cluster.hpp
+++ b/tests/replica/simulated_cluster.hpp
@@ -24,6 +24,7 @@
     std::size_t zones = 3;
     Tolerance tolerance;
     Millis startSpread = 300;  // processes start within so long of each other
+    Millis wholeCopy = 0;      // that a message with a whole table takes longer than others
 };
 
 // What of the network is harmed at present.
@@ -176,6 +177,7 @@
     void deliver(std::size_t node, Event event);
     void carryOut(std::size_t node, const std::vector<Action>& actions);
     void send(std::size_t from, const Send& send);
+    Millis copyTime(const Message& message) const;
     void armTimer(std::size_t node, Millis at);
     void startPersist(std::size_t node);
     void finishPersist(std::size_t node);
