Take a member that comes and goes in again after growing pauses

Cause: a process with a bad disk or link was left out after a second and taken in again after half a second, each time at the cost of two view changes and a catch-up.

Change: the pause doubles with each removal of the process within 20 s, from 500 ms up to 2 s, well below the 4 s for which a loss counts after the return.

--- a/src/replica/settings.hpp
+++ b/src/replica/settings.hpp
@@ -27,8 +27,11 @@
 inline constexpr Millis kChainRetry = 250;
 inline constexpr Millis kStallAfter = 1'000;  // a batch that hangs: its member is left out
 inline constexpr Millis kOpeningStallAfter =
-    1'600;                                      // the same for the opening, which may wait for a whole table
-inline constexpr Millis kProbation = 500;       // a removed process must have answered for so long
+    1'600;                                 // the same for the opening, which may wait for a whole table
+inline constexpr Millis kProbation = 500;  // a removed process must have answered for so long
+inline constexpr Millis kProbationMost =
+    2'000;  // it doubles with each removal of the process within the window
+inline constexpr Millis kFlapWindow = 20'000;
 inline constexpr Millis kDiskStuckAfter = 700;  // a persist that takes longer counts as failing
 inline constexpr Millis kDiskProbeEvery = 500;
 inline constexpr Millis kLearnRetry = 500;           // a learner asks another source
--- a/src/replica/view_planner.cpp
+++ b/src/replica/view_planner.cpp
@@ -38,7 +38,7 @@
 void ViewPlanner::enterView(Millis now, const View& before) {
     enteredAt_ = now;
     for (const Member& member : before.members)
-        if (!membership_.view.indexOfProcess(member)) removed_.push_back(member);
+        if (!membership_.view.indexOfProcess(member)) removed_.push_back({member, now});
     if (removed_.size() > kRemovedKept)
         removed_.erase(removed_.begin(), removed_.end() - static_cast<std::ptrdiff_t>(kRemovedKept));
 }
@@ -195,9 +195,19 @@
     const bool namedTwice = std::ranges::any_of(
         assessment.joiners, [&](const Member& joiner) { return joiner.name == member.name; });
     if (namedTwice || !reachedByAll(member.internalAddress, now, assessment)) return false;
-    const bool removedBefore =
-        std::ranges::any_of(removed_, [&](const Member& removed) { return sameProcess(removed, member); });
-    return !removedBefore || now - peer.answeringSince >= kProbation;
+    return now - peer.answeringSince >= probationOf(member, now);
+}
+
+// How long a process that was left out must have answered before it is taken in again. One that comes and goes, as with a slow
+// disk or link, costs a view change and a catch-up each time: the pause grows, up to a bound well below the time that a loss
+// counts for after the return.
+Millis ViewPlanner::probationOf(const Member& process, Millis now) const {
+    Millis probation = 0;
+    for (const Removal& removal : removed_) {
+        if (!sameProcess(removal.process, process) || now - removal.at > kFlapWindow) continue;
+        probation = probation == 0 ? kProbation : std::min(2 * probation, kProbationMost);
+    }
+    return probation;
 }
 
 bool ViewPlanner::reachedByAll(const std::string& address, Millis now, const Assessment& assessment) const {
--- a/src/replica/view_planner.hpp
+++ b/src/replica/view_planner.hpp
@@ -48,6 +48,10 @@
 
 private:
     using Pair = std::pair<std::string, std::string>;
+    struct Removal {
+        Member process;
+        Millis at;
+    };
 
     void assessMembers(Millis now, Assessment& assessment) const;
     void assessLinks(Millis now, Assessment& assessment) const;
@@ -59,6 +63,7 @@
     bool leaves(const Member& member, Millis now) const;
     bool heardByAny(const std::string& address, Millis now) const;
     bool isReady(const Peer& peer, Millis now) const;
+    Millis probationOf(const Member& process, Millis now) const;
     bool mayJoin(const Peer& peer, Millis now, const Assessment& assessment) const;
     bool reachedByAll(const std::string& address, Millis now, const Assessment& assessment) const;
     bool enough(const std::vector<Member>& members) const;
@@ -68,7 +73,7 @@
     const Membership& membership_;
     const FailureDetector& detector_;
     const Chain& chain_;
-    std::vector<Member> removed_;  // processes that recent views left out
+    std::vector<Removal> removed_;  // processes that recent views left out
     Millis enteredAt_ = 0;
 };
 
