Play a disk's loss on a whole view, and name present members as seeds

A change was acknowledged in a view of two, because the third member had not run for a second; losing one of the two as well is more than what is to be borne. And a member of the second planned replacement was given only seeds that had left.

The loss still follows the acknowledgement at once. Logs of failures are shown in full.

--- a/tests/system/disk_test.cpp
+++ b/tests/system/disk_test.cpp
@@ -13,6 +13,18 @@
         system_->killMember(member);
         system_->wipe(member);
     }
+
+    // A change that is acknowledged while the view is whole: a member that was left out, because this machine was too busy
+    // to run it, is a loss already.
+    void takeNextByAll(const Members& members) {
+        constexpr int kAttempts = 10;
+        for (int attempt = 0; attempt < kAttempts; ++attempt) {
+            ASSERT_TRUE(system_->awaitView(members));
+            ASSERT_NO_FATAL_FAILURE(takeNext("calm", members));
+            if (system_->chainAt(acknowledgedBy_).size() == members.size()) return;
+        }
+        FAIL() << "the view was never whole at an acknowledgement";
+    }
 };
 
 TEST_F(DiskTest, TheDiskOfTheAcknowledgingMemberIsEmptiedEachTime) {
@@ -21,7 +33,7 @@
     const std::string kind = "disk of the acknowledging member emptied";
     const int rounds = byForm(3, 60);
     for (int round = 0; round < rounds; ++round) {
-        ASSERT_NO_FATAL_FAILURE(takeNext("calm", all));
+        ASSERT_NO_FATAL_FAILURE(takeNextByAll(all));
         const std::size_t lost = acknowledgedBy_;
         lose(lost);
         system_->startMember(lost);
@@ -62,7 +74,7 @@
     std::size_t added = now.size();
     const int rounds = byForm(1, 5);
     for (int round = 0; round < rounds; ++round) {
-        system_->startMember(added);
+        system_->startMember(added, false, now);
         now.push_back(added++);
         ASSERT_TRUE(system_->awaitView(now)) << "the new member did not come in";
         ASSERT_NO_FATAL_FAILURE(takeNext("calm", now));
@@ -80,7 +92,7 @@
         ASSERT_NO_FATAL_FAILURE(expectReadBack(rest));
         ASSERT_NO_FATAL_FAILURE(takeNext(kind, rest));
         ASSERT_NO_FATAL_FAILURE(expectServed(kind));
-        system_->startMember(lost);
+        system_->startMember(lost, false, now);
         ASSERT_TRUE(system_->awaitView(now)) << "member " << lost << " did not come back";
     }
     ASSERT_NO_FATAL_FAILURE(expectReadBack(now));
--- a/tests/system/system.cpp
+++ b/tests/system/system.cpp
@@ -21,7 +21,7 @@
 constexpr Millis kStatusMost = 1'000;
 constexpr int kOpenFiles = 1024;
 constexpr std::size_t kZones = 5;
-constexpr std::size_t kLogBytes = 4'000;  // of each process
+constexpr std::size_t kLogBytes = 64'000;  // of each process
 
 fs::path makeFolder() {
     std::string name = (fs::temp_directory_path() / "beechpoint-system-XXXXXX").string();
