Let no majority hang on members whose loss is not counted

Cause: counts_as_loss was read and used nowhere.

Change: a member carries the flag (a new last field on the wire and on disk, true where missing). An uncounted process is taken in only if the counted members are a majority of the view and stay one after each loss that they would bear among themselves; else it stays a learner. A settled view leaves out those for which it no longer holds, and so does the founding.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -259,6 +259,7 @@
         replica.self.internalAddress = settings_.advertised(internalAddress());
         replica.self.controlAddress = settings_.advertised(settings_.listenAddresses.control);
         replica.self.zone = settings_.zone;
+        replica.self.counted = settings_.countsAsLoss;
         replica.seeds = settings_.seedNodes;
         replica.bootstrap = settings_.bootstrap;
         replica.tolerance.machines = static_cast<std::size_t>(std::max(0, settings_.faultTolerance.machines));
--- a/src/control/replica_codec.cpp
+++ b/src/control/replica_codec.cpp
@@ -13,7 +13,7 @@
 struct Fields<replica::Member> {
     static auto of(auto& member) {
         return std::tie(member.name, member.incarnation, member.session, member.internalAddress,
-                        member.controlAddress, member.zone);
+                        member.controlAddress, member.zone, member.counted);
     }
 };
 template <>
--- /dev/null
+++ b/src/replica/view.cpp
@@ -0,0 +1,36 @@
+#include "replica/view.hpp"
+
+#include <functional>
+#include <iterator>
+#include <map>
+
+namespace beechpoint::replica {
+
+namespace {
+
+// How many of these members are left when the largest zones that may be lost have gone.
+std::size_t leftOfZones(const std::vector<Member>& members, std::size_t zones) {
+    std::map<std::string_view, std::size_t> byZone;
+    for (const Member& member : members) ++byZone[member.zone];
+    std::vector<std::size_t> sizes;
+    for (const auto& [zone, size] : byZone) sizes.push_back(size);
+    std::ranges::sort(sizes, std::greater<>{});
+    std::size_t left = members.size();
+    for (std::size_t place = 0; place < std::min(zones, sizes.size()); ++place) left -= sizes[place];
+    return left;
+}
+
+}  // namespace
+
+bool uncountedMayGo(const std::vector<Member>& members, const Tolerance& tolerance) {
+    View counted;
+    std::ranges::copy_if(members, std::back_inserter(counted.members), &Member::counted);
+    if (counted.members.size() == members.size() || !tolerance.covers(counted)) return true;
+    const std::size_t size = counted.members.size();
+    const std::size_t needed = members.size() / 2 + 1;
+    const auto keeps = [&](std::size_t left) { return left < counted.majority() || left >= needed; };
+    return size >= needed && keeps(size - std::min(size, tolerance.machines)) &&
+           keeps(leftOfZones(counted.members, tolerance.zones));
+}
+
+}  // namespace beechpoint::replica
--- a/src/replica/view.hpp
+++ b/src/replica/view.hpp
@@ -25,6 +25,8 @@
     std::string internalAddress;    // "ip:port" that the members' own messages go to
     std::string controlAddress;     // "ip:port" of the operators' interface
     std::string zone;
+    bool counted =
+        true;  // its loss is one that the tolerance speaks of; others may go in any number at any time
     bool operator==(const Member&) const = default;
 };
 
@@ -72,6 +74,11 @@
     bool covers(const View& view) const { return view.members.size() > machines && view.zones() > zones; }
 };
 
+// Whether all the uncounted among these members may go with a majority left: the counted are one, and stay one after each loss
+// that they would bear among themselves. Where they are too few to acknowledge anything alone, nothing better can be had than
+// to count all.
+bool uncountedMayGo(const std::vector<Member>& members, const Tolerance& tolerance);
+
 // Number of a proposal; unique, as a session never uses a round twice.
 struct Ballot {
     std::uint64_t round = 0;  // 0: none
--- a/src/replica/view_planner.cpp
+++ b/src/replica/view_planner.cpp
@@ -49,6 +49,7 @@
     assessMembers(now, assessment);
     assessLinks(now, assessment);
     assessStalls(now, assessment);
+    assessUncounted(assessment);
     assessLeavers(now, assessment);
     assessJoiners(now, assessment, Joiners::ready);
     if (!enough(planned(assessment))) assessJoiners(now, assessment, Joiners::any);
@@ -143,6 +144,20 @@
     assessment.excluded.insert(peer->status.stalledAt);
 }
 
+// Uncounted members whose going could take the majority with them, since counted ones were lost.
+void ViewPlanner::assessUncounted(Assessment& assessment) const {
+    if (!chain_.settled()) return;
+    std::vector<Member> kept = planned(assessment);
+    const std::vector<Member> before = kept;
+    dropUncounted(kept);
+    if (kept.size() == before.size() || !maySpare(kept)) return;
+    for (const Member& member : before) {
+        if (std::ranges::find(kept, member) != kept.end()) continue;
+        assessment.excluded.insert(member.internalAddress);
+        assessment.observed = true;
+    }
+}
+
 // Leaves out as many of the leaving as can be spared, the later in order first, with a joiner in the place of each where one
 // waits. Only from a settled view: all its members hold the state then, so the next one does not hang on a copy of a leaving
 // member, and one view change does not chase another.
@@ -172,12 +187,28 @@
 void ViewPlanner::assessJoiners(Millis now, Assessment& assessment, Joiners which) const {
     std::size_t room = kMaxMembers - std::min(kMaxMembers, membership_.view.members.size());
     room += assessment.excluded.size();
-    for (const auto& [address, peer] : detector_.peers()) {
-        if (assessment.joiners.size() >= room) return;
-        if (which == Joiners::ready && !isReady(peer, now)) continue;
-        if (!mayJoin(peer, now, assessment)) continue;
-        assessment.joiners.push_back(peer.member);
-        assessment.observed = true;
+    for (const bool counted : {true, false}) {
+        for (const auto& [address, peer] : detector_.peers()) {
+            if (assessment.joiners.size() >= room) return;
+            if (peer.member.counted != counted) continue;
+            if (which == Joiners::ready && !isReady(peer, now)) continue;
+            if (!mayJoin(peer, now, assessment)) continue;
+            std::vector<Member> with = planned(assessment);
+            with.push_back(peer.member);
+            if (!counted && !uncountedMayGo(with, membership_.settings.tolerance)) continue;
+            assessment.joiners.push_back(peer.member);
+            assessment.observed = true;
+        }
+    }
+}
+
+// The later in order go first. The first one may go as well: its successor holds the same state, in a settled view and at the
+// founding.
+void ViewPlanner::dropUncounted(std::vector<Member>& members) const {
+    while (!uncountedMayGo(members, membership_.settings.tolerance)) {
+        const auto last = std::ranges::find(members.rbegin(), members.rend(), false, &Member::counted);
+        if (last == members.rend()) return;
+        members.erase(std::next(last).base());
     }
 }
 
@@ -314,6 +345,7 @@
     for (const auto& [voter, received] : promises)
         if (view.members.size() < kMaxMembers && !view.find(received.from.name))
             view.members.push_back(received.from);
+    dropUncounted(view.members);
     return view;
 }
 
--- a/src/replica/view_planner.hpp
+++ b/src/replica/view_planner.hpp
@@ -56,6 +56,7 @@
     void assessMembers(Millis now, Assessment& assessment) const;
     void assessLinks(Millis now, Assessment& assessment) const;
     void assessStalls(Millis now, Assessment& assessment) const;
+    void assessUncounted(Assessment& assessment) const;
     void assessLeavers(Millis now, Assessment& assessment) const;
     enum class Joiners { ready, any };
     void assessJoiners(Millis now, Assessment& assessment, Joiners which) const;
@@ -66,6 +67,7 @@
     Millis probationOf(const Member& process, Millis now) const;
     bool mayJoin(const Peer& peer, Millis now, const Assessment& assessment) const;
     bool reachedByAll(const std::string& address, Millis now, const Assessment& assessment) const;
+    void dropUncounted(std::vector<Member>& members) const;
     bool enough(const std::vector<Member>& members) const;
     bool maySpare(const std::vector<Member>& members) const;
     const Member* listed(const std::string& address) const;
--- a/tests/control/codec_test.cpp
+++ b/tests/control/codec_test.cpp
@@ -192,7 +192,7 @@
 }
 
 replica::Member member(const std::string& name) {
-    return {name, 11, 12, "10.0.0.1:7000", "10.0.0.1:8146", "z"};
+    return {name, 11, 12, "10.0.0.1:7000", "10.0.0.1:8146", "z", name != "uncounted"};
 }
 
 replica::View view() { return {4, {member("a"), member("b")}, {3, 9}}; }
@@ -235,14 +235,14 @@
 
 TEST(ReplicaCodec, EveryMessageGoesThereAndBack) {
     std::vector<replica::Message> messages;
-    for (const replica::Body& body : bodies()) messages.push_back({member("a"), 4, body});
+    for (const replica::Body& body : bodies()) messages.push_back({member("uncounted"), 4, body});
     ASSERT_EQ(messages.size(), std::variant_size_v<replica::Body>);
     const std::string bytes = encodeMessages(messages);
     const auto read = decodeMessages(bytes);
     ASSERT_TRUE(read.has_value()) << read.error().text();
     ASSERT_EQ(read.value().size(), messages.size());
     for (std::size_t place = 0; place < messages.size(); place++) {
-        EXPECT_EQ(read.value()[place].from, member("a"));
+        EXPECT_EQ(read.value()[place].from, member("uncounted"));
         EXPECT_EQ(read.value()[place].body.index(), place);
     }
     EXPECT_EQ(encodeMessages(read.value()), bytes);
@@ -279,6 +279,24 @@
     EXPECT_EQ(std::get<replica::SyncReply>(read.value()[0].body).update.changes, whole.changes);
 }
 
+// An older process writes six fields for a member.
+TEST(ReplicaCodec, AMemberWhoseRecordDoesNotSayIsCounted) {
+    const std::string bytes =
+        "\x91\x93\x96\xa1"
+        "a"
+        "\x0b\x0c\xad"
+        "10.0.0.1:7000"
+        "\xad"
+        "10.0.0.1:8146"
+        "\xa1"
+        "z"
+        "\x04\x92\x02\x90";
+    const auto read = decodeMessages(bytes);
+    ASSERT_TRUE(read.has_value()) << read.error().text();
+    EXPECT_EQ(read.value()[0].from, member("a"));
+    EXPECT_TRUE(read.value()[0].from.counted);
+}
+
 TEST(ReplicaCodec, RefusesWhatIsNoMessage) {
     EXPECT_FALSE(decodeMessages("").has_value());
     EXPECT_FALSE(decodeMessages("\x91\x93").has_value());
--- a/tests/replica/simulated_cluster.cpp
+++ b/tests/replica/simulated_cluster.cpp
@@ -26,6 +26,7 @@
         node.member.internalAddress = fmt::format("10.0.0.{}:7660", index + 1);
         node.member.controlAddress = fmt::format("10.0.0.{}:8146", index + 1);
         node.member.zone = fmt::format("zone-{}", index % options_.zones);
+        node.member.counted = !options_.uncounted.contains(index);
         byAddress_[node.member.internalAddress] = index;
     }
     for (Node& node : nodes_)
--- a/tests/replica/simulated_cluster.hpp
+++ b/tests/replica/simulated_cluster.hpp
@@ -23,8 +23,9 @@
     std::size_t seeds = 3;
     std::size_t zones = 3;
     Tolerance tolerance;
-    Millis startSpread = 300;  // processes start within so long of each other
-    Millis wholeCopy = 0;      // that a message with a whole table takes longer than others
+    Millis startSpread = 300;         // processes start within so long of each other
+    std::set<std::size_t> uncounted;  // nodes whose loss is not one of those tolerated
+    Millis wholeCopy = 0;             // that a message with a whole table takes longer than others
 };
 
 // What of the network is harmed at present.
--- /dev/null
+++ b/tests/replica/uncounted_test.cpp
@@ -0,0 +1,93 @@
+// Members whose loss is not one of those tolerated may go in any number at any time: no majority may hang on them.
+#include <gtest/gtest.h>
+
+#include "replica/view.hpp"
+#include "simulated_cluster.hpp"
+
+namespace beechpoint::replica::simulation {
+namespace {
+
+constexpr Millis kRecoverWithin = 3'000;
+constexpr Millis kLooked = 3'000;  // after which every process has its place
+
+std::vector<Member> membersOf(std::size_t counted, std::size_t uncounted, std::size_t zones = 9) {
+    std::vector<Member> members;
+    for (std::size_t index = 0; index < counted + uncounted; ++index) {
+        Member member;
+        member.name = std::to_string(index);
+        member.zone = std::to_string(index % zones);
+        member.counted = index < counted;
+        members.push_back(member);
+    }
+    return members;
+}
+
+TEST(UncountedMayGo, OnlyWhereTheCountedKeepAMajorityAfterWhatIsTolerated) {
+    const Tolerance one{1, 0};
+    EXPECT_TRUE(uncountedMayGo(membersOf(3, 0), one));
+    EXPECT_FALSE(uncountedMayGo(membersOf(3, 1), one));
+    EXPECT_TRUE(uncountedMayGo(membersOf(4, 1), one));
+    EXPECT_FALSE(uncountedMayGo(membersOf(4, 2), one));
+    EXPECT_TRUE(uncountedMayGo(membersOf(5, 2), one));
+    EXPECT_FALSE(uncountedMayGo(membersOf(5, 1), {2, 0}));
+    // A zone of two counted members is the larger loss.
+    EXPECT_TRUE(uncountedMayGo(membersOf(6, 1, 6), {1, 1}));
+    EXPECT_TRUE(uncountedMayGo(membersOf(5, 1, 9), {1, 1}));
+    EXPECT_FALSE(uncountedMayGo(membersOf(5, 1, 3), {1, 1}));
+    // Two do not bear the loss of one; but both must still be a majority.
+    EXPECT_TRUE(uncountedMayGo(membersOf(2, 1), one));
+    EXPECT_FALSE(uncountedMayGo(membersOf(2, 2), one));
+    // Nothing better can be had.
+    EXPECT_TRUE(uncountedMayGo(membersOf(1, 2), one));
+    EXPECT_TRUE(uncountedMayGo(membersOf(0, 3), one));
+}
+
+class UncountedTest : public ::testing::TestWithParam<std::uint64_t> {};
+
+// Two uncounted ones beside three counted: all uncounted go, and one counted loses its disk in the same moment.
+TEST_P(UncountedTest, AllUncountedAndOneCountedMayGoAtOnce) {
+    ClusterOptions options;
+    options.seed = GetParam();
+    options.nodes = 5;
+    options.uncounted = {GetParam() % 5, (GetParam() + 2) % 5};
+    Cluster cluster(options);
+    cluster.startClient();
+    ASSERT_TRUE(cluster.runUntil(6'000, [&] { return cluster.acknowledged() > 0; })) << cluster.describe();
+    cluster.runFor(kLooked);
+    for (const std::size_t node : options.uncounted) EXPECT_FALSE(cluster.replica(node).inView());
+    for (const std::size_t node : options.uncounted) {
+        cluster.losePower(node);
+        cluster.setGone(node);
+    }
+    std::size_t lost = 0;
+    while (options.uncounted.contains(lost)) ++lost;
+    cluster.losePower(lost);
+    cluster.wipe(lost);
+    const std::uint64_t before = cluster.acknowledged();
+    EXPECT_TRUE(cluster.runUntil(kRecoverWithin, [&] { return cluster.acknowledged() > before; }))
+        << "no majority without the uncounted\n"
+        << cluster.describe();
+    EXPECT_FALSE(cluster.failed()) << cluster.failure();
+}
+
+// A spare copies the table and never says that it is fresh: polls go elsewhere.
+TEST_P(UncountedTest, ASpareHoldsACopyAndVouchesForNothing) {
+    ClusterOptions options;
+    options.seed = GetParam();
+    options.nodes = 4;
+    options.uncounted = {3};
+    Cluster cluster(options);
+    cluster.startClient();
+    ASSERT_TRUE(cluster.runUntil(6'000, [&] { return cluster.acknowledged() > 0; })) << cluster.describe();
+    cluster.runFor(kLooked);
+    EXPECT_FALSE(cluster.replica(3).inView());
+    EXPECT_FALSE(cluster.replica(3).fresh(cluster.now()));
+    EXPECT_GT(cluster.disk(3).position.sequence + 30, cluster.lastAcknowledged().sequence);
+    EXPECT_EQ(cluster.disk(3).syncedEpoch, 0u);
+    EXPECT_FALSE(cluster.failed()) << cluster.failure();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, UncountedTest, ::testing::Range<std::uint64_t>(1, 13));
+
+}  // namespace
+}  // namespace beechpoint::replica::simulation
