Leave out a member at which the opening hangs, instead of carrying it from view to view

Cause: the head names the member at which the chain hangs, but a sealed head names nobody, and composing the next view asked again after the proposing head had sealed itself.

Change: the grounds of a proposal are kept until the next view. A learner that was left out gets twice the time with each removal (up to 16 s), and may use an answer of an earlier epoch: what is committed stays so. Requests for the starting state pause longer with each round over all members.

--- a/src/replica/chain.cpp
+++ b/src/replica/chain.cpp
@@ -78,7 +78,10 @@
     if (choice == *membership_.index) choice = (choice + 1) % members.size();
     if (choice == *membership_.index) return;
     outbox_.send(members[choice].internalAddress, SyncRequest{table_.position(), rewriteTable_});
-    startRetryAt_ = now + kChainRetry;
+    // Once all were asked it is the copy that takes its time: asked for again and again it would take longer still.
+    const std::size_t rounds = (syncAttempts_ - 1) / members.size();
+    const std::size_t doublings = std::min(rounds, kSyncRetryDoublings);
+    startRetryAt_ = now + kChainRetry * static_cast<Millis>(std::size_t{1} << doublings);
 }
 
 // To a learner goes what is committed: in a settled epoch that is the folded table.
@@ -106,9 +109,11 @@
 
 void Chain::onSyncReply(const Message& message, const SyncReply& reply) {
     const View& view = membership_.view;
-    if (message.epoch != view.epoch || !view.findDisk(message.from) || startPersisting_) return;
+    if (startPersisting_) return;
     if (!membership_.voter()) return learn(reply);
-    if (!membership_.active() || synced() || reply.update.position != view.start) return;
+    if (message.epoch != view.epoch || !view.findDisk(message.from) || !membership_.active() || synced() ||
+        reply.update.position != view.start)
+        return;
     if (fits(reply)) bring(reply.update, view.epoch);
 }
 
@@ -122,7 +127,8 @@
 }
 
 // A copy for later, by a process that no view it knows lists: `syncedEpoch` stays, so it counts for nothing until a view that
-// lists this process has brought it to its starting state. What is committed only grows, so an older answer is dropped.
+// lists this process has brought it to its starting state. What is committed once stays so, whichever view is in force now, and
+// only grows, so an older answer is dropped.
 void Chain::learn(const SyncReply& reply) {
     const bool newer = reply.update.position > table_.position() ||
                        (rewriteTable_ && reply.update.position == table_.position());
--- a/src/replica/settings.hpp
+++ b/src/replica/settings.hpp
@@ -25,6 +25,8 @@
 inline constexpr Millis kRetryLow = 200;           // messages are sent again after 200 to 400
 inline constexpr Millis kRetryHigh = 400;
 inline constexpr Millis kChainRetry = 250;
+// Doublings of kChainRetry, with each round of requests for the starting state.
+inline constexpr std::size_t kSyncRetryDoublings = 2;
 inline constexpr Millis kStallAfter = 1'000;  // a batch that hangs: its member is left out
 inline constexpr Millis kOpeningStallAfter =
     1'600;                                 // the same for the opening, which may wait for a whole table
@@ -36,6 +38,7 @@
 inline constexpr Millis kDiskProbeEvery = 500;
 inline constexpr Millis kLearnRetry = 500;           // a learner asks another source
 inline constexpr Millis kLearnMost = 2'000;          // then it is taken in as it is
+inline constexpr Millis kLearnAgainMost = 16'000;    // the same for one that was left out again and again
 inline constexpr std::size_t kNearBytes = 64 << 10;  // of changes that a learner lacks: it may be taken in
 inline constexpr Millis kJoinEvery = 250;
 inline constexpr Millis kJoinerForgottenAfter = 2'000;
--- a/src/replica/view_change.cpp
+++ b/src/replica/view_change.cpp
@@ -224,6 +224,7 @@
     const Millis patience = membership_.sealed || assessment.onlyUnfinished() ? kUnfinishedDelay : 0;
     const auto rank = static_cast<double>(planner_.rank(now, assessment));
     if (now < troubleSince_ + patience + rank * kProposalRankDelay) return;
+    planner_.propose(assessment);
     begin(now, assessment.observed);
 }
 
--- a/src/replica/view_planner.cpp
+++ b/src/replica/view_planner.cpp
@@ -37,6 +37,7 @@
 
 void ViewPlanner::enterView(Millis now, const View& before) {
     enteredAt_ = now;
+    stalled_.clear();
     for (const Member& member : before.members)
         if (!membership_.view.indexOfProcess(member)) removed_.push_back({member, now});
     if (removed_.size() > kRemovedKept)
@@ -130,9 +131,10 @@
 }
 
 void ViewPlanner::assessStalls(Millis now, Assessment& assessment) const {
+    for (const std::string& address : stalled_) excludeStalled(address, assessment);
     const std::string own = chain_.stalledAt(now, detector_);
     if (!own.empty()) {
-        assessment.excluded.insert(own);
+        excludeStalled(own, assessment);
         assessment.observed = true;
     }
     const View& view = membership_.view;
@@ -141,7 +143,12 @@
     const Peer* peer = detector_.find(head.internalAddress);
     if (!peer || !detector_.reachable(head.internalAddress, now) || peer->epoch != view.epoch) return;
     if (!sameProcess(peer->member, head) || !listed(peer->status.stalledAt)) return;
-    assessment.excluded.insert(peer->status.stalledAt);
+    excludeStalled(peer->status.stalledAt, assessment);
+}
+
+void ViewPlanner::excludeStalled(const std::string& address, Assessment& assessment) const {
+    assessment.excluded.insert(address);
+    assessment.stalled.insert(address);
 }
 
 // Uncounted members whose going could take the majority with them, since counted ones were lost.
@@ -213,7 +220,19 @@
 }
 
 bool ViewPlanner::isReady(const Peer& peer, Millis now) const {
-    return chain_.isNear(peer.status.stored) || now - peer.heardSince >= kLearnMost;
+    return chain_.isNear(peer.status.stored) || now >= learnsUntil(peer);
+}
+
+// One that was left out, perhaps since its copy took too long inside, gets twice the time with each removal.
+Millis ViewPlanner::learnsUntil(const Peer& peer) const {
+    Millis since = peer.heardSince;
+    Millis span = kLearnMost;
+    for (const Removal& removal : removed_) {
+        if (!sameProcess(removal.process, peer.member)) continue;
+        since = std::max(since, removal.at);
+        span = std::min(2 * span, kLearnAgainMost);
+    }
+    return since + span;
 }
 
 bool ViewPlanner::mayJoin(const Peer& peer, Millis now, const Assessment& assessment) const {
--- a/src/replica/view_planner.hpp
+++ b/src/replica/view_planner.hpp
@@ -18,6 +18,7 @@
 
 struct Assessment {
     std::set<std::string> excluded;  // internal addresses of members to leave out
+    std::set<std::string> stalled;   // those of them at which the chain hangs
     std::vector<Member> joiners;     // processes to take in, beyond members that only restarted
     bool restarted = false;          // a member of the view runs under another session
     bool unfinished =
@@ -37,6 +38,9 @@
 
     void enterView(Millis now, const View& before);
 
+    // A proposal begins on these grounds. The chain of a sealed head no longer shows where it hung, so that is kept until the next
+    // view; else the member at which it hung would be taken over from view to view.
+    void propose(const Assessment& assessment) { stalled_ = assessment.stalled; }
     Assessment assess(Millis now) const;
     // A majority of the view's disks, this one included, answers at present.
     bool hearsMajority(Millis now) const;
@@ -62,7 +66,9 @@
     void assessJoiners(Millis now, Assessment& assessment, Joiners which) const;
     std::vector<Member> planned(const Assessment& assessment) const;
     bool leaves(const Member& member, Millis now) const;
+    void excludeStalled(const std::string& address, Assessment& assessment) const;
     bool heardByAny(const std::string& address, Millis now) const;
+    Millis learnsUntil(const Peer& peer) const;
     bool isReady(const Peer& peer, Millis now) const;
     Millis probationOf(const Member& process, Millis now) const;
     bool mayJoin(const Peer& peer, Millis now, const Assessment& assessment) const;
@@ -75,7 +81,8 @@
     const Membership& membership_;
     const FailureDetector& detector_;
     const Chain& chain_;
-    std::vector<Removal> removed_;  // processes that recent views left out
+    std::vector<Removal> removed_;   // processes that recent views left out
+    std::set<std::string> stalled_;  // when the present proposal began
     Millis enteredAt_ = 0;
 };
 
--- a/tests/replica/simulated_cluster.cpp
+++ b/tests/replica/simulated_cluster.cpp
@@ -11,7 +11,6 @@
 
 constexpr std::size_t kTraceLines = 400;
 constexpr Millis kForcedLow = 1;
-constexpr Millis kWriteEvery = 60;
 // A fresh member shows all that was acknowledged so long ago.
 constexpr Millis kFreshLag = 1'300;
 
@@ -337,7 +336,7 @@
     if (!clientRuns_) return;
     write();
     if (++clientSteps_ % 2 == 0) readOnce();
-    at(now_ + draw(kWriteEvery / 2, kWriteEvery * 1.5), [this] { clientStep(); });
+    at(now_ + draw(options_.writeEvery / 2, options_.writeEvery * 1.5), [this] { clientStep(); });
 }
 
 // Offers a write to every process that thinks it may take one, so that two heads at once would be found out.
--- a/tests/replica/simulated_cluster.hpp
+++ b/tests/replica/simulated_cluster.hpp
@@ -25,6 +25,7 @@
     Tolerance tolerance;
     Millis startSpread = 300;         // processes start within so long of each other
     std::set<std::size_t> uncounted;  // nodes whose loss is not one of those tolerated
+    Millis writeEvery = 60;           // of the client, on average
     Millis wholeCopy = 0;             // that a message with a whole table takes longer than others
 };
 
