Wait longer for a first answer only where members are silent, not where they refuse

Change: only time-outs in a row count, a refusal ends the growth, and the most is 2.4 s. Test: ARefusalEndsTheGrowthOfTheTimeForSilentMembers.

--- a/src/gateway/control_link_state.cpp
+++ b/src/gateway/control_link_state.cpp
@@ -63,9 +63,11 @@
         return std::nullopt;
     }
     const bool known = polled_ == current_;
-    const Millis first = doubled(kFirstTimeout, rounds(), kFirstTimeoutMost);
+    const Millis first = doubled(kFirstTimeout, roundsOf(silences_), kFirstTimeoutMost);
     const Millis wait = kWait * (kWaitLeast + (1 - kWaitLeast) * random_());
-    return LinkCall{asked_, polled_, known ? wait : 0, known ? wait + kAnswerSlack : first};
+    const Millis timeout = known ? wait + kAnswerSlack : first;
+    silentAt_ = now + timeout;
+    return LinkCall{asked_, polled_, known ? wait : 0, timeout};
 }
 
 void ControlLinkState::onAnswer(Millis now, std::uint64_t number, const control::PollReply& reply) {
@@ -73,7 +75,7 @@
     const bool isLate = number != asked_ || wakeAt_;
     heardAt_ = now;
     if (!isLate) {
-        failures_ = 0;
+        failures_ = silences_ = 0;
         current_ = polled_;
     }
     learnMembers(reply);
@@ -88,11 +90,14 @@
     if (current_ == polled_) current_.clear();
     ++turn_;
     ++failures_;
+    silences_ = now < silentAt_ ? 0 : silences_ + 1;
     failedAt_ = now;
-    wakeAt_ = now + doubled(kRetryFirst, rounds(), kRetryMost) * (0.5 + random_());
+    wakeAt_ = now + doubled(kRetryFirst, roundsOf(failures_), kRetryMost) * (0.5 + random_());
 }
 
-std::size_t ControlLinkState::rounds() const { return failures_ / std::max<std::size_t>(order_.size(), 1); }
+std::size_t ControlLinkState::roundsOf(std::size_t failures) const {
+    return failures / std::max<std::size_t>(order_.size(), 1);
+}
 
 void ControlLinkState::learnMembers(const control::PollReply& reply) {
     if (reply.members.empty()) return;
--- a/src/gateway/control_link_state.hpp
+++ b/src/gateway/control_link_state.hpp
@@ -5,9 +5,11 @@
 //                          hashing of the gateway's name, so that gateways spread evenly
 //   member that answers    polled again after kSpacing, held there up to kWait; where it has more than it sends now it says after how long
 //                          the gateway is to ask again (PollReply::retryAfterMs), which is spread by jitter
-//   no answer, or refused  the next member after a pause with jitter that doubles with each round of all members; the time given to
-//                          a member that has not answered yet doubles with each round as well, up to kFirstTimeoutMost: an answer that is
-//                          slow because all ask at once is not given up and begun again for ever
+//   no answer, or refused  the next member after a pause with jitter that doubles with each round of all members
+//   nothing but silence    the time given to a member that has not answered yet doubles with each round of silent members, up to
+//                          kFirstTimeoutMost: an answer that is slow because all ask at once is not given up and begun again for ever.
+//                          A refusal shows that members have time to answer, and ends the growth: addresses of members that are
+//                          gone for good must not be waited for longer and longer
 //   no failure for long    back to the first of the order
 #pragma once
 
@@ -36,7 +38,7 @@
     static constexpr Millis kAnswerSlack = 500;  // beyond kWait, before another member is asked
     static constexpr Millis kFirstTimeout =
         600;  // for a member that has not answered before: it is asked not to wait
-    static constexpr Millis kFirstTimeoutMost = 4800;
+    static constexpr Millis kFirstTimeoutMost = 2400;
     static constexpr Millis kSpacing =
         20;  // between answer and poll: changes that come together travel together
     static constexpr Millis kRetryFirst =
@@ -75,7 +77,7 @@
     void orderMembers();
     int distanceOf(const std::string& address) const;
     std::string nextAddress() const;
-    std::size_t rounds() const;  // of all members that failed in a row
+    std::size_t roundsOf(std::size_t failures) const;  // of all members
 
     struct Known {
         std::string address;
@@ -90,9 +92,11 @@
     std::vector<std::string> order_;  // of all of them
     std::size_t turn_ = 0;            // place in the order
     std::string polled_;              // the member whose answer is awaited
+    Millis silentAt_ = 0;             // when its time is over
     std::string current_;             // the member that answered last
     Millis failedAt_ = 0;             // when a member last failed to answer
     std::size_t failures_ = 0;        // in a row
+    std::size_t silences_ = 0;        // time-outs in a row, without a refusal between them
     std::uint64_t asked_ = 0;         // number of the poll that is out; earlier ones are given up
     std::optional<Millis> wakeAt_;
     bool running_ = false;
--- a/tests/gateway/control_link_state_test.cpp
+++ b/tests/gateway/control_link_state_test.cpp
@@ -73,6 +73,27 @@
     EXPECT_EQ(player.next().timeout, ControlLinkState::kFirstTimeout);
 }
 
+// Two of three addresses are of members that are gone for good, and the third can't vouch for its table for a while.
+TEST(ControlLinkState, ARefusalEndsTheGrowthOfTheTimeForSilentMembers) {
+    ControlLinkState link("g1", 1);
+    link.seeds({"a", "b", "c"});
+    Player player(link);
+    LinkCall call = *link.start(0);
+    std::size_t refused = 0;
+    for (int turn = 0; turn < 30; ++turn) {
+        EXPECT_EQ(call.timeout, ControlLinkState::kFirstTimeout) << turn;
+        if (call.address == "a") {
+            player.now += 300;
+            link.onFailure(player.now, call.number);
+            ++refused;
+        } else {
+            player.fail(call);
+        }
+        call = player.next();
+    }
+    EXPECT_EQ(refused, 10u);
+}
+
 TEST(ControlLinkState, ComesBackWhenTheMemberSaysSpreadByJitter) {
     std::set<Millis> pauses;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
