Name the members in a refused poll, for gateways whose seeds are all cut off

Cause, seen by the simulation of the whole control side: gateways started with seeds that are all on a minority's side had no table until the cut ended (22.9 s), also where they could reach the majority. Change: a member that can't vouch for its table names the members of its view in the refusal; a gateway asks these too as long as no member that can vouch has named any.

--- a/tests/recovery/recovery_model.cpp
+++ b/tests/recovery/recovery_model.cpp
@@ -285,7 +285,7 @@
         gateway.out = 0;
         const Millis now = schedule_.now();
         if (reply.status != control::PollStatus::ok) {
-            gateway.link.onFailure(now, number);
+            gateway.link.onRefusal(now, number, reply);
             return armTimer(index);
         }
         gateway.link.onAnswer(now, number, reply);
