--- a/src/control/gateway_service_state.cpp
+++ b/src/control/gateway_service_state.cpp
@@ -37,11 +37,11 @@
     endEarlierPoll(now, table, request.gateway.name, actions);
     slots_.release(now, request.gateway.name);
     if (leaving_ || !table) {
-        refuse(table, ticket, PollStatus::notFresh, actions);
+        refuse(ticket, PollStatus::notFresh, actions);
         return actions;
     }
     if (!renewLease(now, request.gateway, actions)) {
-        refuse(table, ticket, PollStatus::full, actions);
+        refuse(ticket, PollStatus::full, actions);
         return actions;
     }
     if (actions.gatewaysChanged) shareSoon(now, table, actions);
@@ -123,8 +123,7 @@
     ServiceActions actions;
     leaving_ = true;
     hosts_.stop();
-    for (const WaitingPoll& poll : polls_.takeAll())
-        refuse(nullptr, poll.ticket, PollStatus::notFresh, actions);
+    for (const WaitingPoll& poll : polls_.takeAll()) refuse(poll.ticket, PollStatus::notFresh, actions);
     return actions;
 }
 
@@ -134,11 +133,9 @@
     return !leaving_ && table && table->fresh(now);
 }
 
-void GatewayServiceState::refuse(const VouchedTable* table, PollTicket ticket, PollStatus status,
-                                 ServiceActions& actions) const {
+void GatewayServiceState::refuse(PollTicket ticket, PollStatus status, ServiceActions& actions) const {
     PollReply reply;
     reply.status = status;
-    if (table) addMembers(*table, reply);
     actions.answers.push_back({ticket, std::move(reply)});
 }
 
@@ -148,7 +145,7 @@
                                          ServiceActions& actions) {
     for (const WaitingPoll& poll : polls_.take(gateway)) {
         if (!mayAnswer(now, table)) {
-            refuse(table, poll.ticket, PollStatus::notFresh, actions);
+            refuse(poll.ticket, PollStatus::notFresh, actions);
             continue;
         }
         PollReply reply;
@@ -177,11 +174,11 @@
 
 void GatewayServiceState::answer(Millis now, const VouchedTable* table, const PollRequest& request,
                                  PollTicket ticket, ServiceActions& actions) {
-    if (!mayAnswer(now, table)) return refuse(table, ticket, PollStatus::notFresh, actions);
+    if (!mayAnswer(now, table)) return refuse(ticket, PollStatus::notFresh, actions);
     PollReply reply;
     if (table->committedPosition() > request.position) {
         reply.packedTable = packedSince(*table, request.position);
-        if (reply.packedTable.empty()) return refuse(table, ticket, PollStatus::notFresh, actions);
+        if (reply.packedTable.empty()) return refuse(ticket, PollStatus::notFresh, actions);
     }
     hosts_.answer(now, request, reply);
     if (request.takesPackedState) limitLargeState(now, request, reply);
--- a/src/control/gateway_service_state.hpp
+++ b/src/control/gateway_service_state.hpp
@@ -93,9 +93,7 @@
 
     bool mayAnswer(Millis now, const VouchedTable* table) const;
     bool renewLease(Millis now, const leases::Gateway& gateway, ServiceActions& actions);
-    // Names the members that this one knows, where it has a view: to gateways that know no others.
-    void refuse(const VouchedTable* table, PollTicket ticket, PollStatus status,
-                ServiceActions& actions) const;
+    void refuse(PollTicket ticket, PollStatus status, ServiceActions& actions) const;
     void endEarlierPoll(Millis now, const VouchedTable* table, const std::string& gateway,
                         ServiceActions& actions);
 
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -45,16 +45,12 @@
         state_.onFailure(clock_.now(), number);
         return armTimer();
     }
-    if (reply->status != control::PollStatus::ok) {
-        state_.onRefusal(clock_.now(), number, *reply);
-        return armTimer();
-    }
     state_.onAnswer(clock_.now(), number, *reply);
     armTimer();
     handlers_.reply(*reply, sentAt);
 }
 
-// Nothing: no answer, or one that can't be read.
+// Nothing: no answer, one that can't be read, or of a member that can't vouch for its table.
 std::optional<control::PollReply> ControlLink::readReply(const Result<std::string>& bytes) {
     if (!bytes) return std::nullopt;
     auto reply = control::decodePollReply(bytes.value());
@@ -62,6 +58,7 @@
         log_.seldom("poll", "a poll's reply can't be read: {}", field("error", reply.error().text()));
         return std::nullopt;
     }
+    if (reply.value().status != control::PollStatus::ok) return std::nullopt;
     return std::move(reply.value());
 }
 
--- a/src/gateway/control_link_state.cpp
+++ b/src/gateway/control_link_state.cpp
@@ -78,7 +78,6 @@
         failures_ = silences_ = 0;
         current_ = polled_;
     }
-    if (!reply.members.empty()) membersVouchedFor_ = true;
     learnMembers(reply);
     if (isLate) return;
     if (now - failedAt_ > kReturnAfter) turn_ = 0;
@@ -86,11 +85,6 @@
     wakeAt_ = now + std::max(kSpacing, pause);
 }
 
-void ControlLinkState::onRefusal(Millis now, std::uint64_t number, const control::PollReply& reply) {
-    onFailure(now, number);
-    if (running_ && !membersVouchedFor_) learnMembers(reply);
-}
-
 void ControlLinkState::onFailure(Millis now, std::uint64_t number) {
     if (!running_ || number != asked_ || wakeAt_) return;
     if (current_ == polled_) current_.clear();
--- a/src/gateway/control_link_state.hpp
+++ b/src/gateway/control_link_state.hpp
@@ -62,10 +62,7 @@
 
     // An answer with status ok. Answers to polls that were given up teach the members only.
     void onAnswer(Millis now, std::uint64_t number, const control::PollReply& reply);
-    // An answer of a member that can't vouch for its table, or has no place. The members that it names are asked too as long as no
-    // member that can vouch has named any: seeds that are all cut off may know others that are not.
-    void onRefusal(Millis now, std::uint64_t number, const control::PollReply& reply);
-    // No answer, or one that can't be read.
+    // No answer, one that can't be read, or one of a member that can't vouch for its table.
     void onFailure(Millis now, std::uint64_t number);
 
     bool running() const { return running_; }
@@ -92,7 +89,6 @@
     std::string name_, region_;
     std::vector<std::string> seeds_;
     std::vector<Known> members_;
-    bool membersVouchedFor_ = false;  // members_ comes from a member that can vouch for its table
     std::vector<std::string> order_;  // of all of them
     std::size_t turn_ = 0;            // place in the order
     std::string polled_;              // the member whose answer is awaited
--- a/tests/control/gateway_service_state_test.cpp
+++ b/tests/control/gateway_service_state_test.cpp
@@ -133,11 +133,7 @@
     service.state.tick(10, &service.table);
     const auto actions = service.state.tick(10 + kNotFreshWait, &service.table);
     ASSERT_EQ(actions.answers.size(), 1u);
-    const PollReply& refusal = actions.answers.front().reply;
-    EXPECT_EQ(refusal.status, PollStatus::notFresh);
-    EXPECT_EQ(refusal.members, (std::vector<std::string>{"c0:1", "c1:1", "c2:1"})) << "whom to ask instead";
-    EXPECT_TRUE(refusal.packedTable.empty());
-    EXPECT_FALSE(refusal.table);
+    EXPECT_EQ(actions.answers.front().reply.status, PollStatus::notFresh);
 }
 
 TEST(GatewayServiceState, GathersRisesOfTheCountAndWakesOnceForThem) {
--- a/tests/gateway/control_link_state_test.cpp
+++ b/tests/gateway/control_link_state_test.cpp
@@ -94,31 +94,6 @@
     EXPECT_EQ(refused, 10u);
 }
 
-// The only seed is cut off from the other members, but knows them.
-TEST(ControlLinkState, AsksTheMembersThatARefusalNamesWhileItKnowsNoBetter) {
-    ControlLinkState link("g1", 1);
-    link.seeds({"a"});
-    Player player(link);
-    LinkCall call = *link.start(0);
-    link.onRefusal(10, call.number, replyOf({"a", "b", "c"}));
-    std::set<std::string> asked;
-    for (int turn = 0; turn < 3; ++turn) {
-        call = player.next();
-        asked.insert(call.address);
-        player.fail(call);
-    }
-    EXPECT_EQ(asked, (std::set<std::string>{"a", "b", "c"}));
-    call = player.next();
-    link.onAnswer(player.now, call.number, replyOf({"b", "c", "d"}));
-    call = player.next();
-    link.onRefusal(player.now, call.number, replyOf({"a", "x"}));
-    for (int turn = 0; turn < 4; ++turn) {
-        call = player.next();
-        EXPECT_NE(call.address, "x") << "what a member that can vouch named holds";
-        player.fail(call);
-    }
-}
-
 TEST(ControlLinkState, ComesBackWhenTheMemberSaysSpreadByJitter) {
     std::set<Millis> pauses;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/tests/recovery/recovery_model.cpp
+++ b/tests/recovery/recovery_model.cpp
@@ -285,7 +285,7 @@
         gateway.out = 0;
         const Millis now = schedule_.now();
         if (reply.status != control::PollStatus::ok) {
-            gateway.link.onRefusal(now, number, reply);
+            gateway.link.onFailure(now, number);
             return armTimer(index);
         }
         gateway.link.onAnswer(now, number, reply);
--- a/tests/simulation/gateway_link.cpp
+++ b/tests/simulation/gateway_link.cpp
@@ -33,10 +33,6 @@
             state_.onFailure(port_.now(), number);
             return armTimer();
         }
-        if (reply->status != control::PollStatus::ok) {
-            state_.onRefusal(port_.now(), number, *reply);
-            return armTimer();
-        }
         state_.onAnswer(port_.now(), number, *reply);
         armTimer();
         port_.reply(*reply);
@@ -45,7 +41,7 @@
     static std::optional<control::PollReply> readReply(const Bytes& bytes) {
         if (!bytes) return std::nullopt;
         auto reply = control::decodePollReply(*bytes);
-        if (!reply) return std::nullopt;
+        if (!reply || reply.value().status != control::PollStatus::ok) return std::nullopt;
         return std::move(reply.value());
     }
 
