Tell other gateways what waits at each host, and learn reading times by size

Cause: 65 gateways are blind to each other; a prompt is sent behind another gateway's, and taken to be shorter than it is.

--- a/src/cli/system.cpp
+++ b/src/cli/system.cpp
@@ -1,5 +1,7 @@
 #include "cli/system.hpp"
 
+#include <fmt/format.h>
+
 #include <csignal>
 #include <iostream>
 
@@ -13,6 +15,19 @@
 
 namespace {
 
+std::string mechanismsHelp() {
+    std::string text = "turns off a mechanism of the gateway's decisions, to measure what it is worth:";
+    for (const auto& each : dispatch::kMechanismNames)
+        text += fmt::format("\n  {:14} {}", each.name, each.meaning);
+    return text;
+}
+
+std::vector<std::string> mechanismNames() {
+    std::vector<std::string> names;
+    for (const auto& each : dispatch::kMechanismNames) names.emplace_back(each.name);
+    return names;
+}
+
 int checkSettings(const std::string& path) {
     const auto settings = settings::readSettings(path);
     if (settings) {
@@ -29,6 +44,14 @@
     settingsPath_ = settings::settingsPath();
     gateway_ = app.add_subcommand("gateway", "serves clients: routes requests to hosts, until SIGTERM");
     control_ = app.add_subcommand("control", "keeps the configuration and knows the gateways, until SIGTERM");
+    gateway_->add_option("--without", without_, mechanismsHelp())
+        ->check(CLI::IsMember(mechanismNames()))
+        ->type_name("NAME ...");
+    gateway_->add_option("--price-shared-read", prices_.sharedRead,
+                         "of a thousand shared prompt tokens read again, in worths of a mean request");
+    gateway_->add_option("--price-cross-zone", prices_.crossZone, "of a million bytes between zones, likewise");
+    gateway_->add_option("--price-cross-region", prices_.crossRegion,
+                         "of a million bytes between regions, likewise");
     checkSettings_ = app.add_subcommand("check-settings", "says all that is wrong with a process's settings");
     for (CLI::App* command : {gateway_, control_, checkSettings_})
         command->add_option("--settings", settingsPath_,
@@ -48,7 +71,12 @@
     if (resolve_.given()) return resolve_.run(clock);
     if (status_.given()) return status_.run(clock);
     Logger log(clock, logging::Format::json);
-    return *gateway_ ? gateway::run(settingsPath_, clock, log) : control::run(settingsPath_, clock, log);
+    if (!*gateway_) return control::run(settingsPath_, clock, log);
+    gateway::Policy policy;
+    policy.prices = prices_;
+    for (const std::string& name : without_)
+        if (const auto mechanism = dispatch::mechanismNamed(name)) policy.mechanisms.turnOff(*mechanism);
+    return gateway::run(settingsPath_, policy, clock, log);
 }
 
 }  // namespace beechpoint::cli
--- a/src/cli/system.hpp
+++ b/src/cli/system.hpp
@@ -3,9 +3,11 @@
 
 #include <CLI/CLI.hpp>
 #include <string>
+#include <vector>
 
 #include "cli/operator_commands.hpp"
 #include "core/clock.hpp"
+#include "dispatch/dispatcher.hpp"
 
 namespace beechpoint::cli {
 
@@ -21,6 +23,8 @@
     CLI::App* control_;
     CLI::App* checkSettings_;
     std::string settingsPath_;
+    std::vector<std::string> without_;  // mechanisms
+    dispatch::Prices prices_;
     ConfigCommand config_;
     EvacuateCommand evacuate_;
     ResolveCommand resolve_;
--- a/src/dispatch/attempt_log.cpp
+++ b/src/dispatch/attempt_log.cpp
@@ -9,9 +9,11 @@
     sent.service = request.service;
     sent.route = request.asked.route;
     sent.sentAt = now;
+    ServiceLoad& load = services_.at(request.service, now).load;
     sent.tokens = tokens;
-    sent.ahead = slot.waiting;
-    sent.aheadTokens = slot.waitingTokens;
+    sent.workS = load.engine ? load.rate.seconds(tokens) : 0;
+    sent.ahead = slot.waiting + slot.othersWaiting;
+    sent.aheadS = Predictor::backlog(slot, load, now);
     Predictor::sent(slot, routes_.use(sent.route, now).id, sent);
     slot.sends.sent(now);
     sent_.emplace(Key{request.asked.id, number}, std::move(sent));
@@ -28,7 +30,7 @@
     if (streaming && proper && sent.waiting)
         Predictor::learnTime(slot, route, services_.at(sent.service, now).load, sent,
                              (now - sent.sentAt) / 1000, false, now);
-    if (streaming) Predictor::waitingEnded(slot, route.id, sent);
+    if (streaming) Predictor::waitingEnded(slot, route.id, sent, now);
     health_.reached(slot, now);
     return true;
 }
@@ -53,7 +55,7 @@
     const bool calledOff = outcome == Outcome::cancelled || outcome == Outcome::timedOut;
     if (sent.waiting && (served || calledOff))
         Predictor::learnTime(slot, route, load, sent, took, calledOff, now);
-    Predictor::waitingEnded(slot, route.id, sent);
+    Predictor::waitingEnded(slot, route.id, sent, now);
     --slot.out;
     if (served) health_.reached(slot, now);
     switch (outcome) {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -17,6 +17,7 @@
 #include "dispatch/route_table.hpp"
 #include "dispatch/selection.hpp"
 #include "dispatch/service_table.hpp"
+#include "dispatch/shared_load.hpp"
 #include "policy/failure_tree.hpp"
 #include "policy/width.hpp"
 
@@ -58,7 +59,8 @@
           selection_(settings_, hosts_),
           health_(hosts_, actions_),
           attempts_(hosts_, routes_, services_, health_),
-          copies_(settings_.retryWindow) {}
+          copies_(settings_.retryWindow),
+          shared_(hosts_) {}
 
     void handle(Millis now, const Event& event, std::vector<Action>& out) {
         services_.smoothWaiting(hosts_, std::max(0.0, now - now_));
@@ -68,6 +70,7 @@
         lookAtDue();
         health_.probeCutHosts(now_);
         prune();
+        shareLoad();
         setTimer();
         actions_.end();
     }
@@ -97,6 +100,20 @@
         services_.prune(now_ - kRecordAge);
     }
 
+    bool on(Mechanism mechanism) const { return settings_.mechanisms.on(mechanism); }
+    void shareLoad() {
+        if (!on(Mechanism::sharedLoad)) return;
+        shared_.expire(now_);
+        services_.loadIsShared(shared_.heard());
+        ShareLoad changed;
+        for (int i = 0; i < static_cast<int>(hosts_.size()); ++i) {
+            HostSlot& slot = hosts_.at(i);
+            if (!std::exchange(slot.loadChanged, false)) continue;
+            changed.hosts.push_back({hostKey(slot.host.instanceId), slot.waiting, slot.waitingS});
+        }
+        if (!changed.hosts.empty()) act(std::move(changed));
+    }
+
     // ---- arrival and admission
 
     void on(const RequestArrived& arrived) {
@@ -109,7 +126,7 @@
             say("refused full", fmt::format("{} requests are held", requests_.size()));
             return act(Refuse{arrived.id, 503, retryAfter(0, arrived.deadline)});
         }
-        const Verdict verdict = admit(outlook(request));
+        const Verdict verdict = on(Mechanism::admission) ? admit(outlook(request)) : Verdict{};
         if (verdict.refused) {
             say("refused late", fmt::format("route {}: every host is busy", arrived.route));
             return act(Refuse{arrived.id, 503, verdict.retryAfter});
@@ -133,7 +150,8 @@
         const std::vector<policy::Scored> choice = policy::passing(ranked(request));
         if (choice.empty()) return wait(request);
         request.waiting = false;
-        request.width = copiesAllowed(request) && calm(request) ? widthOf(request, choice) : 1;
+        const bool copies = on(Mechanism::widthTest) && copiesAllowed(request) && calm(request);
+        request.width = copies ? widthOf(request, choice) : 1;
         if (request.width == 1) {
             if (!send(request, policy::weightedDraw(choice, random_()), choice, false))
                 giveUpUnlessOut(request);
@@ -215,7 +233,8 @@
     // The width test at an age: an attempt that is overdue gets a copy where another host is expected to answer sooner
     // than what is left of it. Only what is in by the aim earns full worth, so a copy goes no sooner than it must.
     void copyIfOverdue(Request& request) {
-        if (!copiesAllowed(request) || request.waiting || request.outCount() != 1) return;
+        if (!on(Mechanism::overdueCopies) || !copiesAllowed(request)) return;
+        if (request.waiting || request.outCount() != 1) return;
         const auto attempt = std::find_if(request.attempts.begin(), request.attempts.end(),
                                           [](const Attempt& each) { return each.out; });
         const double age = (now_ - attempt->sentAt) / 1000;
@@ -353,6 +372,7 @@
     }
     void on(const Hosts& list) {
         hosts_.update(list, now_);
+        shared_.hostsChanged();
         lookAtWaiting();
     }
     void on(const Evacuated& zones) {
@@ -367,6 +387,9 @@
         std::sort(ids.begin(), ids.end());
         for (const RequestId id : ids) giveUp(requests_.at(id));
     }
+    void on(const PeerLoad& load) {
+        if (on(Mechanism::sharedLoad)) shared_.told(load, now_);
+    }
     void on(const Tick&) {}  // handle() looks at what is due, whatever the event
 
     // ---- time
@@ -406,6 +429,7 @@
         }
     }
     void probeSilentHosts(const Request& request) {
+        if (!on(Mechanism::silentProbes)) return;
         for (const Attempt& attempt : request.attempts) {
             if (!attempt.out || attempt.firstByte || now_ < silentAt(attempt)) continue;
             HostSlot& slot = hosts_.at(attempt.host);
@@ -455,6 +479,7 @@
     HostHealth health_;
     AttemptLog attempts_;
     CopyBudget copies_;
+    SharedLoad shared_;
     std::unordered_map<RequestId, Request> requests_;
     DueList due_;
 };
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -17,11 +17,19 @@
 #include <vector>
 
 #include "core/clock.hpp"
+#include "dispatch/mechanisms.hpp"
 #include "dispatch/messages.hpp"
 
 namespace beechpoint::dispatch {
 
-// The deployment's bounds and prices. Prices are in shares of a mean request's worth.
+// In shares of a mean request's worth.
+struct Prices {
+    double sharedRead = 0.1;   // of a thousand shared prompt tokens that are read again
+    double crossRegion = 4.0;  // of a million bytes between regions
+    double crossZone = 1.0;    // of a million bytes between zones
+};
+
+// The deployment's bounds.
 struct Settings {
     std::string region;  // this gateway's own
     std::string zone;
@@ -30,11 +38,10 @@
     double retryBudgetSlack = 0;
     double warmupOvershoot = 1.5;
     double warmupSlack = 0;
-    double sharedReadCost = 0.1;       // of a thousand shared prompt tokens that are read again
-    double crossRegionCost = 4.0;      // of a million bytes between regions
-    double crossZoneCost = 1.0;        // of a million bytes between zones
+    Prices prices;
     Millis crossRegionDelay = 24;      // there and back
     std::size_t mostRequests = 20000;  // held at once; beyond it requests are refused
+    Mechanisms mechanisms;
 };
 
 class Dispatcher {
--- a/src/dispatch/host_table.cpp
+++ b/src/dispatch/host_table.cpp
@@ -50,6 +50,11 @@
     return found == index_.end() ? -1 : found->second;
 }
 
+int HostTable::findKey(std::uint32_t key) const {
+    const auto found = keys_.find(key);
+    return found == keys_.end() ? -1 : found->second;
+}
+
 const std::vector<int>& HostTable::ofService(const std::string& service) const {
     static const std::vector<int> none;
     const auto found = byService_.find(service);
@@ -64,6 +69,7 @@
         index = spare_.back();
         spare_.pop_back();
     }
+    keys_[hostKey(instance)] = index;
     return index_[instance] = index;
 }
 
@@ -77,6 +83,7 @@
         const bool gone = !slot.listed && slot.goneAt > 0 && now > slot.goneAt + kRemembered;
         if (!gone || slot.out > 0 || slot.host.instanceId.empty()) continue;
         index_.erase(slot.host.instanceId);
+        keys_.erase(hostKey(slot.host.instanceId));
         slot = HostSlot{};
         spare_.push_back(i);
     }
--- a/src/dispatch/host_table.hpp
+++ b/src/dispatch/host_table.hpp
@@ -25,7 +25,11 @@
 
     int out = 0;               // attempts whose end is owed
     int waiting = 0;           // of these, without a first event
-    double waitingTokens = 0;  // that they are expected to have to read
+    double waitingS = 0;       // seconds that the host is expected to read for them
+    int othersWaiting = 0;     // the same of the other gateways, as they tell
+    double othersS = 0;
+    Millis progressAt = 0;     // when something last ceased to wait there, or began to after nothing did
+    bool loadChanged = false;  // since it was last told to the other gateways
 
     Millis fullUntil = 0;  // it said so
     bool cut = false;      // a connection broke or could not be made, and no probe has passed since
@@ -54,6 +58,7 @@
     HostSlot& at(int index) { return slots_[static_cast<std::size_t>(index)]; }
     const HostSlot& at(int index) const { return slots_[static_cast<std::size_t>(index)]; }
     int find(const std::string& instance) const;  // -1: not known
+    int findKey(std::uint32_t key) const;         // the same, by hostKey()
     const std::vector<int>& ofService(
         const std::string& service) const;  // listed ones, draining ones included
     std::size_t size() const { return slots_.size(); }
@@ -72,6 +77,7 @@
     std::vector<HostSlot> slots_;
     std::vector<int> spare_;
     std::unordered_map<std::string, int> index_;
+    std::unordered_map<std::uint32_t, int> keys_;
     std::unordered_map<std::string, std::vector<int>> byService_;
     std::set<std::string> evacuated_;
     bool listedOnce_ = false;
--- /dev/null
+++ b/src/dispatch/mechanisms.hpp
@@ -0,0 +1,61 @@
+// The mechanisms of a gateway's decisions, each of which can be turned off by its name, to measure what it is worth.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <bitset>
+#include <optional>
+#include <string_view>
+
+namespace beechpoint::dispatch {
+
+enum class Mechanism {
+    admission,
+    boundedHomes,
+    crossingCost,
+    fullPause,
+    hostSpeed,
+    overdueCopies,
+    prefixHomes,
+    sharedLoad,
+    silentProbes,
+    widthTest,
+};
+inline constexpr std::size_t kMechanisms = 10;
+
+struct MechanismName {
+    Mechanism mechanism;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+inline constexpr std::array<MechanismName, kMechanisms> kMechanismNames{{
+    {Mechanism::admission, "admission", "refuses at arrival what would come too late"},
+    {Mechanism::boundedHomes, "bounded-homes", "leaves a prefix's home out while much waits there"},
+    {Mechanism::crossingCost, "crossing-cost", "weighs bytes between zones and regions"},
+    {Mechanism::fullPause, "full-pause", "sends nothing for a while to a host that said that it is full"},
+    {Mechanism::hostSpeed, "host-speed", "learns how fast each host is, over all routes"},
+    {Mechanism::overdueCopies, "overdue-copies", "sends a copy of a repeatable request that is overdue"},
+    {Mechanism::prefixHomes, "prefix-homes", "sends prompts with a common prefix to the same hosts"},
+    {Mechanism::sharedLoad, "shared-load", "tells the other gateways what waits at each host, and uses what they tell"},
+    {Mechanism::silentProbes, "silent-probes", "asks after a host that is silent"},
+    {Mechanism::widthTest, "width-test", "sends a repeatable request to several hosts at once"},
+}};
+
+// All are on at first.
+class Mechanisms {
+public:
+    bool on(Mechanism mechanism) const { return !off_.test(static_cast<std::size_t>(mechanism)); }
+    void turnOff(Mechanism mechanism) { off_.set(static_cast<std::size_t>(mechanism)); }
+
+private:
+    std::bitset<kMechanisms> off_;
+};
+
+inline std::optional<Mechanism> mechanismNamed(std::string_view name) {
+    const auto found = std::ranges::find(kMechanismNames, name, &MechanismName::name);
+    if (found == kMechanismNames.end()) return std::nullopt;
+    return found->mechanism;
+}
+
+}  // namespace beechpoint::dispatch
--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -153,13 +153,32 @@
     bool answered = false;  // an HTTP answer came from it, whatever it says
 };
 
+// Attempts that wait for their first event at a host, and how long the host is expected to read for them.
+struct HostLoad {
+    std::uint32_t host = 0;  // hostKey() of its instance
+    int waiting = 0;
+    double workS = 0;  // seconds
+    bool operator==(const HostLoad&) const = default;
+};
+
+// Names a host in messages between gateways.
+std::uint32_t hostKey(const std::string& instanceId);
+
+// What other gateways have waiting. `whole`: hosts that are not named have nothing of this source waiting.
+struct PeerLoad {
+    std::uint64_t source = 0;
+    bool whole = false;
+    std::vector<HostLoad> hosts;
+    Millis lasts = 2500;  // without a newer word the source counts for nothing after so long
+};
+
 // The process ends: every request gets its final action now, and no host is asked any more.
 struct Closing {};
 
 struct Tick {};
 
 using Event = std::variant<RequestArrived, AttemptHead, AttemptFirstByte, AttemptEnded, ClientGone, Hosts,
-                           Services, Evacuated, Fleet, WarmupSeen, ProbeEnded, Closing, Tick>;
+                           Services, Evacuated, Fleet, WarmupSeen, ProbeEnded, PeerLoad, Closing, Tick>;
 
 // ---- actions
 
@@ -223,12 +242,17 @@
     Millis at = 0;
 };
 
+// What this gateway has waiting at hosts where that has changed; for the other gateways.
+struct ShareLoad {
+    std::vector<HostLoad> hosts;
+};
+
 struct Log {
     std::string kind;  // stable words, one of few
     std::string text;
 };
 
-using Action = std::variant<Send, Cancel, Relay, Refuse, Fail, BreakOff, Probe, SetTimer, Log>;
+using Action = std::variant<Send, Cancel, Relay, Refuse, Fail, BreakOff, Probe, SetTimer, ShareLoad, Log>;
 
 // An answer of a repeatable request that is no stream is relayed once it is whole, if its length is at most this.
 inline constexpr std::uint64_t kHeldBytes = 65536;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -37,6 +37,10 @@
     return shared;
 }
 
+std::uint32_t hostKey(const std::string& instanceId) {
+    return static_cast<std::uint32_t>(finish(absorb(kFnvOffset, instanceId)));
+}
+
 std::uint64_t rendezvousWeight(std::uint64_t key, const std::string& instance) {
     return finish(finish(key) ^ absorb(kFnvOffset, instance));
 }
--- a/src/dispatch/predictor.cpp
+++ b/src/dispatch/predictor.cpp
@@ -9,25 +9,37 @@
 constexpr double kAheadWeight = 0.35;    // growth of t for each attempt ahead, where no prompts are read
 constexpr double kPriorFailures = 2;     // weight of the host's failures over all routes
 constexpr double kLeastNormalS = 0.002;  // what is left of a time when its reading is taken off, at least
+constexpr double kLeastLeft = 0.3;       // share of what waits that is taken to be left, however long it has waited
 constexpr double kColdSlowness = 1.5;    // of a host that is cold and unheard
 
+// Without word from the others they are taken to have as much waiting as this gateway has usually.
 double aheadWeight(const ServiceLoad& load) {
+    if (load.shared) return kAheadWeight;
     const double others = (load.gateways - 1) * load.usualWaiting / (load.usualWaiting + 1);
     return kAheadWeight * (1 + others);
 }
 
 }  // namespace
 
+double Predictor::backlog(const HostSlot& slot, const ServiceLoad& load, Millis now) {
+    const double work = std::max(0.0, slot.waitingS + slot.othersS);
+    if (!load.shared) return work;
+    return std::max(kLeastLeft * work, work - (now - slot.progressAt) / 1000);
+}
+
 double Predictor::timeS(const HostSlot& slot, const RouteRecord& route, const ServiceLoad& load,
                         double tokens, Millis now) {
     const firkeel::policy::Nanos at = toNanos(now);
     const double slowness = now < slot.coldUntil ? kColdSlowness : 1;
-    const double prior = route.timeS(now) * slot.ratio.value(at, slowness);
+    const double ratio = load.hostSpeed ? slot.ratio.value(at, slowness) : slowness;
+    const double prior = route.timeS(now) * ratio;
     const auto record = slot.records.find(route.id);
     const bool heard = record != slot.records.end();
     const double normal = heard ? record->second.t.value(at, prior) : prior;
-    const double t = load.engine ? normal + (slot.waitingTokens + tokens) / load.rate.tokensPerSecond()
-                                 : normal * (1 + aheadWeight(load) * slot.waiting);
+    const int ahead = slot.waiting + slot.othersWaiting;
+    const double t = load.engine
+                         ? normal + backlog(slot, load, now) + load.rate.seconds(tokens)
+                         : normal * (1 + aheadWeight(load) * ahead);
     return std::max(t, heard ? record->second.silence(at) : 0);
 }
 
@@ -39,17 +51,21 @@
 }
 
 void Predictor::sent(HostSlot& slot, RouteId route, const Sent& attempt) {
+    if (slot.waiting + slot.othersWaiting == 0) slot.progressAt = attempt.sentAt;
+    slot.loadChanged = true;
     ++slot.out;
     ++slot.waiting;
-    slot.waitingTokens += attempt.tokens;
+    slot.waitingS += attempt.workS;
     slot.records[route].out.insert(toNanos(attempt.sentAt));
 }
 
-void Predictor::waitingEnded(HostSlot& slot, RouteId route, Sent& attempt) {
+void Predictor::waitingEnded(HostSlot& slot, RouteId route, Sent& attempt, Millis now) {
     if (!attempt.waiting) return;
     attempt.waiting = false;
+    slot.loadChanged = true;
+    slot.progressAt = now;
     --slot.waiting;
-    slot.waitingTokens = slot.waiting == 0 ? 0 : slot.waitingTokens - attempt.tokens;
+    slot.waitingS = slot.waiting == 0 ? 0 : slot.waitingS - attempt.workS;
     std::multiset<firkeel::policy::Nanos>& out = slot.records[route].out;
     if (const auto one = out.find(toNanos(attempt.sentAt)); one != out.end()) out.erase(one);
 }
@@ -57,7 +73,7 @@
 void Predictor::learnTime(HostSlot& slot, RouteRecord& route, ServiceLoad& load, const Sent& attempt,
                           double tookS, bool atLeast, Millis now) {
     const firkeel::policy::Nanos at = toNanos(now);
-    const double reading = (attempt.aheadTokens + attempt.tokens) / load.rate.tokensPerSecond();
+    const double reading = attempt.aheadS + attempt.workS;
     const double normal = load.engine ? std::max(kLeastNormalS, tookS - reading)
                                       : tookS / (1 + aheadWeight(load) * attempt.ahead);
     const double usual = route.timeS(now);
--- a/src/dispatch/predictor.hpp
+++ b/src/dispatch/predictor.hpp
@@ -30,6 +30,8 @@
     ReadingRate rate;
     double usualWaiting = 0;  // own attempts per host without a first event, over the last seconds
     int gateways = 1;
+    bool shared = false;    // the other gateways tell what they have waiting
+    bool hostSpeed = true;  // hosts differ in speed
 };
 
 // An attempt as it was sent.
@@ -39,8 +41,9 @@
     std::string route;
     Millis sentAt = 0;
     double tokens = 0;       // to be read, as expected
+    double workS = 0;        // and the seconds that it takes
     int ahead = 0;           // own attempts without a first event then
-    double aheadTokens = 0;  // and what these were to read
+    double aheadS = 0;       // seconds of reading before it, of all gateways as far as known
     bool waiting = true;     // for the first event
 };
 
@@ -49,12 +52,14 @@
     // Seconds to the first event of a request of the route that has `tokens` to be read there.
     static double timeS(const HostSlot& slot, const RouteRecord& route, const ServiceLoad& load,
                         double tokens, Millis now);
+    // Seconds that the host still reads for what waits there, of all gateways as far as known.
+    static double backlog(const HostSlot& slot, const ServiceLoad& load, Millis now);
     static double failureShare(const HostSlot& slot, RouteId route, Millis now);
 
     // An attempt went out: it is waiting there.
     static void sent(HostSlot& slot, RouteId route, const Sent& attempt);
     // It waits no longer: its first event came, or it ended.
-    static void waitingEnded(HostSlot& slot, RouteId route, Sent& attempt);
+    static void waitingEnded(HostSlot& slot, RouteId route, Sent& attempt, Millis now);
     // It took `tookS` to its first event (or whole answer), or surely more (`atLeast`).
     static void learnTime(HostSlot& slot, RouteRecord& route, ServiceLoad& load, const Sent& attempt,
                           double tookS, bool atLeast, Millis now);
--- a/src/dispatch/reading_rate.cpp
+++ b/src/dispatch/reading_rate.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/reading_rate.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace beechpoint::dispatch {
 
@@ -9,6 +10,9 @@
 constexpr double kKeep = 0.99;                        // of the weight of the past, at each addition
 constexpr double kLeast = 30;                         // weights of so many say something
 constexpr double kSpread = 500;                       // tokens, standard deviation: less tells no slope
+constexpr double kFirstSize = 512;                    // tokens; smaller prompts are all alike
+constexpr double kMostWeight = 60;                    // of a correction: later ones count at least 1 in so many
+constexpr double kLeastFactor = 0.3, kMostFactor = 4;
 constexpr double kSlowest = 5000, kFastest = 400000;  // tokens a second
 
 }  // namespace
@@ -24,6 +28,28 @@
     if (variance < kSpread * kSpread) return;
     const double covariance = product_ / weight_ - tokens_ * time_ / (weight_ * weight_);
     rate_ = std::clamp(variance / std::max(covariance, variance / kFastest), kSlowest, kFastest);
+    correct(tokens, seconds);
+}
+
+std::size_t ReadingRate::sizeOf(double tokens) {
+    if (tokens < kFirstSize) return 0;
+    const auto doublings = static_cast<std::size_t>(std::log2(tokens / kFirstSize));
+    return std::min(kSizes - 1, 1 + doublings);
+}
+
+double ReadingRate::seconds(double tokens) const {
+    return tokens / rate_ * corrections_[sizeOf(tokens)].factor;
+}
+
+// The line's value for no tokens is what a request takes without reading.
+void ReadingRate::correct(double tokens, double seconds) {
+    const std::size_t size = sizeOf(tokens);
+    if (size == 0) return;
+    const double without = std::max(0.0, (time_ - tokens_ / rate_) / weight_);
+    const double off = std::clamp((seconds - without) * rate_ / tokens, kLeastFactor, kMostFactor);
+    Correction& correction = corrections_[size];
+    correction.weight = std::min(kMostWeight, correction.weight + 1);
+    correction.factor += (off - correction.factor) / correction.weight;
 }
 
 }  // namespace beechpoint::dispatch
--- a/src/dispatch/selection.cpp
+++ b/src/dispatch/selection.cpp
@@ -38,14 +38,15 @@
 }
 
 double Selection::crossingScore(const Request& request, const Host& host) const {
+    if (!settings_.mechanisms.on(Mechanism::crossingCost)) return 0;
     if (host.region != settings_.region)
-        return crossingScore(settings_.crossRegionCost, settings_.crossRegionDelay, request.bytes, request);
+        return crossingScore(settings_.prices.crossRegion, settings_.crossRegionDelay, request.bytes, request);
     return host.zone == settings_.zone ? 0
-                                       : crossingScore(settings_.crossZoneCost, 0, request.bytes, request);
+                                       : crossingScore(settings_.prices.crossZone, 0, request.bytes, request);
 }
 
 double Selection::readingScore(const Request& request, double miss) const {
-    return policy::kDropAbove * settings_.sharedReadCost * miss * request.shared.tokens * kPerThousand;
+    return policy::kDropAbove * settings_.prices.sharedRead * miss * request.shared.tokens * kPerThousand;
 }
 
 // Whether each region keeps its own copies of the prefix: where a crossing costs more than reading the prefix again.
@@ -53,7 +54,7 @@
 bool Selection::regional(const Request& request, const std::vector<int>& hosts) const {
     const double bytes = kBytesPerToken * request.shared.tokens;
     const double crossing =
-        crossingScore(settings_.crossRegionCost, settings_.crossRegionDelay, bytes, request);
+        crossingScore(settings_.prices.crossRegion, settings_.crossRegionDelay, bytes, request);
     if (crossing <= readingScore(request, 1)) return false;
     const auto own = std::count_if(hosts.begin(), hosts.end(),
                                    [&](int i) { return hosts_.at(i).host.region == settings_.region; });
@@ -70,7 +71,7 @@
     for (const int i : hosts) {
         const HostSlot& slot = hosts_.at(i);
         result.push_back({i, 1});
-        waiting += slot.waiting;
+        waiting += slot.waiting + slot.othersWaiting;
         if (ownRegion && slot.host.region != settings_.region) continue;
         places.push_back(result.size() - 1);
         names.push_back(&slot.host.instanceId);
@@ -79,14 +80,17 @@
     const std::vector<int> ranks = rendezvousRanks(request.shared.key, names);
     for (std::size_t n = 0; n < places.size(); ++n) {
         Option& option = result[places[n]];
-        if (!overloadedHome(hosts_.at(option.host).waiting, mean)) option.miss = expectedMiss(ranks[n]);
+        const HostSlot& slot = hosts_.at(option.host);
+        const bool bounded = settings_.mechanisms.on(Mechanism::boundedHomes);
+        if (!bounded || !overloadedHome(slot.waiting + slot.othersWaiting, mean)) option.miss = expectedMiss(ranks[n]);
     }
     return result;
 }
 
 std::vector<Selection::Option> Selection::options(const Request& request, const ServiceState& service) const {
     const std::vector<int> hosts = allowed(request);
-    if (service.load.engine && request.shared.tokens > 0) return placed(request, hosts);
+    const bool homes = settings_.mechanisms.on(Mechanism::prefixHomes);
+    if (homes && service.load.engine && request.shared.tokens > 0) return placed(request, hosts);
     std::vector<Option> result;
     for (const int i : hosts) result.push_back({i, 0});
     return result;
@@ -94,7 +98,8 @@
 
 bool Selection::takesNow(HostSlot& slot, const Request& request, const ServiceState& service,
                          Millis now) const {
-    if (now < slot.fullUntil || request.outAt(slot.host.instanceId)) return false;
+    const bool full = now < slot.fullUntil && settings_.mechanisms.on(Mechanism::fullPause);
+    if (full || request.outAt(slot.host.instanceId)) return false;
     if (!service.coldBounded() || !slot.cold(now, service.warmup())) return true;
     return slot.sends.allows(now, service.coldShare);
 }
--- a/src/dispatch/service_table.cpp
+++ b/src/dispatch/service_table.cpp
@@ -20,6 +20,7 @@
     const RetryBounds bounds{settings_.retryBudgetRatio, settings_.retryWindow, settings_.retryBudgetSlack};
     ServiceState& state = services_.emplace(name, ServiceState(bounds)).first->second;
     state.service.name = name;
+    state.load.hostSpeed = settings_.mechanisms.on(Mechanism::hostSpeed);
     applyFleet(state, now);
     return state;
 }
@@ -69,6 +70,10 @@
     }
 }
 
+void ServiceTable::loadIsShared(bool shared) {
+    for (auto& [name, state] : services_) state.load.shared = shared;
+}
+
 void ServiceTable::prune(Millis oldest) {
     std::erase_if(services_, [&](const auto& entry) {
         const ServiceState& state = entry.second;
--- a/src/dispatch/service_table.hpp
+++ b/src/dispatch/service_table.hpp
@@ -27,6 +27,8 @@
     // Time passes: the usual number of attempts that wait at a host of each service.
     void smoothWaiting(const HostTable& hosts, Millis passed);
     // Forgets those that no configuration has and that were not used since `oldest`.
+    // Whether the other gateways tell what they have waiting.
+    void loadIsShared(bool shared);
     void prune(Millis oldest);
 
 private:
--- /dev/null
+++ b/src/dispatch/shared_load.cpp
@@ -0,0 +1,66 @@
+#include "dispatch/shared_load.hpp"
+
+#include <algorithm>
+
+namespace beechpoint::dispatch {
+
+void SharedLoad::told(const PeerLoad& load, Millis now) {
+    if (!sources_.contains(load.source) && sources_.size() >= kMostSources) return;
+    Source& source = sources_[load.source];
+    source.lastsUntil = now + load.lasts;
+    if (load.whole) {
+        std::vector<std::uint32_t> ended;
+        for (const auto& [host, figures] : source.hosts)
+            if (std::ranges::find(load.hosts, host, &HostLoad::host) == load.hosts.end())
+                ended.push_back(host);
+        for (const std::uint32_t host : ended) replace(source, HostLoad{host, 0, 0}, now);
+    }
+    for (const HostLoad& each : load.hosts) replace(source, each, now);
+}
+
+void SharedLoad::replace(Source& source, const HostLoad& load, Millis now) {
+    const auto known = source.hosts.find(load.host);
+    const Figures before = known == source.hosts.end() ? Figures{} : known->second;
+    if (load.waiting == 0) {
+        if (known != source.hosts.end()) source.hosts.erase(known);
+    } else {
+        if (known == source.hosts.end() && source.hosts.size() >= kMostHosts) return;
+        source.hosts[load.host] = Figures{load.waiting, load.workS};
+    }
+    const double workS = load.waiting == 0 ? 0 : load.workS;
+    add(load.host, load.waiting - before.waiting, workS - before.workS, now);
+}
+
+void SharedLoad::add(std::uint32_t host, int waiting, double workS, Millis now) {
+    Figures& total = totals_[host];
+    const int index = hosts_.findKey(host);
+    if (index >= 0 && (total.waiting + hosts_.at(index).waiting == 0 || waiting < 0))
+        hosts_.at(index).progressAt = now;
+    total.waiting += waiting;
+    total.workS = total.waiting == 0 ? 0 : total.workS + workS;
+    write(host, total);
+    if (total.waiting == 0) totals_.erase(host);
+}
+
+void SharedLoad::write(std::uint32_t host, const Figures& total) {
+    const int index = hosts_.findKey(host);
+    if (index < 0) return;
+    hosts_.at(index).othersWaiting = total.waiting;
+    hosts_.at(index).othersS = std::max(0.0, total.workS);
+}
+
+void SharedLoad::hostsChanged() {
+    for (const auto& [host, total] : totals_) write(host, total);
+}
+
+void SharedLoad::expire(Millis now) {
+    std::vector<std::uint64_t> silent;
+    for (const auto& [name, source] : sources_)
+        if (now > source.lastsUntil) silent.push_back(name);
+    for (const std::uint64_t name : silent) {
+        told(PeerLoad{name, true, {}, 0}, now);
+        sources_.erase(name);
+    }
+}
+
+}  // namespace beechpoint::dispatch
--- /dev/null
+++ b/src/dispatch/shared_load.hpp
@@ -0,0 +1,54 @@
+// What other gateways have waiting at each host, as they tell it. A gateway alone sees a small part of the requests; a prompt
+// that it sends behind another gateway's waits for the reading of both.
+//
+// Each source (a gateway, or all gateways of another zone together) tells absolute figures, so a message that is lost or comes
+// twice does no lasting harm. A source that has said nothing for as long as its word lasts counts for nothing.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "dispatch/host_table.hpp"
+#include "dispatch/messages.hpp"
+
+namespace beechpoint::dispatch {
+
+class SharedLoad {
+public:
+    static constexpr std::size_t kMostSources = 1024;
+    static constexpr std::size_t kMostHosts = 4096;  // of one source
+
+    explicit SharedLoad(HostTable& hosts) : hosts_(hosts) {}
+
+    void told(const PeerLoad& load, Millis now);
+    // The table of hosts has changed: writes the totals into their slots again.
+    void hostsChanged();
+    // Forgets sources that are silent.
+    void expire(Millis now);
+    // Whether any source is heard.
+    bool heard() const { return !sources_.empty(); }
+
+private:
+    struct Figures {
+        int waiting = 0;
+        double workS = 0;
+    };
+    struct Source {
+        Millis lastsUntil = 0;
+        std::unordered_map<std::uint32_t, Figures> hosts;
+    };
+
+    void replace(Source& source, const HostLoad& load, Millis now);
+    void add(std::uint32_t host, int waiting, double workS, Millis now);
+    void write(std::uint32_t host, const Figures& total);
+
+    HostTable& hosts_;
+    std::unordered_map<std::uint64_t, Source> sources_;
+    std::unordered_map<std::uint32_t, Figures> totals_;
+};
+
+}  // namespace beechpoint::dispatch
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,8 +38,10 @@
     return *endpoint;
 }
 
-dispatch::Settings dispatchSettings(const settings::ProcessSettings& settings) {
+dispatch::Settings dispatchSettings(const settings::ProcessSettings& settings, const Policy& policy) {
     dispatch::Settings out;
+    out.mechanisms = policy.mechanisms;
+    out.prices = policy.prices;
     out.region = settings.region;
     out.zone = settings.zone;
     out.retryBudgetRatio = settings.timingBounds.retryBudgetRatio;
@@ -87,13 +89,17 @@
 
 }  // namespace
 
-Gateway::Gateway(asio::io_context& io, settings::ProcessSettings settings, const Clock& clock, Logger& log)
+Gateway::Gateway(asio::io_context& io, settings::ProcessSettings settings, const Policy& policy,
+                 const Clock& clock, Logger& log)
     : io_(io),
       settings_(std::move(settings)),
       clock_(clock),
       log_(log),
       session_(drawSeed()),
-      exchange_(io, clock, log, dispatchSettings(settings_), drawSeed()),
+      sharesLoad_(policy.mechanisms.on(dispatch::Mechanism::sharedLoad)),
+      exchange_(io, clock, log, dispatchSettings(settings_, policy), drawSeed()),
+      load_(io, clock, log, {settings_.nodeName, settings_.zone, settings_.region, session_},
+            [this](const dispatch::PeerLoad& load) { exchange_.tell(load); }),
       control_(io, clock, log, settings_.nodeName, drawSeed(),
                {[this] { return pollRequest(); },
                 [this](const control::PollReply& reply, Millis sentAt) { onPollReply(reply, sentAt); }}),
@@ -128,6 +134,8 @@
     limits.head = kHeadUnconfigured;
     limits.body = kBodyUnconfigured;
     front_.limits(limits);
+    if (sharesLoad_)
+        exchange_.onLoad([this](const auto& changed) { load_.ownLoad(changed); });
     exchange_.takeOnlyIf([this](Millis mayLast) { return drain_.takes(clock_.now(), mayLast); });
 }
 
@@ -138,6 +146,8 @@
         readiness_.listen(endpointOf(settings_.listenAddresses.readiness, "readiness"));
     if (!settings_.listenAddresses.directory.empty())
         directoryServer_.listen(endpointOf(settings_.listenAddresses.directory, "directory"));
+    if (sharesLoad_)
+        load_.start(settings_.ipAddress, static_cast<std::uint16_t>(settings_.internalPortRange.first));
     control_.seeds(internalAddresses(settings_));
     control_.start();
     log_.info("gateway {} serves at {}", field("name", settings_.nodeName),
@@ -235,6 +245,7 @@
     if (reply.directory) {
         gateways_ = *reply.directory;
         directoryDigest_ = reply.directoryDigest;
+        load_.gateways(gateways_);
     }
     const auto live = reply.largestLive ? reply.largestLive : reply.liveGateways;
     if (live && *live > 0) {
@@ -347,6 +358,7 @@
     const bool busy = exchange_.live() > 0 || front_.connections() > 0;
     if (!drain_.ends(now, busy)) return lookAfter(kStopLook);
     exchange_.endAll();
+    load_.stop();
     control_.stop();
     platform_.stop();
     log_.info("gateway {} ends", field("name", settings_.nodeName));
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -18,6 +18,7 @@
 #include "gateway/control_link.hpp"
 #include "gateway/drain_timeline.hpp"
 #include "gateway/host_list_copy.hpp"
+#include "gateway/load_sharing.hpp"
 #include "gateway/request_exchange.hpp"
 #include "instances/poller.hpp"
 #include "net/server.hpp"
@@ -26,10 +27,17 @@
 
 namespace beechpoint::gateway {
 
+// What an operator may set of the decisions beside the settings file.
+struct Policy {
+    dispatch::Mechanisms mechanisms;
+    dispatch::Prices prices;
+};
+
 class Gateway {
 public:
     // Throws where it can't listen.
-    Gateway(asio::io_context& io, settings::ProcessSettings settings, const Clock& clock, Logger& log);
+    Gateway(asio::io_context& io, settings::ProcessSettings settings, const Policy& policy, const Clock& clock,
+            Logger& log);
     void start();
     // New settings; only the seeds may differ while it runs.
     void reload(const settings::ProcessSettings& settings);
@@ -59,9 +67,11 @@
     const Clock& clock_;
     Logger& log_;
     std::uint64_t session_;
+    bool sharesLoad_;
     routing::TableCopy table_;
     HostListCopy hosts_;
     RequestExchange exchange_;
+    LoadSharing load_;
     ControlLink control_;
     instances::Poller platform_;
     control::DirectoryService directory_;
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -10,7 +10,7 @@
 
 namespace beechpoint::gateway {
 
-int run(const std::string& settingsPath, Clock& clock, Logger& log) {
+int run(const std::string& settingsPath, const Policy& policy, Clock& clock, Logger& log) {
     asio::io_context io(1);
     asio::signal_set stop(io, SIGTERM, SIGINT);
     asio::signal_set reload(io, SIGHUP);
@@ -19,7 +19,7 @@
         log.warn("bad settings: {}", field("error", settings.error().text()));
         return 1;
     }
-    Gateway gateway(io, settings.value(), clock, log);
+    Gateway gateway(io, settings.value(), policy, clock, log);
     std::function<void()> awaitReload = [&] {
         reload.async_wait([&](asio::error_code error, int) {
             if (error) return;
--- a/src/gateway/run.hpp
+++ b/src/gateway/run.hpp
@@ -5,10 +5,11 @@
 
 #include "core/clock.hpp"
 #include "core/logger.hpp"
+#include "gateway/gateway.hpp"
 
 namespace beechpoint::gateway {
 
 // The exit status: 0 after an orderly end.
-int run(const std::string& settingsPath, Clock& clock, Logger& log);
+int run(const std::string& settingsPath, const Policy& policy, Clock& clock, Logger& log);
 
 }  // namespace beechpoint::gateway
