Take voters apart from the chain in the model, weigh zone crossings, test shared load

Need: the model had members for voters; the price of a crossing was a guess from the first sites.

Change: voters in models/control-view.pml with the variant SHRINKING_VOTERS, which is rejected; a crossing of a zone weighs 8 in place of 1 a million bytes, reading again 0.14 in place of 0.1 a thousand tokens; tests of shared load; a process test of a disk lost behind a cut.

--- a/models/control-view.pml
+++ b/models/control-view.pml
@@ -1,7 +1,8 @@
 /* The view agreement with the chain, as in src/replica, as small as it can be and still go wrong.
  *
  * Epochs 1 to 3. Epoch 1 is decided and settled at the start; epochs 2 and 3 are agreed on by two ballots each. Disks 0, 1
- * and 2 are the members of epoch 1; disk 3 is empty: the one that a wiped machine comes back with, or (REPLACEMENT) a
+ * and 2 are the members and the voters of epoch 1; a view leaves any of them out of the chain, and its voters change only one for
+ * one: a voter outside the new chain may hand its vote to a member that has none. Disk 3 is empty: the one that a wiped machine comes back with, or (REPLACEMENT) a
  * spare machine. Each epoch has one batch, named by the epoch; a state is the set of its batches. One disk may be lost, and
  * once the power fails, for one machine or for all.
  *
@@ -15,6 +16,7 @@
  *   - a read that a majority vouched for holds all that was acknowledged before it began
  *   - states that are shown are prefixes of one history
  *   - after a loss some disk that is left holds all that was acknowledged
+ *   - after the loss of one disk a majority of the voters is left (not with REPLACEMENT, where two are lost)
  *
  * Variants that must be rejected (tests/replica/model runs them):
  *   -DACKNOWLEDGED_BEFORE_SYNC  a batch is passed on before the disk has it
@@ -23,6 +25,7 @@
  *   -DREAD_WITHOUT_CONTACT      the tail answers reads alone
  *   -DJOINER_NOT_SYNCED         a member passes the opening on without the starting state
  *   -DUNSYNCED_SOURCE           whoever promised may be the source (with -DLEAST=1 -DSECOND=1 -DNO_LOSS)
+ *   -DSHRINKING_VOTERS          the voters of a view are its members
  *   -DLEAVES_BEFORE_SETTLED     a member that is left out ends once the view is decided (with -DREPLACEMENT)
  */
 
@@ -61,6 +64,7 @@
 /* Views that are decided, by epoch. */
 byte decided = 2;
 byte members[4];
+byte voters[4];
 byte source[4];
 byte start[4];
 byte sessions[4];
@@ -81,6 +85,7 @@
 byte accepters[4];
 byte noted;        /* a bit for each slot that was decided */
 byte valueMembers[4];
+byte valueVoters[4];
 byte valueSource[4];
 byte valueStart[4];
 byte valueSessions[4];
@@ -98,11 +103,11 @@
 bool departed = false;
 
 #define VIEW(i) epoch[i]
-#define MAY_VOTE(i, ballot) (HAS(living, i) && HAS(members[VIEW(i)], i) && \
+#define MAY_VOTE(i, ballot) (HAS(living, i) && HAS(members[VIEW(i)] | voters[VIEW(i)], i) && \
                              (VIEW(i) == 1 && ballot <= FIRST || VIEW(i) == 2 && ballot <= SECOND))
 #define RANK(i) (i == source[VIEW(i)] -> 0 : 1 + SIZE(members[VIEW(i)] & ~BIT(source[VIEW(i)]) & (BIT(i) - 1)))
 #define LAST(i) (SIZE(members[VIEW(i)]) - 1)
-#define MAJORITY(e) (SIZE(members[e]) / 2 + 1)
+#define MAJORITY(e) (SIZE(voters[e]) / 2 + 1)
 #define LISTED(i) (HAS(members[VIEW(i)], i) && HAS(session, i) == HAS(sessions[VIEW(i)], i))
 #ifdef PROMISE_WITHOUT_SEALING
 #define UNSEALED(i) (accepted[i] == 0)
@@ -190,11 +195,12 @@
 inline decide(target, slot) {
     if
     :: HAS(decided, target) ->
-       assert(members[target] == valueMembers[slot] && source[target] == valueSource[slot] &&
+       assert(members[target] == valueMembers[slot] && voters[target] == valueVoters[slot] && source[target] == valueSource[slot] &&
               start[target] == valueStart[slot] && sessions[target] == valueSessions[slot])
     :: else ->
        decided = decided | BIT(target);
        members[target] = valueMembers[slot];
+       voters[target] = valueVoters[slot];
        source[target] = valueSource[slot];
        start[target] = valueStart[slot];
        sessions[target] = valueSessions[slot];
@@ -210,7 +216,7 @@
     accepted[i] = ballot;
     if :: !HAS(noted, slot) -> accepters[slot] = accepters[slot] | BIT(i) :: else fi;
     if
-    :: SIZE(accepters[slot]) >= MAJORITY(VIEW(i)) -> decide(VIEW(i) + 1, slot)
+    :: SIZE(accepters[slot] & voters[VIEW(i)]) >= MAJORITY(VIEW(i)) -> decide(VIEW(i) + 1, slot)
     :: else
     fi;
     endRead(i);
@@ -269,9 +275,9 @@
 #ifndef NO_READS
     /* A read at the tail: begun, vouched for, answered. */
     :: d_step { reader == 0 && acknowledged != 0 && ACTIVE(_pid) && HAS(settled, _pid) && RANK(_pid) == LAST(_pid) ->
-                reader = _pid + 1; vouched = BIT(_pid); floor = acknowledged }
+                reader = _pid + 1; vouched = BIT(_pid) & voters[epoch[_pid]]; floor = acknowledged }
     :: d_step { reader != 0 && HAS(living, _pid) && epoch[_pid] == epoch[reader - 1] && UNSEALED(_pid) &&
-                HAS(members[epoch[_pid]], _pid) && !HAS(vouched, _pid) -> vouched = vouched | BIT(_pid) }
+                HAS(voters[epoch[_pid]], _pid) && !HAS(vouched, _pid) -> vouched = vouched | BIT(_pid) }
     :: d_step { reader == _pid + 1 && ACTIVE(_pid) && HAS(settled, _pid) && VOUCHED(epoch[_pid]) ->
                 assert(WITHIN(floor, folded[_pid])); reader = 0; vouched = 0; floor = 0 }
 #endif
@@ -318,20 +324,43 @@
 }
 inline copyValue(slot, from) {
     valueMembers[slot] = valueMembers[from];
+    valueVoters[slot] = valueVoters[from];
     valueSource[slot] = valueSource[from];
     valueStart[slot] = valueStart[from];
     valueSessions[slot] = valueSessions[from];
     proposed = proposed | BIT(slot)
 }
+#define NOT_SYNCED(slot, base, i) \
+    (HAS(promisers[slot] & members[base], i) && reportSynced[(slot) * 4 + i] != base)
+#define UNSYNCED_LINK(slot, base) \
+    (NOT_SYNCED(slot, base, 0) || NOT_SYNCED(slot, base, 1) || NOT_SYNCED(slot, base, 2) || NOT_SYNCED(slot, base, 3))
+/* A voter outside the new chain hands its vote to a member without one, or keeps it. */
+#define HANDS_OVER(slot, base, i) (HAS(voters[base], i) && !HAS(valueMembers[slot], i) && \
+                                   HAS(valueMembers[slot], 3) && !HAS(voters[base], 3))
+inline chooseVoters(base, slot) {
+#ifdef SHRINKING_VOTERS
+    valueVoters[slot] = valueMembers[slot]
+#else
+    if
+    :: valueVoters[slot] = voters[base]
+    :: HANDS_OVER(slot, base, 0) -> valueVoters[slot] = (voters[base] & ~1) | 8
+    :: HANDS_OVER(slot, base, 1) -> valueVoters[slot] = (voters[base] & ~2) | 8
+    :: HANDS_OVER(slot, base, 2) -> valueVoters[slot] = (voters[base] & ~4) | 8
+    fi
+#endif
+}
 /* The sessions that a view lists: those of the promises, and for the empty disk the one it has. */
 inline compose(base, slot) {
-    wanted = promisers[slot] & ~excluded;
+    wanted = promisers[slot] & members[base] & ~excluded;
     chooseSource(base, slot, wanted);
-    if :: best == 0 -> chooseSource(base, slot, promisers[slot]) :: else fi;
+    if :: best == 0 -> chooseSource(base, slot, promisers[slot] & members[base]) :: else fi;
+    /* A voter outside the chain, where a link proves that nothing was acknowledged in it. */
+    if :: best == 0 && UNSYNCED_LINK(slot, base) -> chooseSource(base, slot, promisers[slot]) :: else fi;
     if
     :: best > 0 && SIZE(wanted | BIT(valueSource[slot]) | joiner) >= LEAST ->
        valueMembers[slot] = wanted | BIT(valueSource[slot]) | joiner;
-       valueSessions[slot] = (promisedSession[slot] | (session & joiner)) & valueMembers[slot];
+       valueSessions[slot] = ((promisedSession[slot] & ~joiner) | (session & joiner)) & valueMembers[slot];
+       chooseVoters(base, slot);
        proposed = proposed | BIT(slot)
     :: else -> valueSource[slot] = 0; valueStart[slot] = 0
     fi
@@ -343,6 +372,11 @@
     fi;
     if
     :: joiner = 0
+#ifndef REPLACEMENT  /* there it leaves for good, and does not ask to be taken in */
+    :: HAS(living, 0) && !HAS(members[base], 0) -> joiner = 1
+    :: HAS(living, 1) && !HAS(members[base], 1) -> joiner = 2
+    :: HAS(living, 2) && !HAS(members[base], 2) -> joiner = 4
+#endif
     :: HAS(living, 3) && !HAS(members[base], 3) -> joiner = 8
     fi
 }
@@ -378,8 +412,10 @@
     if :: HAS(proposed, slot) -> forget(slot) :: else fi;
     base = 0; slot = 0; i = 0; best = 0; weight = 0; state = 0; wanted = 0; excluded = 0; joiner = 0
 }
+#define LINKED(set) ((set) != 0)
 #define MAY_PROPOSE(t, b) \
-    (HAS(decided, t - 1) && !HAS(proposed, SLOT(t, b)) && SIZE(promisers[SLOT(t, b)]) >= MAJORITY(t - 1))
+    (HAS(decided, t - 1) && !HAS(proposed, SLOT(t, b)) && SIZE(promisers[SLOT(t, b)] & voters[t - 1]) >= MAJORITY(t - 1) && \
+     LINKED(promisers[SLOT(t, b)] & members[t - 1]))
 
 active proctype Proposals() {
     byte base, slot, i, best, weight, state, wanted, excluded, joiner;
@@ -410,7 +446,10 @@
     endRead(disk);
     epoch[disk] = 0; promised[disk] = 0; accepted[disk] = 0;
     stored[disk] = 0; folded[disk] = 0; synced[disk] = 0;
-    assert(COPY(0) || COPY(1) || COPY(2) || COPY(3))
+    assert(COPY(0) || COPY(1) || COPY(2) || COPY(3));
+#ifndef REPLACEMENT
+    assert(!HAS(decided, 2) || SIZE(voters[2] & living) >= MAJORITY(2))
+#endif
 }
 /* A member that the newest view leaves out may end for good. */
 #ifdef LEAVES_BEFORE_SETTLED
@@ -447,9 +486,9 @@
         epoch[0] = 1; epoch[1] = 1; epoch[2] = 1; epoch[3] = 1;
         synced[0] = 1; synced[1] = 1; synced[2] = 1;
 #ifdef REPLACEMENT
-        members[1] = 3; settled = 3; living = 11
+        members[1] = 3; voters[1] = 3; settled = 3; living = 11
 #else
-        members[1] = 7; settled = 7; living = 7
+        members[1] = 7; voters[1] = 7; settled = 7; living = 7
 #endif
     }
 }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -24,9 +24,9 @@
 
 // In shares of a mean request's worth.
 struct Prices {
-    double sharedRead = 0.1;   // of a thousand shared prompt tokens that are read again
+    double sharedRead = 0.14;  // of a thousand shared prompt tokens that are read again
     double crossRegion = 4.0;  // of a million bytes between regions
-    double crossZone = 1.0;    // of a million bytes between zones
+    double crossZone = 8.0;    // of a million bytes between zones
 };
 
 // The deployment's bounds.
--- a/tests/dispatch/random_test.cpp
+++ b/tests/dispatch/random_test.cpp
@@ -160,6 +160,11 @@
     }
     void did(std::size_t gateway, const SetTimer& timer) { gateways[gateway].timerAt = timer.at; }
     void did(std::size_t, const Log&) {}
+    // Datagrams get lost now and then.
+    void did(std::size_t gateway, const ShareLoad& load) {
+        for (std::size_t other = 0; other < gateways.size(); ++other)
+            if (other != gateway && random() < 0.9) tell(other, PeerLoad{gateway + 1, false, load.hosts});
+    }
 
     void arrive() {
         RequestArrived asked;
--- /dev/null
+++ b/tests/dispatch/shared_load_test.cpp
@@ -0,0 +1,118 @@
+// What other gateways have waiting counts in the choice of a host.
+#include "dispatch/shared_load.hpp"
+
+#include <gtest/gtest.h>
+
+#include "dispatch/predictor.hpp"
+
+namespace beechpoint::dispatch {
+namespace {
+
+class SharedLoadTest : public ::testing::Test {
+protected:
+    SharedLoadTest() { list({"a", "b"}); }
+    void list(const std::vector<std::string>& names) {
+        Hosts hosts;
+        for (const std::string& name : names) {
+            Host host;
+            host.instanceId = name;
+            host.service = "s";
+            hosts.hosts.push_back(host);
+        }
+        hosts_.update(hosts, now_);
+        shared_.hostsChanged();
+    }
+    void told(std::uint64_t source, bool whole, const std::vector<HostLoad>& loads, Millis lasts = 1000) {
+        shared_.told(PeerLoad{source, whole, loads, lasts}, now_);
+    }
+    static HostLoad load(const std::string& host, int waiting, double workS) {
+        return {hostKey(host), waiting, workS};
+    }
+    const HostSlot& slot(const std::string& name) { return hosts_.at(hosts_.find(name)); }
+
+    Millis now_ = 1000;
+    HostTable hosts_;
+    SharedLoad shared_{hosts_};
+};
+
+TEST_F(SharedLoadTest, SumsWhatTheSourcesTell) {
+    told(1, false, {load("a", 1, 0.2)});
+    told(2, false, {load("a", 2, 0.5), load("b", 1, 0.1)});
+    EXPECT_EQ(slot("a").othersWaiting, 3);
+    EXPECT_DOUBLE_EQ(slot("a").othersS, 0.7);
+    EXPECT_EQ(slot("b").othersWaiting, 1);
+}
+
+TEST_F(SharedLoadTest, TakesFiguresAsAbsolute) {
+    told(1, false, {load("a", 3, 0.6)});
+    told(1, false, {load("a", 1, 0.2)});
+    told(1, false, {load("a", 1, 0.2)});
+    EXPECT_EQ(slot("a").othersWaiting, 1);
+    told(1, false, {load("a", 0, 0)});
+    EXPECT_EQ(slot("a").othersWaiting, 0);
+    EXPECT_DOUBLE_EQ(slot("a").othersS, 0);
+}
+
+TEST_F(SharedLoadTest, AWholeWordClearsWhatItDoesNotName) {
+    told(1, false, {load("a", 1, 0.2), load("b", 1, 0.2)});
+    told(1, true, {load("b", 2, 0.4)});
+    EXPECT_EQ(slot("a").othersWaiting, 0);
+    EXPECT_EQ(slot("b").othersWaiting, 2);
+}
+
+TEST_F(SharedLoadTest, ForgetsASourceThatIsSilent) {
+    told(1, false, {load("a", 1, 0.2)}, 500);
+    told(2, false, {load("a", 1, 0.3)}, 5000);
+    now_ += 501;
+    shared_.expire(now_);
+    EXPECT_EQ(slot("a").othersWaiting, 1);
+    EXPECT_TRUE(shared_.heard());
+    now_ += 5000;
+    shared_.expire(now_);
+    EXPECT_EQ(slot("a").othersWaiting, 0);
+    EXPECT_FALSE(shared_.heard());
+}
+
+TEST_F(SharedLoadTest, CountsForAHostThatIsListedLater) {
+    told(1, false, {load("c", 2, 0.4)});
+    list({"a", "b", "c"});
+    EXPECT_EQ(slot("c").othersWaiting, 2);
+    told(1, false, {load("c", 0, 0)});
+    EXPECT_EQ(slot("c").othersWaiting, 0);
+}
+
+TEST_F(SharedLoadTest, SourcesAndHostsAreBounded) {
+    for (std::uint64_t source = 1; source <= SharedLoad::kMostSources + 10; ++source)
+        told(source, false, {load("a", 1, 0.1)});
+    EXPECT_EQ(slot("a").othersWaiting, static_cast<int>(SharedLoad::kMostSources));
+    std::vector<HostLoad> many;
+    for (std::uint32_t host = 0; host < SharedLoad::kMostHosts; ++host) many.push_back({host, 1, 0.1});
+    told(1, true, many);
+    told(1, false, {load("b", 1, 0.1)});
+    EXPECT_EQ(slot("b").othersWaiting, 0);
+}
+
+TEST_F(SharedLoadTest, TheBacklogShrinksAsItIsReadButNotToNothing) {
+    ServiceLoad load;
+    load.engine = load.shared = true;
+    told(1, false, {this->load("a", 1, 1.0)});
+    EXPECT_DOUBLE_EQ(Predictor::backlog(slot("a"), load, now_), 1.0);
+    EXPECT_NEAR(Predictor::backlog(slot("a"), load, now_ + 400), 0.6, 1e-9);
+    const double atLast = Predictor::backlog(slot("a"), load, now_ + 5000);
+    EXPECT_GT(atLast, 0);
+    EXPECT_LT(atLast, 0.6);
+}
+
+TEST(ReadingRate, LearnsThatLongPromptsTakeMoreThanTheirShare) {
+    ReadingRate rate;
+    const auto truly = [](double tokens) { return 0.03 + tokens / 40'000 + tokens * tokens / 4e9; };
+    for (int turn = 0; turn < 400; ++turn)
+        for (const double tokens : {600.0, 1'500.0, 3'000.0, 6'000.0, 12'000.0, 24'000.0})
+            rate.add(tokens, truly(tokens));
+    for (const double tokens : {6'000.0, 12'000.0, 24'000.0})
+        EXPECT_NEAR(rate.seconds(tokens), truly(tokens) - 0.03, 0.12 * truly(tokens)) << tokens;
+    EXPECT_LT(rate.seconds(100), 0.02);
+}
+
+}  // namespace
+}  // namespace beechpoint::dispatch
--- a/tests/system/disk_test.cpp
+++ b/tests/system/disk_test.cpp
@@ -47,6 +47,31 @@
     ASSERT_NO_FATAL_FAILURE(expectReadBack(all));
 }
 
+// One member is cut off and misses changes; another loses its disk, the third its process; the cut heals: one disk is lost.
+TEST_F(DiskTest, AMemberThatWasAwayCountsWhenAnotherDiskIsLost) {
+    ASSERT_NO_FATAL_FAILURE(begin());
+    const std::string kind = "disk lost while another member was away";
+    const Members all = system_->founders();
+    const Members order = chain();
+    const std::size_t away = order[2], lost = order[1], dark = order[0];
+    const Members others = without(all, away);
+    system_->relay().isolate(system_->nodeOf(away));
+    ASSERT_TRUE(system_->awaitView(others)) << "the others do not go on";
+    ASSERT_NO_FATAL_FAILURE(takeNext("while a member is away", others));
+    ASSERT_NO_FATAL_FAILURE(expectServed("while a member is away"));
+    system_->killMember(dark);
+    lose(lost);
+    system_->relay().rejoin(system_->nodeOf(away), Held::lost);
+    system_->startMember(lost);
+    const Millis since = system_->clock().now();
+    system_->startMember(dark);
+    ASSERT_TRUE(system_->awaitView(all)) << "not served again though one disk was lost";
+    report(kind, "whole view after", system_->clock().now() - since);
+    ASSERT_NO_FATAL_FAILURE(expectReadBack(all));
+    ASSERT_NO_FATAL_FAILURE(takeNext(kind, all));
+    ASSERT_NO_FATAL_FAILURE(expectServed(kind));
+}
+
 TEST_F(DiskTest, ASecondLossFollowsAnUnplannedReplacementAtOnce) {
     ASSERT_NO_FATAL_FAILURE(begin());
     const std::string kind = "second loss after an unplanned replacement";
