Share the measured speeds of hosts, and draw more sharply where load is known

Hypotheses: a third of the hosts is slower and no gateway alone sees enough of a host to know; where load is known the draw need not spread so widely.

--- a/src/cli/system.cpp
+++ b/src/cli/system.cpp
@@ -49,7 +49,8 @@
         ->type_name("NAME ...");
     gateway_->add_option("--price-shared-read", prices_.sharedRead,
                          "of a thousand shared prompt tokens read again, in worths of a mean request");
-    gateway_->add_option("--price-cross-zone", prices_.crossZone, "of a million bytes between zones, likewise");
+    gateway_->add_option("--price-cross-zone", prices_.crossZone,
+                         "of a million bytes between zones, likewise");
     gateway_->add_option("--price-cross-region", prices_.crossRegion,
                          "of a million bytes between regions, likewise");
     checkSettings_ = app.add_subcommand("check-settings", "says all that is wrong with a process's settings");
--- a/src/dispatch/attempt_log.cpp
+++ b/src/dispatch/attempt_log.cpp
@@ -11,7 +11,7 @@
     sent.sentAt = now;
     ServiceLoad& load = services_.at(request.service, now).load;
     sent.tokens = tokens;
-    sent.workS = load.engine ? load.rate.seconds(tokens) : 0;
+    sent.workS = load.engine ? Predictor::readingS(slot, load, tokens, now) : 0;
     sent.ahead = slot.waiting + slot.othersWaiting;
     sent.aheadS = Predictor::backlog(slot, load, now);
     Predictor::sent(slot, routes_.use(sent.route, now).id, sent);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -39,6 +39,7 @@
 constexpr Millis kPruneEvery = 5000;
 constexpr Millis kRecordAge = 60000;
 constexpr int kMostPriority = 9;
+constexpr double kOddsPowerInformed = 12;
 constexpr Millis kNever = std::numeric_limits<double>::infinity();
 
 int hostPriority(int priorityClass) { return std::clamp(1 + 2 * priorityClass, 0, kMostPriority); }
@@ -110,6 +111,8 @@
             HostSlot& slot = hosts_.at(i);
             if (!std::exchange(slot.loadChanged, false)) continue;
             changed.hosts.push_back({hostKey(slot.host.instanceId), slot.waiting, slot.waitingS});
+            if (const double slowness = std::exchange(slot.newSlowness, 0); slowness > 0)
+                changed.speeds.push_back({changed.hosts.back().host, slowness});
         }
         if (!changed.hosts.empty()) act(std::move(changed));
     }
@@ -153,7 +156,7 @@
         const bool copies = on(Mechanism::widthTest) && copiesAllowed(request) && calm(request);
         request.width = copies ? widthOf(request, choice) : 1;
         if (request.width == 1) {
-            if (!send(request, policy::weightedDraw(choice, random_()), choice, false))
+            if (!send(request, policy::weightedDraw(choice, random_(), oddsPower()), choice, false))
                 giveUpUnlessOut(request);
             return;
         }
@@ -165,6 +168,8 @@
         }
         request.copiesAlone = failures >= policy::kErroneous;
     }
+    // Where the others' load is known, what looks better is better: the draw need not spread so widely.
+    double oddsPower() const { return shared_.heard() ? kOddsPowerInformed : policy::kOddsPower; }
     int widthOf(const Request& request, const std::vector<policy::Scored>& choice) {
         static const std::deque<double> none;
         const RouteRecord& record = routeOf(request);
--- a/src/dispatch/host_table.hpp
+++ b/src/dispatch/host_table.hpp
@@ -16,17 +16,22 @@
 
 using RouteId = int;
 
+inline constexpr double kSlownessMemoryS = 60;  // a machine is as fast as it is
+
 struct HostSlot {
     Host host;
     bool listed = false;
     std::unordered_map<RouteId, firkeel::policy::Record> records;
     firkeel::policy::Mean ratio;  // times over the average host's, all routes
+    firkeel::policy::Mean slowness{
+        kSlownessMemoryS};   // of its reading, over the average host's, by all gateways
+    double newSlowness = 0;  // measured here and not told yet; 0: none
     firkeel::policy::Mean failures{firkeel::policy::kFailMemoryS};  // all routes
 
-    int out = 0;               // attempts whose end is owed
-    int waiting = 0;           // of these, without a first event
-    double waitingS = 0;       // seconds that the host is expected to read for them
-    int othersWaiting = 0;     // the same of the other gateways, as they tell
+    int out = 0;            // attempts whose end is owed
+    int waiting = 0;        // of these, without a first event
+    double waitingS = 0;    // seconds that the host is expected to read for them
+    int othersWaiting = 0;  // the same of the other gateways, as they tell
     double othersS = 0;
     Millis progressAt = 0;     // when something last ceased to wait there, or began to after nothing did
     bool loadChanged = false;  // since it was last told to the other gateways
--- a/src/dispatch/mechanisms.hpp
+++ b/src/dispatch/mechanisms.hpp
@@ -37,7 +37,8 @@
     {Mechanism::hostSpeed, "host-speed", "learns how fast each host is, over all routes"},
     {Mechanism::overdueCopies, "overdue-copies", "sends a copy of a repeatable request that is overdue"},
     {Mechanism::prefixHomes, "prefix-homes", "sends prompts with a common prefix to the same hosts"},
-    {Mechanism::sharedLoad, "shared-load", "tells the other gateways what waits at each host, and uses what they tell"},
+    {Mechanism::sharedLoad, "shared-load",
+     "tells the other gateways what waits at each host, and uses what they tell"},
     {Mechanism::silentProbes, "silent-probes", "asks after a host that is silent"},
     {Mechanism::widthTest, "width-test", "sends a repeatable request to several hosts at once"},
 }};
--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -161,6 +161,13 @@
     bool operator==(const HostLoad&) const = default;
 };
 
+// How long a host took to read a prompt, over what was expected of an average host.
+struct HostSpeed {
+    std::uint32_t host = 0;
+    double slowness = 1;
+    bool operator==(const HostSpeed&) const = default;
+};
+
 // Names a host in messages between gateways.
 std::uint32_t hostKey(const std::string& instanceId);
 
@@ -169,7 +176,8 @@
     std::uint64_t source = 0;
     bool whole = false;
     std::vector<HostLoad> hosts;
-    Millis lasts = 2500;  // without a newer word the source counts for nothing after so long
+    Millis lasts = 2500;            // without a newer word the source counts for nothing after so long
+    std::vector<HostSpeed> speeds;  // measured since its last word
 };
 
 // The process ends: every request gets its final action now, and no host is asked any more.
@@ -245,6 +253,7 @@
 // What this gateway has waiting at hosts where that has changed; for the other gateways.
 struct ShareLoad {
     std::vector<HostLoad> hosts;
+    std::vector<HostSpeed> speeds;  // measured since the last time
 };
 
 struct Log {
--- a/src/dispatch/predictor.cpp
+++ b/src/dispatch/predictor.cpp
@@ -9,8 +9,12 @@
 constexpr double kAheadWeight = 0.35;    // growth of t for each attempt ahead, where no prompts are read
 constexpr double kPriorFailures = 2;     // weight of the host's failures over all routes
 constexpr double kLeastNormalS = 0.002;  // what is left of a time when its reading is taken off, at least
-constexpr double kLeastLeft = 0.3;       // share of what waits that is taken to be left, however long it has waited
-constexpr double kColdSlowness = 1.5;    // of a host that is cold and unheard
+constexpr double kLeastLeft =
+    0.3;  // share of what waits that is taken to be left, however long it has waited
+constexpr double kPriorSpeeds = 6;   // weight of the average host's speed
+constexpr double kLeastRead = 1500;  // tokens: fewer tell little of the speed
+constexpr double kFastestHost = 0.4, kSlowestHost = 3;
+constexpr double kColdSlowness = 1.5;  // of a host that is cold and unheard
 
 // Without word from the others they are taken to have as much waiting as this gateway has usually.
 double aheadWeight(const ServiceLoad& load) {
@@ -27,6 +31,11 @@
     return std::max(kLeastLeft * work, work - (now - slot.progressAt) / 1000);
 }
 
+double Predictor::readingS(const HostSlot& slot, const ServiceLoad& load, double tokens, Millis now) {
+    const double slowness = load.hostSpeed ? slot.slowness.value(toNanos(now), 1, kPriorSpeeds) : 1;
+    return slowness * load.rate.seconds(tokens);
+}
+
 double Predictor::timeS(const HostSlot& slot, const RouteRecord& route, const ServiceLoad& load,
                         double tokens, Millis now) {
     const firkeel::policy::Nanos at = toNanos(now);
@@ -37,9 +46,8 @@
     const bool heard = record != slot.records.end();
     const double normal = heard ? record->second.t.value(at, prior) : prior;
     const int ahead = slot.waiting + slot.othersWaiting;
-    const double t = load.engine
-                         ? normal + backlog(slot, load, now) + load.rate.seconds(tokens)
-                         : normal * (1 + aheadWeight(load) * ahead);
+    const double t = load.engine ? normal + backlog(slot, load, now) + readingS(slot, load, tokens, now)
+                                 : normal * (1 + aheadWeight(load) * ahead);
     return std::max(t, heard ? record->second.silence(at) : 0);
 }
 
@@ -85,7 +93,13 @@
     route.time.add(at, normal);
     record.lastServed = at;
     record.keepTime(tookS);
-    if (load.engine && attempt.ahead == 0) load.rate.add(attempt.tokens, tookS);
+    if (!load.engine || attempt.ahead > 0) return;
+    load.rate.add(attempt.tokens, tookS);
+    if (attempt.tokens < kLeastRead) return;
+    const double slowness =
+        std::clamp((tookS - usual) / load.rate.seconds(attempt.tokens), kFastestHost, kSlowestHost);
+    slot.slowness.add(at, slowness);
+    slot.newSlowness = slowness;
 }
 
 void Predictor::learnEnd(HostSlot& slot, RouteId route, bool served, Millis now) {
--- a/src/dispatch/predictor.hpp
+++ b/src/dispatch/predictor.hpp
@@ -40,11 +40,11 @@
     std::string service;
     std::string route;
     Millis sentAt = 0;
-    double tokens = 0;       // to be read, as expected
-    double workS = 0;        // and the seconds that it takes
-    int ahead = 0;           // own attempts without a first event then
-    double aheadS = 0;       // seconds of reading before it, of all gateways as far as known
-    bool waiting = true;     // for the first event
+    double tokens = 0;    // to be read, as expected
+    double workS = 0;     // and the seconds that it takes
+    int ahead = 0;        // own attempts without a first event then
+    double aheadS = 0;    // seconds of reading before it, of all gateways as far as known
+    bool waiting = true;  // for the first event
 };
 
 class Predictor {
@@ -54,6 +54,8 @@
                         double tokens, Millis now);
     // Seconds that the host still reads for what waits there, of all gateways as far as known.
     static double backlog(const HostSlot& slot, const ServiceLoad& load, Millis now);
+    // Seconds that the host reads so many prompt tokens.
+    static double readingS(const HostSlot& slot, const ServiceLoad& load, double tokens, Millis now);
     static double failureShare(const HostSlot& slot, RouteId route, Millis now);
 
     // An attempt went out: it is waiting there.
--- a/src/dispatch/reading_rate.cpp
+++ b/src/dispatch/reading_rate.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-constexpr double kKeep = 0.99;                        // of the weight of the past, at each addition
-constexpr double kLeast = 30;                         // weights of so many say something
-constexpr double kSpread = 500;                       // tokens, standard deviation: less tells no slope
-constexpr double kFirstSize = 512;                    // tokens; smaller prompts are all alike
-constexpr double kMostWeight = 60;                    // of a correction: later ones count at least 1 in so many
+constexpr double kKeep = 0.99;      // of the weight of the past, at each addition
+constexpr double kLeast = 30;       // weights of so many say something
+constexpr double kSpread = 500;     // tokens, standard deviation: less tells no slope
+constexpr double kFirstSize = 512;  // tokens; smaller prompts are all alike
+constexpr double kMostWeight = 60;  // of a correction: later ones count at least 1 in so many
 constexpr double kLeastFactor = 0.3, kMostFactor = 4;
 constexpr double kSlowest = 5000, kFastest = 400000;  // tokens a second
 
--- a/src/dispatch/selection.cpp
+++ b/src/dispatch/selection.cpp
@@ -40,7 +40,8 @@
 double Selection::crossingScore(const Request& request, const Host& host) const {
     if (!settings_.mechanisms.on(Mechanism::crossingCost)) return 0;
     if (host.region != settings_.region)
-        return crossingScore(settings_.prices.crossRegion, settings_.crossRegionDelay, request.bytes, request);
+        return crossingScore(settings_.prices.crossRegion, settings_.crossRegionDelay, request.bytes,
+                             request);
     return host.zone == settings_.zone ? 0
                                        : crossingScore(settings_.prices.crossZone, 0, request.bytes, request);
 }
@@ -82,7 +83,8 @@
         Option& option = result[places[n]];
         const HostSlot& slot = hosts_.at(option.host);
         const bool bounded = settings_.mechanisms.on(Mechanism::boundedHomes);
-        if (!bounded || !overloadedHome(slot.waiting + slot.othersWaiting, mean)) option.miss = expectedMiss(ranks[n]);
+        if (!bounded || !overloadedHome(slot.waiting + slot.othersWaiting, mean))
+            option.miss = expectedMiss(ranks[n]);
     }
     return result;
 }
--- a/src/dispatch/shared_load.cpp
+++ b/src/dispatch/shared_load.cpp
@@ -16,6 +16,9 @@
         for (const std::uint32_t host : ended) replace(source, HostLoad{host, 0, 0}, now);
     }
     for (const HostLoad& each : load.hosts) replace(source, each, now);
+    for (const HostSpeed& speed : load.speeds)
+        if (const int index = hosts_.findKey(speed.host); index >= 0)
+            hosts_.at(index).slowness.add(toNanos(now), speed.slowness);
 }
 
 void SharedLoad::replace(Source& source, const HostLoad& load, Millis now) {
@@ -58,7 +61,7 @@
     for (const auto& [name, source] : sources_)
         if (now > source.lastsUntil) silent.push_back(name);
     for (const std::uint64_t name : silent) {
-        told(PeerLoad{name, true, {}, 0}, now);
+        told(PeerLoad{name, true, {}, 0, {}}, now);
         sources_.erase(name);
     }
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -134,8 +134,7 @@
     limits.head = kHeadUnconfigured;
     limits.body = kBodyUnconfigured;
     front_.limits(limits);
-    if (sharesLoad_)
-        exchange_.onLoad([this](const auto& changed) { load_.ownLoad(changed); });
+    if (sharesLoad_) exchange_.onLoad([this](const auto& changed) { load_.ownLoad(changed); });
     exchange_.takeOnlyIf([this](Millis mayLast) { return drain_.takes(clock_.now(), mayLast); });
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -36,8 +36,8 @@
 class Gateway {
 public:
     // Throws where it can't listen.
-    Gateway(asio::io_context& io, settings::ProcessSettings settings, const Policy& policy, const Clock& clock,
-            Logger& log);
+    Gateway(asio::io_context& io, settings::ProcessSettings settings, const Policy& policy,
+            const Clock& clock, Logger& log);
     void start();
     // New settings; only the seeds may differ while it runs.
     void reload(const settings::ProcessSettings& settings);
--- a/src/gateway/load_datagram.cpp
+++ b/src/gateway/load_datagram.cpp
@@ -8,9 +8,11 @@
 namespace {
 
 constexpr std::uint8_t kMark = 0xB7;  // with the version of the form in its low bits
-constexpr std::size_t kHeadBytes = 1 + 1 + 8 + 4 + 1 + 1;
+constexpr std::size_t kHeadBytes = 1 + 1 + 8 + 4 + 1 + 1 + 1;
+constexpr std::size_t kSpeedBytes = 4 + 1;
+constexpr double kTicksPerSlowness = 64;
 constexpr std::size_t kHostBytes = 4 + 1 + 3;
-constexpr std::uint32_t kMostWaiting = 0xFF, kMostWork = 0xFFFFFF;
+constexpr std::uint32_t kMostWaiting = 0xFF, kMostSlowness = 0xFF, kMostWork = 0xFFFFFF;
 constexpr double kTicksPerS = 10'000;
 
 void put(std::string& out, std::uint64_t value, std::size_t bytes) {
@@ -47,13 +49,19 @@
     put(out, datagram.source, 8);
     put(out, datagram.sequence, 4);
     put(out, datagram.whole ? 1 : 0, 1);
+    const std::size_t speeds = std::min(datagram.speeds.size(), LoadDatagram::kMostSpeeds);
     put(out, count, 1);
+    put(out, speeds, 1);
     for (std::size_t i = 0; i < count; ++i) {
         const dispatch::HostLoad& host = datagram.hosts[i];
         put(out, host.host, 4);
         put(out, bounded(host.waiting, kMostWaiting), 1);
         put(out, bounded(host.workS * kTicksPerS, kMostWork), 3);
     }
+    for (std::size_t i = 0; i < speeds; ++i) {
+        put(out, datagram.speeds[i].host, 4);
+        put(out, bounded(datagram.speeds[i].slowness * kTicksPerSlowness, kMostSlowness), 1);
+    }
     return out;
 }
 
@@ -70,8 +78,9 @@
     datagram.sequence = static_cast<std::uint32_t>(reader.take(4));
     datagram.whole = reader.take(1) != 0;
     const std::size_t count = reader.take(1);
-    if (count > LoadDatagram::kMostHosts || bytes.size() != kHeadBytes + count * kHostBytes)
-        return std::nullopt;
+    const std::size_t speeds = reader.take(1);
+    if (count > LoadDatagram::kMostHosts || speeds > LoadDatagram::kMostSpeeds) return std::nullopt;
+    if (bytes.size() != kHeadBytes + count * kHostBytes + speeds * kSpeedBytes) return std::nullopt;
     for (std::size_t i = 0; i < count; ++i) {
         dispatch::HostLoad host;
         host.host = static_cast<std::uint32_t>(reader.take(4));
@@ -79,6 +88,12 @@
         host.workS = static_cast<double>(reader.take(3)) / kTicksPerS;
         datagram.hosts.push_back(host);
     }
+    for (std::size_t i = 0; i < speeds; ++i) {
+        dispatch::HostSpeed speed;
+        speed.host = static_cast<std::uint32_t>(reader.take(4));
+        speed.slowness = static_cast<double>(reader.take(1)) / kTicksPerSlowness;
+        datagram.speeds.push_back(speed);
+    }
     return datagram;
 }
 
--- a/src/gateway/load_sharing.cpp
+++ b/src/gateway/load_sharing.cpp
@@ -8,12 +8,7 @@
 
 LoadSharing::LoadSharing(asio::io_context& io, const Clock& clock, Logger& log, LoadSharingState::Place place,
                          Told told)
-    : clock_(clock),
-      log_(log),
-      state_(std::move(place)),
-      told_(std::move(told)),
-      socket_(io),
-      timer_(io) {}
+    : clock_(clock), log_(log), state_(std::move(place)), told_(std::move(told)), socket_(io), timer_(io) {}
 
 void LoadSharing::start(const std::string& ip, std::uint16_t port) {
     asio::error_code error;
@@ -38,7 +33,7 @@
     timer_.cancel();
 }
 
-void LoadSharing::ownLoad(const std::vector<dispatch::HostLoad>& changed) {
+void LoadSharing::ownLoad(const dispatch::ShareLoad& changed) {
     if (socket_.is_open()) send(state_.ownLoad(changed));
 }
 
--- a/src/gateway/load_sharing_state.cpp
+++ b/src/gateway/load_sharing_state.cpp
@@ -44,10 +44,10 @@
     }
 }
 
-std::vector<LoadSharingState::Outgoing> LoadSharingState::ownLoad(
-    const std::vector<dispatch::HostLoad>& changed) {
-    for (const dispatch::HostLoad& load : changed) replace(own_, load);
-    return toZone({LoadKind::gateway, place_.session, ++sequence_, false, changed});
+std::vector<LoadSharingState::Outgoing> LoadSharingState::ownLoad(const dispatch::ShareLoad& changed) {
+    for (const dispatch::HostLoad& load : changed.hosts) replace(own_, load);
+    keepSpeeds(changed.speeds);
+    return toZone({LoadKind::gateway, place_.session, ++sequence_, false, changed.hosts, changed.speeds});
 }
 
 LoadSharingState::Learnt LoadSharingState::received(Millis now, std::string_view bytes) {
@@ -62,10 +62,12 @@
     if (source.gateway) {
         if (datagram->whole) source.hosts.clear();
         for (const dispatch::HostLoad& load : datagram->hosts) replace(source.hosts, load);
+        keepSpeeds(datagram->speeds);
     }
     Learnt learnt;
     const Millis lasts = source.gateway ? kHeardLately : kDigestLasts;
-    learnt.load = dispatch::PeerLoad{datagram->source, datagram->whole, datagram->hosts, lasts};
+    learnt.load =
+        dispatch::PeerLoad{datagram->source, datagram->whole, datagram->hosts, lasts, datagram->speeds};
     if (datagram->kind == LoadKind::zone) {
         LoadDatagram next = *datagram;
         next.kind = LoadKind::handedOn;
@@ -79,7 +81,7 @@
     if (now >= wholeAt_ + kWholeEvery) {
         wholeAt_ = now;
         forgetSilent(now);
-        out = toZone({LoadKind::gateway, place_.session, ++sequence_, true, listOf(own_)});
+        out = toZone({LoadKind::gateway, place_.session, ++sequence_, true, listOf(own_), {}});
     }
     if (!speaks(now)) return out;
     if (now >= digestAt_ + kDigestEvery) {
@@ -117,10 +119,12 @@
 void LoadSharingState::digest(Millis, bool far, std::vector<Outgoing>& out) {
     const std::vector<dispatch::HostLoad> load = zoneLoad();
     bool& waited = far ? waitedFar_ : waitedNear_;
-    if (load.empty() && !waited) return;
+    std::vector<dispatch::HostSpeed>& speeds = far ? speedsFar_ : speedsNear_;
+    if (load.empty() && speeds.empty() && !waited) return;
     waited = !load.empty();
     ++turn_;
-    const std::string bytes = encode({LoadKind::zone, zoneSource_, ++digestSequence_, true, load});
+    const std::string bytes = encode({LoadKind::zone, zoneSource_, ++digestSequence_, true, load, speeds});
+    speeds.clear();
     for (const auto& [zone, addresses] : far ? far_ : near_)
         out.push_back({addresses[turn_ % addresses.size()], bytes});
 }
@@ -132,9 +136,15 @@
     return out;
 }
 
+// The newest are dropped where there are more than a datagram holds.
+void LoadSharingState::keepSpeeds(const std::vector<dispatch::HostSpeed>& speeds) {
+    for (auto* kept : {&speedsNear_, &speedsFar_})
+        for (const dispatch::HostSpeed& speed : speeds)
+            if (kept->size() < LoadDatagram::kMostSpeeds) kept->push_back(speed);
+}
+
 void LoadSharingState::forgetSilent(Millis now) {
-    std::erase_if(sources_,
-                  [&](const auto& entry) { return now - entry.second.heardAt > kHeardLately; });
+    std::erase_if(sources_, [&](const auto& entry) { return now - entry.second.heardAt > kHeardLately; });
 }
 
 }  // namespace beechpoint::gateway
--- a/src/gateway/load_sharing_state.hpp
+++ b/src/gateway/load_sharing_state.hpp
@@ -51,7 +51,7 @@
 
     // The gateways that control told last.
     void gateways(const std::vector<leases::Gateway>& all);
-    std::vector<Outgoing> ownLoad(const std::vector<dispatch::HostLoad>& changed);
+    std::vector<Outgoing> ownLoad(const dispatch::ShareLoad& changed);
     Learnt received(Millis now, std::string_view bytes);
     std::vector<Outgoing> onTimer(Millis now);
 
@@ -69,6 +69,7 @@
     void digest(Millis now, bool far, std::vector<Outgoing>& out);
     std::vector<Outgoing> toZone(const LoadDatagram& datagram) const;
     void forgetSilent(Millis now);
+    void keepSpeeds(const std::vector<dispatch::HostSpeed>& speeds);
 
     Place place_;
     std::uint64_t zoneSource_;
@@ -78,7 +79,8 @@
     std::unordered_map<std::uint64_t, Source> sources_;
     std::uint32_t sequence_ = 0, digestSequence_ = 0;
     Millis wholeAt_ = 0, digestAt_ = 0, farDigestAt_ = 0;
-    bool waitedNear_ = false, waitedFar_ = false;  // something was in the last digest
+    std::vector<dispatch::HostSpeed> speedsNear_, speedsFar_;  // measured in the zone since the last digests
+    bool waitedNear_ = false, waitedFar_ = false;              // something was in the last digest
     std::size_t turn_ = 0;
 };
 
--- a/src/policy/score.hpp
+++ b/src/policy/score.hpp
@@ -29,9 +29,9 @@
     return list;
 }
 // One of w, which is not empty, with odds that fall as s rises; `uniform` in [0, 1).
-inline int weightedDraw(const std::vector<Scored>& w, double uniform) {
+inline int weightedDraw(const std::vector<Scored>& w, double uniform, double power = kOddsPower) {
     const auto odds = [&](const Scored& r) {
-        return std::pow(std::max(w.front().s, 1e-9) / std::max(r.s, 1e-9), kOddsPower);
+        return std::pow(std::max(w.front().s, 1e-9) / std::max(r.s, 1e-9), power);
     };
     double left = 0;
     for (const Scored& r : w) left += odds(r);
--- a/tests/dispatch/random_test.cpp
+++ b/tests/dispatch/random_test.cpp
@@ -163,7 +163,8 @@
     // Datagrams get lost now and then.
     void did(std::size_t gateway, const ShareLoad& load) {
         for (std::size_t other = 0; other < gateways.size(); ++other)
-            if (other != gateway && random() < 0.9) tell(other, PeerLoad{gateway + 1, false, load.hosts});
+            if (other != gateway && random() < 0.9)
+                tell(other, PeerLoad{gateway + 1, false, load.hosts, 2500, load.speeds});
     }
 
     void arrive() {
--- a/tests/dispatch/shared_load_test.cpp
+++ b/tests/dispatch/shared_load_test.cpp
@@ -23,7 +23,7 @@
         shared_.hostsChanged();
     }
     void told(std::uint64_t source, bool whole, const std::vector<HostLoad>& loads, Millis lasts = 1000) {
-        shared_.told(PeerLoad{source, whole, loads, lasts}, now_);
+        shared_.told(PeerLoad{source, whole, loads, lasts, {}}, now_);
     }
     static HostLoad load(const std::string& host, int waiting, double workS) {
         return {hostKey(host), waiting, workS};
@@ -103,6 +103,18 @@
     EXPECT_LT(atLast, 0.6);
 }
 
+TEST_F(SharedLoadTest, MeasuredSpeedsOfOthersCount) {
+    ServiceLoad load;
+    load.engine = true;
+    const double average = Predictor::readingS(slot("a"), load, 10'000, now_);
+    for (int count = 0; count < 30; ++count)
+        shared_.told(PeerLoad{1, false, {}, 1000, {{hostKey("a"), 1.5}}}, now_);
+    EXPECT_GT(Predictor::readingS(slot("a"), load, 10'000, now_), 1.35 * average);
+    EXPECT_DOUBLE_EQ(Predictor::readingS(slot("b"), load, 10'000, now_), average);
+    load.hostSpeed = false;
+    EXPECT_DOUBLE_EQ(Predictor::readingS(slot("a"), load, 10'000, now_), average);
+}
+
 TEST(ReadingRate, LearnsThatLongPromptsTakeMoreThanTheirShare) {
     ReadingRate rate;
     const auto truly = [](double tokens) { return 0.03 + tokens / 40'000 + tokens * tokens / 4e9; };
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -129,7 +129,7 @@
         settings.listenAddresses.directory = "127.0.0.1:0";
         settings.cloudApi.address = "127.0.0.1:9";
         settings.limits.maxOpenFiles = 4100;
-        gateway.emplace(io, settings, clock, log);
+        gateway.emplace(io, settings, Policy{}, clock, log);
         gateway->start();
     }
     PeerPtr ask(const std::string& path, const std::string& id = "a1", const std::string& extra = "") {
