--- a/src/control/table_transfers.hpp
+++ b/src/control/table_transfers.hpp
@@ -1,8 +1,8 @@
 /// Packed tables that are being sent to gateways in chunks. A transfer is known by its digest, so that a gateway resumes it where it stopped, also
 /// while the table moves on, and at any member that packed the same bytes. What is not known here any more is begun anew.
 ///
-/// Bounded: at most kMaxTransfers and kMaxTransferBytes, the one used longest ago goes first. A gateway that asks for chunks for ever does not hold
-/// one: nothing is kept for a single gateway. Free of I/O. Owned by PollResponder.
+/// Bounded: at most kMaxTransfers and kMaxTransferBytes, the one used longest ago goes first. A gateway that asks for chunks for ever does not
+/// occupy one: nothing is stored for a single gateway. Free of I/O. Owned by PollResponder.
 #pragma once
 
 #include <cstddef>
@@ -22,7 +22,7 @@
 
     /// Fills in the next chunk of the transfer that the request names. False: it is not known here, or at its end.
     [[nodiscard]] bool resume(Millis now, const PollRequest& request, PollReply& reply);
-    /// Fills in the first chunk of this packed table that the gateway lacks: where it holds bytes of the same digest already, the next.
+    /// Fills in the first chunk of this packed table that the gateway lacks: where it has bytes of the same digest already, the next.
     void begin(Millis now, std::string packed, const PollRequest& request, PollReply& reply);
     /// Takes a chunk, or a packed table, out of a reply that is too large for now.
     static void leaveOut(PollReply& reply);
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -51,7 +51,7 @@
     if (verdict == ReplyVerdict::otherCluster)
         log_.seldom("cluster", "a control member of another cluster was polled: {:016x}",
                     field("cluster", reply->clusterId));
-    if (verdict == ReplyVerdict::taken) handlers_.reply(*reply, sentAt);
+    if (verdict == ReplyVerdict::accepted) handlers_.reply(*reply, sentAt);
 }
 
 // Nothing: no reply, or one that can't be read.
--- a/src/gateway/control_link_state.cpp
+++ b/src/gateway/control_link_state.cpp
@@ -82,7 +82,7 @@
         return ReplyVerdict::refused;
     }
     onAnswer(now, number, reply);
-    return ReplyVerdict::taken;
+    return ReplyVerdict::accepted;
 }
 
 void ControlLinkState::onRefusal(Millis now, std::uint64_t number, const control::PollReply& reply) {
--- a/src/gateway/control_link_state.hpp
+++ b/src/gateway/control_link_state.hpp
@@ -14,7 +14,7 @@
 ///   no failure for long    back to the first of the order
 ///   refused                the members that the refusal names are asked too, as long as no member with a fresh table has named any:
 ///                          seeds that are all cut off from the majority may know members that are not
-///   another cluster        a reply of a cluster other than the one that the table held is from counts as no reply
+///   another cluster        a reply of a cluster other than that of the gateway's table counts as no reply
 #pragma once
 
 #include <cstddef>
@@ -37,7 +37,7 @@
 };
 
 enum class ReplyVerdict {
-    taken,
+    accepted,
     refused,       ///< the member's table isn't fresh, or it has no room
     otherCluster,  ///< the member is one of another cluster
 };
@@ -71,10 +71,10 @@
     std::optional<LinkCall> onTimer(Millis now);
     void stop();
 
-    /// Cluster that the table held is from; 0: not known, any is taken.
+    /// Cluster of the gateway's table; 0: not known, any is accepted.
     void clusterId(std::uint64_t id) { clusterId_ = id; }
 
-    /// A reply. Of one to a poll that was given up only the members are taken. Its state may be used only where it is taken.
+    /// A reply. Of one to a poll that was given up only the members are taken. Its state may be used only where it is accepted.
     ReplyVerdict onReply(Millis now, std::uint64_t number, const control::PollReply& reply);
     /// No reply, or one that can't be read.
     void onFailure(Millis now, std::uint64_t number);
--- a/src/gateway/table_transfer.hpp
+++ b/src/gateway/table_transfer.hpp
@@ -3,7 +3,7 @@
 ///
 ///   a reply's chunk                           | what follows
 ///   ------------------------------------------+--------------------------------------------------------------
-///   of the transfer under way, where it ends  | kept; with the last one the table is unpacked and handed out
+///   of the transfer under way, where it ends  | stored; with the last one the table is unpacked and handed out
 ///   of the transfer under way, elsewhere      | ignored: the next poll asks for the right one
 ///   of another transfer, or from another base | what was collected is dropped; its first chunk begins anew
 ///   complete, but of another digest           | dropped; the next poll begins anew
--- a/src/raft/state_folder.hpp
+++ b/src/raft/state_folder.hpp
@@ -19,7 +19,7 @@
     // `folder` must be there. Names are made safe for the file system.
     StateFolder(durable_files::Files& files, std::string folder, std::string group, std::string self);
 
-    // What was kept; `note` says in one line what was found, empty: nothing at all. A full state that can't be used (corrupt, of another group,
+    // What was persisted; `note` says in one line what was found, empty: nothing at all. A full state that can't be used (corrupt, of another group,
     // member or version, or unreadable) is put aside with its log as `.damaged` and `.damaged-log`, so that staff can look at them; the
     // newest damage replaces the one before.
     ReadState load(std::string& note);
--- a/src/replica/received_state.cpp
+++ b/src/replica/received_state.cpp
@@ -22,7 +22,7 @@
     const bool fits = isFirst ? afterKey_.empty() || reply.base > base_
                               : reply.base == base_ && reply.afterKey == afterKey_;
     if (!fits || reply.update.changes.empty()) return std::nullopt;
-    // Rows that are newer than what this member knows could not be told from those that it has.
+    // Rows that are newer than what this member knows could not be distinguished from those that it has.
     if (!isFirst && reply.update.position < newest_) return std::nullopt;
     if (isFirst) {
         clear();
--- a/src/replica/received_state.hpp
+++ b/src/replica/received_state.hpp
@@ -2,7 +2,7 @@
 /// writes go on: each row is as it was when its chunk was sent, and the last chunk adds all that changed since the first one, so that the result
 /// is the table at the last chunk's position (a fuzzy snapshot with the log that follows it, as in ARIES).
 ///
-/// This holds only where no chunk is older than one before it, and where all are of one history. Committed states are; a starting state that is not installed yet may be given up with
+/// This is so only where no chunk is older than one before it, and where all are of one history. Committed states are; a starting state that is not installed yet may be given up with
 /// its view. So chunks of a view's starting state count within that view only.
 ///
 /// Owned by StartingState; free of I/O, not thread-safe. Memory: the rows that have come.
--- a/src/replica/starting_state.hpp
+++ b/src/replica/starting_state.hpp
@@ -10,7 +10,7 @@
 ///   lacking   | table is at the starting state  | stores "synced into the epoch" -> storing
 ///   lacking   | timer                           | asks the head, then the others in turn
 ///   lacking   | SyncReply that fits             | stores the table and "synced" in one update -> storing
-///   lacking   | SyncReply, further ones follow  | kept in memory; asks its sender for the next chunk
+///   lacking   | SyncReply, further ones follow  | stored in memory; asks its sender for the next chunk
 ///   storing   | stored                          | -> synced; the chain may pass the opening on
 ///   storing   | failed                          | -> lacking; the table on disk is uncertain after a reply
 ///   any       | sealed                          | nothing new is stored: the promise has reported what the disk holds
--- a/src/replica/table_history.hpp
+++ b/src/replica/table_history.hpp
@@ -38,7 +38,7 @@
     Rows rowsAfter(const std::string& afterKey, std::size_t maxBytes) const;
     // Whether updateSince() gives the changes since that position, and not the full table.
     bool remembers(Position since) const { return bytesSince(since).has_value(); }
-    // Size in bytes of the keys and values of the whole table.
+    // Size in bytes of all keys and values.
     std::size_t tableBytes() const;
     /// Size in bytes of the batches since that position; nothing if it is not in the history.
     std::optional<std::size_t> bytesSince(Position since) const;
--- a/tests/cluster/state_folder_test.cpp
+++ b/tests/cluster/state_folder_test.cpp
@@ -194,18 +194,18 @@
         if (follower.step()) {
             ASSERT_TRUE(folder.persist(journal.encodeChanges(*follower.raft)));
         }
-    const auto kept = files.all();
-    ASSERT_EQ(kept.size(), 2u);
-    const auto& [fullPath, full] = *kept.begin();
-    const auto& [logPath, log] = *kept.rbegin();
+    const auto stored = files.all();
+    ASSERT_EQ(stored.size(), 2u);
+    const auto& [fullPath, full] = *stored.begin();
+    const auto& [logPath, log] = *stored.rbegin();
     std::string corrupt = full;
     corrupt[0] = 'X';  // its generation can't be read either
     const std::string another = "beechpoint ledger 9\n" + full.substr(20);
     const auto check = [&, fullPath = fullPath, log = log](FaultyFiles& disk, const std::string& found) {
         StateFolder again(disk, "f", "group", "s2");
-        std::string note;
-        EXPECT_FALSE(again.load(note).state);
-        EXPECT_FALSE(note.empty());
+        std::string message;
+        EXPECT_FALSE(again.load(message).state);
+        EXPECT_FALSE(message.empty());
         StateEncoder next("group", "s2", 4);
         Follower restarted(5, 40);
         EXPECT_TRUE(again.persist(next.encodeChanges(*restarted.raft)));
--- a/tests/control/gateway_service_state_test.cpp
+++ b/tests/control/gateway_service_state_test.cpp
@@ -183,24 +183,24 @@
     EXPECT_EQ(service.state.leases().live(1).size(), 1u);
 }
 
-// To a gateway that accepts chunks a large table goes in chunks, to any other whole.
+// To a gateway that accepts chunks a large table goes in chunks, to any other in one reply.
 TEST(GatewayServiceState, SendsALargeTableInChunksToGatewaysThatAcceptThem) {
     Service service;
     service.table.value = incompressible(3 * kChunkBytes);
     PollRequest poll = pollOf("g1", Held::nothing);
-    const PollReply whole = service.poll(0, poll).answers.front().reply;
-    EXPECT_EQ(whole.transferSize, 0u);
-    EXPECT_GT(whole.packedTable.size(), 3 * kChunkBytes);
+    const PollReply complete = service.poll(0, poll).answers.front().reply;
+    EXPECT_EQ(complete.transferSize, 0u);
+    EXPECT_GT(complete.packedTable.size(), 3 * kChunkBytes);
     poll.acceptsChunks = true;
     const PollReply chunk = service.poll(10, poll).answers.front().reply;
-    EXPECT_EQ(chunk.transferSize, whole.packedTable.size());
-    EXPECT_EQ(chunk.packedTable, whole.packedTable.substr(0, kChunkBytes));
+    EXPECT_EQ(chunk.transferSize, complete.packedTable.size());
+    EXPECT_EQ(chunk.packedTable, complete.packedTable.substr(0, kChunkBytes));
     poll.transferDigest = chunk.transferDigest;
     poll.transferOffset = kChunkBytes;
     service.table.value = "another";
     const PollReply next = service.poll(20, poll).answers.front().reply;
     EXPECT_EQ(next.transferOffset, kChunkBytes);
-    EXPECT_EQ(next.packedTable, whole.packedTable.substr(kChunkBytes, kChunkBytes));
+    EXPECT_EQ(next.packedTable, complete.packedTable.substr(kChunkBytes, kChunkBytes));
 }
 
 TEST(GatewayServiceState, AnswersLongPollsOnceWhenTheCountOfGatewaysIncreases) {
--- a/tests/dispatch/reject_reason_test.cpp
+++ b/tests/dispatch/reject_reason_test.cpp
@@ -116,7 +116,7 @@
     expectRejected(harness->handle(ShutDown{}), RejectReason::shutDown);
 }
 
-// Its check comes only after its deadline, as where the process was held up. Nothing has run, and the answer says so.
+// Its check comes only after its deadline, as where the process was delayed. Nothing has run, and the answer says so.
 TEST_F(RejectReasonTest, IsDeadlinePassedWhenPendingBeyondItsDeadline) {
     start();
     harness->handle(HostList{});
--- a/tests/gateway/table_transfer_test.cpp
+++ b/tests/gateway/table_transfer_test.cpp
@@ -27,7 +27,7 @@
     for (std::size_t number = 0; number < routes; ++number) {
         std::string value = fmt::format(R"({{"name":"route-{}","hostname":"tenant-{}.example","digits":")",
                                         number, number % 2700);
-        for (int word = 0; word < 16; ++word) value += fmt::format("{:016x}", random.bits());
+        for (int group = 0; group < 16; ++group) value += fmt::format("{:016x}", random.bits());
         update.changes.push_back({fmt::format("route/route-{}", number), value + "\"}"});
     }
     return update;
--- a/tests/recovery/recovery_model.cpp
+++ b/tests/recovery/recovery_model.cpp
@@ -289,7 +289,8 @@
         if (gateway.pendingPoll != number) return;
         gateway.pendingPoll = 0;
         const Millis now = schedule_.now();
-        if (gateway.link.onReply(now, number, reply) != gateway::ReplyVerdict::taken) return armTimer(index);
+        if (gateway.link.onReply(now, number, reply) != gateway::ReplyVerdict::accepted)
+            return armTimer(index);
         const bool wasReady = gateway.ready();
         if (!reply.packedTable.empty()) gateway.position = kCommitted;
         const bool hasList = reply.hostList || reply.hostChanges || !reply.packedHostList.empty() ||
--- a/tests/replica/received_state_test.cpp
+++ b/tests/replica/received_state_test.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t kChunk = 100;  // bytes
 
-// One history of committed batches, and members that hold a prefix of it.
+// One history of committed batches, and members that have a prefix of it.
 class History {
 public:
     explicit History(std::uint64_t seed) : random_(seed) {
--- a/tests/simulation/gateway_link.cpp
+++ b/tests/simulation/gateway_link.cpp
@@ -36,7 +36,7 @@
         }
         const gateway::ReplyVerdict verdict = state_.onReply(port_.now(), number, *reply);
         armTimer();
-        if (verdict == gateway::ReplyVerdict::taken) port_.reply(*reply);
+        if (verdict == gateway::ReplyVerdict::accepted) port_.reply(*reply);
     }
 
     static std::optional<control::PollReply> readReply(const Bytes& bytes) {
