Join two equal branches of the state folder's clean-up

Change: one condition in place of two branches with the same action; what is removed and put aside is the same.

--- a/src/raft/state_folder.cpp
+++ b/src/raft/state_folder.cpp
@@ -62,11 +62,10 @@
     for (const std::string& name : names) {
         const std::string path = fmt::format("{}/{}", folder_, name);
         const bool isLog = name.starts_with(stem() + ".") && name.ends_with(".log");
-        if (name == stem() + ".new")
-            files_.remove(path);
-        else if (isLog && !read.state)
+        const bool isUnnamed = name == stem() + ".new";
+        if (isLog && !read.state)
             files_.rename(path, path_ + ".damaged-log");
-        else if (isLog && path != logName(read.generation))
+        else if (isUnnamed || (isLog && path != logName(read.generation)))
             files_.remove(path);
     }
 }
