Answer only a chunk that brought progress with the next request

Cause, by reading: each repeated or late chunk of a full table was answered by a request of its own, so that a learner that asks again every 500 ms ran several streams of the same chunks beside each other. Ruled out: a loss of safety; what came out was right. Change: no request where neither base nor last key moved; the timer asks again as before. The test sends one chunk twice.

--- a/src/replica/starting_state.cpp
+++ b/src/replica/starting_state.cpp
@@ -65,11 +65,14 @@
     if (reply.base == Position{}) return reply;
     const auto source =
         membership_.inChain() ? ReceivedState::Source::startingState : ReceivedState::Source::committedState;
+    const SyncRequest before = syncRequest();
     std::optional<TableUpdate> update = received_.onChunk(reply, source);
     if (update) return SyncReply{reply.since, std::move(*update)};
-    if (!reply.more) return std::nullopt;
+    const SyncRequest next = syncRequest();
+    // Only progress is answered: a repeated chunk would begin a second stream of requests beside the first.
+    if (next.base == before.base && next.afterKey == before.afterKey) return std::nullopt;
     retryAt_ = std::max(retryAt_, now + kChainRetry);
-    outbox_.send(message.from.internalAddress, syncRequest());
+    outbox_.send(message.from.internalAddress, next);
     return std::nullopt;
 }
 
--- a/tests/replica/received_state_test.cpp
+++ b/tests/replica/received_state_test.cpp
@@ -152,6 +152,8 @@
     EXPECT_EQ(last<SyncRequest>()->afterKey, "k");
     EXPECT_EQ(last<SyncRequest>()->base, (Position{1, 9}));
     EXPECT_TRUE(persists_.empty()) << "nothing is stored of a part";
+    receive("a", SyncReply{{1, 3}, {{1, 9}, true, {{"k", "9"}}}, {1, 9}, "", true});
+    EXPECT_EQ(countSent<SyncRequest>("a"), 1u) << "a repeated chunk is not answered by a second request";
     receive("a", SyncReply{{1, 3}, {{1, 9}, true, {{"l", "9"}}}, {1, 9}, "k", false});
     storeAllPersists();
     receive("c", Commit{{1, 9}});
