Hold back signals while a drained process is torn down

Callers saw: a process that had drained after SIGTERM ended by a second SIGTERM or SIGHUP instead of status 0. Cause: its handlers are removed before the process is torn down. Why it works: the signals stay blocked from the end of the loop until exit.

--- a/src/control/run.cpp
+++ b/src/control/run.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 
 #include "control/control.hpp"
+#include "core/exit_signals.hpp"
 #include "core/random_seed.hpp"
 
 namespace beechpoint::control {
@@ -42,6 +43,7 @@
         start(1);
         watchSettings();
         io_.run();
+        holdBackHandledSignals();
         return exitStatus_;
     }
 
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <functional>
 
+#include "core/exit_signals.hpp"
 #include "gateway/gateway.hpp"
 #include "settings/process_settings.hpp"
 
@@ -38,6 +39,7 @@
     awaitReload();
     gateway.start();
     io.run();
+    holdBackHandledSignals();
     return 0;
 }
 
