--- a/src/cli/operator_commands.hpp
+++ b/src/cli/operator_commands.hpp
@@ -63,16 +63,20 @@
     std::string name_, zone_, region_;
 };
 
-/// status
+/// status, duties: parts of what a control member answers to GET /status
 class StatusCommand {
 public:
-    explicit StatusCommand(CLI::App& app);
+    /// Renders the answer's body for people.
+    using Render = Result<std::string> (*)(std::string_view body);
+
+    StatusCommand(CLI::App& app, const std::string& name, const std::string& description, Render render);
     [[nodiscard]] bool given() const { return static_cast<bool>(*command_); }
     [[nodiscard]] int run(Clock& clock) const;
 
 private:
     CLI::App* command_;
     OperatorOptions options_;
+    Render render_;
 };
 
 }  // namespace beechpoint::cli
--- a/src/cli/status_command.cpp
+++ b/src/cli/status_command.cpp
@@ -1,15 +1,14 @@
-// beechpoint status: what a control member knows of the view, the gateways and the platform's host list.
+// beechpoint status and beechpoint duties: what a control member knows of the view, the gateways, the host list and the duties.
 #include <iostream>
 
 #include "cli/cli.hpp"
 #include "cli/operator_commands.hpp"
-#include "operator_client/status_text.hpp"
 
 namespace beechpoint::cli {
 
-StatusCommand::StatusCommand(CLI::App& app)
-    : command_(app.add_subcommand("status",
-                                  "shows what a control member knows: view, gateways, hosts, revision")) {
+StatusCommand::StatusCommand(CLI::App& app, const std::string& name, const std::string& description,
+                             Render render)
+    : command_(app.add_subcommand(name, description)), render_(render) {
     options_.addTo(*command_);
 }
 
@@ -25,7 +24,7 @@
         std::cout << reply->body << '\n';
         return kDone;
     }
-    const auto text = operator_client::renderStatusText(reply->body);
+    const auto text = render_(reply->body);
     if (!text) {
         std::cerr << "beechpoint: " << text.error().text() << '\n';
         return kNotKnown;
--- a/src/cli/system.cpp
+++ b/src/cli/system.cpp
@@ -9,6 +9,7 @@
 #include "control/control.hpp"
 #include "core/logger.hpp"
 #include "gateway/run.hpp"
+#include "operator_client/status_text.hpp"
 #include "settings/process_settings.hpp"
 
 namespace beechpoint::cli {
@@ -40,7 +41,15 @@
 
 }  // namespace
 
-SystemCommands::SystemCommands(CLI::App& app) : config_(app), evacuate_(app), resolve_(app), status_(app) {
+SystemCommands::SystemCommands(CLI::App& app)
+    : config_(app),
+      evacuate_(app),
+      resolve_(app),
+      status_(app, "status", "shows what a control member knows: view, gateways, hosts, revision",
+              operator_client::renderStatusText),
+      duties_(app, "duties",
+              "shows who holds which duty under which token, and what is recorded of its calls",
+              operator_client::renderDutiesText) {
     settingsPath_ = settings::settingsPath();
     gateway_ = app.add_subcommand("gateway", "serves clients: routes requests to hosts, until SIGTERM");
     control_ = app.add_subcommand("control", "keeps the configuration and knows the gateways, until SIGTERM");
@@ -61,7 +70,8 @@
 
 bool SystemCommands::given() const {
     const bool process = *gateway_ || *control_ || *checkSettings_;
-    return process || config_.given() || evacuate_.given() || resolve_.given() || status_.given();
+    return process || config_.given() || evacuate_.given() || resolve_.given() || status_.given() ||
+           duties_.given();
 }
 
 int SystemCommands::run(Clock& clock) {
@@ -71,6 +81,7 @@
     if (evacuate_.given()) return evacuate_.run(clock);
     if (resolve_.given()) return resolve_.run(clock);
     if (status_.given()) return status_.run(clock);
+    if (duties_.given()) return duties_.run(clock);
     Logger log(clock, logging::Format::json);
     if (!*gateway_) return control::run(settingsPath_, clock, log);
     gateway::Policy policy;
--- a/src/cli/system.hpp
+++ b/src/cli/system.hpp
@@ -31,6 +31,7 @@
     EvacuateCommand evacuate_;
     ResolveCommand resolve_;
     StatusCommand status_;
+    StatusCommand duties_;
 };
 
 }  // namespace beechpoint::cli
--- a/src/configuration/configuration.hpp
+++ b/src/configuration/configuration.hpp
@@ -5,6 +5,7 @@
 /// The members' names are the wire's (configuration_fields.hpp). Values and pure functions; to be used from any thread.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,6 +39,7 @@
     bool resumable = false;
     double gapAimMs = 0;  ///< target of the longest time between two events of a stream; 0: not stated
     std::vector<std::string> allowedRegions;  ///< empty: all
+    bool public_ = false;                     ///< requests need no API key
     bool operator==(const Route&) const = default;
 
     /// May run twice without harm (RFC 9110, 9.2.2): idempotent, or a stream that another backend may resume.
@@ -61,6 +63,14 @@
     bool operator==(const InferenceEngine&) const = default;
 };
 
+/// How many hosts the platform may run for a service, in each zone.
+struct Scaling {
+    int minCount = 0;
+    int maxCount = 0;
+    double bootS = 0;  ///< from an order until a new host serves, in seconds
+    bool operator==(const Scaling&) const = default;
+};
+
 struct Service {
     std::string name;
     std::string healthCheckPath = "/health";
@@ -69,9 +79,19 @@
     double warmupS = 0;
     double warmupPerS = 0;
     std::optional<InferenceEngine> inferenceEngine;
+    std::optional<Scaling> scaling;  ///< nothing: the number of its hosts is not ours to order
     bool operator==(const Service&) const = default;
 };
 
+/// Somebody whose requests are counted and kept apart, known by API keys.
+struct Tenant {
+    std::string name;
+    std::vector<std::string> apiKeys;
+    std::optional<int> priorityClass;         ///< in place of the route's
+    std::vector<std::string> allowedRegions;  ///< bind beside the route's; empty: all
+    bool operator==(const Tenant&) const = default;
+};
+
 struct Limits {
     double maxHeaderBytes = 16384;
     double maxBodyBytes = 4194304;
@@ -86,4 +106,13 @@
 [[nodiscard]] Result<Service> parseService(std::string_view json);
 [[nodiscard]] Result<Limits> parseLimits(std::string_view json);
 
+/// The tenants of a configuration, in order, and how many items of the list can't be read.
+struct TenantList {
+    std::vector<Tenant> tenants;
+    std::size_t unreadable = 0;
+};
+
+/// The value of the configuration's member "tenants". Nothing where it is no list.
+[[nodiscard]] std::optional<TenantList> parseTenants(std::string_view json);
+
 }  // namespace beechpoint::configuration
--- a/src/configuration/configuration_fields.hpp
+++ b/src/configuration/configuration_fields.hpp
@@ -8,12 +8,14 @@
 BOOST_HANA_ADAPT_STRUCT(beechpoint::configuration::WeightedBackend, backend, weight);
 BOOST_HANA_ADAPT_STRUCT(beechpoint::configuration::Route, name, hostname, pathPrefix, type, timeoutMs,
                         targetLatencyMs, priorityClass, backend, trafficSplit, maxAttempts, sessionAffinity,
-                        resumable, gapAimMs, allowedRegions);
+                        resumable, gapAimMs, allowedRegions, public_);
 BOOST_HANA_ADAPT_STRUCT(beechpoint::configuration::ModelName, name);
 BOOST_HANA_ADAPT_STRUCT(beechpoint::configuration::InferenceEngine, capacity, cacheTokens, kvTokenBytes,
                         bandwidthMbps, stride, models);
+BOOST_HANA_ADAPT_STRUCT(beechpoint::configuration::Scaling, minCount, maxCount, bootS);
 BOOST_HANA_ADAPT_STRUCT(beechpoint::configuration::Service, name, healthCheckPath, maxConnections, protocol,
-                        warmupS, warmupPerS, inferenceEngine);
+                        warmupS, warmupPerS, inferenceEngine, scaling);
+BOOST_HANA_ADAPT_STRUCT(beechpoint::configuration::Tenant, name, apiKeys, priorityClass, allowedRegions);
 BOOST_HANA_ADAPT_STRUCT(beechpoint::configuration::Limits, maxHeaderBytes, maxBodyBytes, headerTimeoutMs,
                         idleTimeoutMs);
 
@@ -47,4 +49,12 @@
         .field = "name", .required = true, .form = Form::notEmpty, .longest = configuration::kMaxNameBytes},
 };
 
+template <>
+inline constexpr std::array kFieldRules<configuration::Tenant> = {
+    FieldRule{.field = "name",
+              .required = true,
+              .form = Form::headerValue,
+              .longest = configuration::kMaxNameBytes},
+};
+
 }  // namespace beechpoint::settings
--- a/src/configuration/document.cpp
+++ b/src/configuration/document.cpp
@@ -8,6 +8,7 @@
 #include "configuration/configuration_fields.hpp"
 #include "configuration/items.hpp"
 #include "configuration/json_source.hpp"
+#include "configuration/tenant_checks.hpp"
 
 namespace beechpoint::configuration {
 namespace {
@@ -82,6 +83,8 @@
                 readList(member.value, here, kind, readService, document_.items.services);
             else if (name == kLimits)
                 readLimitsAt(member.value, here);
+            else if (name == kTenantsMember && member.value.IsNull())
+                continue;
             else if (!isRevision(name, kind) && nameFits(name, here))
                 document_.items.others.push_back({std::string{name}, compactJson(member.value)});
         }
--- a/src/configuration/items.cpp
+++ b/src/configuration/items.cpp
@@ -71,6 +71,35 @@
     Reader{faults}.read(JsonSource{json}, path, kNoRule, out);
 }
 
+void readTenant(const Json& json, const FieldPath& path, std::vector<Error>& faults, Tenant& out) {
+    Reader reader{faults};
+    const std::size_t before = faults.size();
+    reader.read(JsonSource{json}, path, kNoRule, out);
+    if (faults.size() != before) return;
+    // Not by a field's rule: its fault would quote the key.
+    const FieldPath keys{&path, "api_keys", {}};
+    for (std::size_t index = 0; index < out.apiKeys.size(); ++index)
+        if (!settings::hasForm(out.apiKeys[index], settings::Form::headerValue))
+            reader.fault(FieldPath{&keys, {}, index}, "can't stand in a header field",
+                         "use printable characters");
+}
+
+std::optional<TenantList> parseTenants(std::string_view text) {
+    JsonDocument json;
+    if (parseJson(text, json) || !json.IsArray()) return std::nullopt;
+    TenantList list;
+    for (const Json& item : json.GetArray()) {
+        std::vector<Error> faults;
+        Tenant tenant;
+        readTenant(item, FieldPath{}, faults, tenant);
+        if (faults.empty())
+            list.tenants.push_back(std::move(tenant));
+        else
+            ++list.unreadable;
+    }
+    return list;
+}
+
 Result<Route> parseRoute(std::string_view json) { return parseItem<Route>(json, readRoute); }
 Result<Service> parseService(std::string_view json) { return parseItem<Service>(json, readService); }
 Result<Limits> parseLimits(std::string_view json) { return parseItem<Limits>(json, readLimits); }
--- a/src/configuration/items.hpp
+++ b/src/configuration/items.hpp
@@ -19,5 +19,6 @@
 void readRoute(const Json& json, const settings::FieldPath& path, std::vector<Error>& faults, Route& out);
 void readService(const Json& json, const settings::FieldPath& path, std::vector<Error>& faults, Service& out);
 void readLimits(const Json& json, const settings::FieldPath& path, std::vector<Error>& faults, Limits& out);
+void readTenant(const Json& json, const settings::FieldPath& path, std::vector<Error>& faults, Tenant& out);
 
 }  // namespace beechpoint::configuration
--- a/src/configuration/merge_patch.cpp
+++ b/src/configuration/merge_patch.cpp
@@ -11,6 +11,7 @@
 #include "configuration/patch_check.hpp"
 #include "configuration/stored_item.hpp"
 #include "configuration/table_ranges.hpp"
+#include "configuration/tenant_checks.hpp"
 
 namespace beechpoint::configuration {
 namespace {
@@ -69,6 +70,7 @@
     mergeList(table, kRoutePrefix, document.items.routes, document.removedRoutes, changes);
     if (document.items.limits) changes.push_back({std::string{kLimitsKey}, *document.items.limits});
     mergeOthers(table, document, changes);
+    checkChangedTenants(changes, document.items.others, document.faults);
     return changes;
 }
 
--- a/src/configuration/replace_configuration.cpp
+++ b/src/configuration/replace_configuration.cpp
@@ -4,6 +4,7 @@
 #include "configuration/ordering.hpp"
 #include "configuration/stored_item.hpp"
 #include "configuration/table_ranges.hpp"
+#include "configuration/tenant_checks.hpp"
 
 namespace beechpoint::configuration {
 namespace {
@@ -18,6 +19,8 @@
         checkServices(item, isService, faults);
         if (const std::string* other = matches.claim(item.value)) addSharedMatch(item, *other, faults);
     }
+    for (const OtherMember& member : document.items.others)
+        if (member.name == kTenantsMember) checkTenants(member.json, "/tenants", faults);
 }
 
 void setIfDifferent(const Table& table, std::string key, std::string value, std::vector<Change>& changes) {
--- a/src/configuration/stored_item.hpp
+++ b/src/configuration/stored_item.hpp
@@ -22,6 +22,8 @@
 inline constexpr std::string_view kAppliedPrefix = "taken/";
 inline constexpr std::string_view kAppliedCountKey = "meta/taken";
 inline constexpr std::string_view kMemberPrefix = "member/";
+inline constexpr std::string_view kTenantsKey =
+    "member/tenants";  ///< the list as sent: kept like a member that is not known
 
 struct StoredItem {
     std::uint64_t order = 0;
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "control/control_settings.hpp"
+#include "control/duty_service.hpp"
 #include "control/gateway_service.hpp"
 #include "control/http_listeners.hpp"
 #include "control/member_requests.hpp"
@@ -46,12 +47,16 @@
           server_(io, logger),
           driver_(io, clock, logger, client_, {[this] { onTableChanged(); }, [this] { onViewChanged(); }}),
           operatorApi_(io, clock, logger, driver_),
-          gateways_(io, clock, logger, driver_, client_,
-                    gatewayServiceSettingsOf(settings_, options_.hostReading, options_.seed),
-                    [this] { directory_.answerPending(); }),
+          gateways_(
+              io, clock, logger, driver_, client_,
+              gatewayServiceSettingsOf(settings_, options_.hostReading, options_.seed),
+              [this] { directory_.answerPending(); },
+              [this](PollReply& reply) { duties_.completeReply(reply); }),
+          duties_(io, clock, logger, driver_, dutySettingsOf(settings_, options_.seed),
+                  [this] { return liveSessions(); }),
           directory_(
               clock, [this] { return gateways_.liveGateways(); }, directoryTtlSecondsOf(settings_)),
-          memberRequests_(logger, driver_, gateways_),
+          memberRequests_(logger, driver_, gateways_, duties_),
           listeners_(io, clock, logger, httpHandler()),
           tick_(io) {}
 
@@ -90,6 +95,7 @@
         const Millis halfOfGrace = settings_.timingBounds.graceS * kMillisPerSecond / 2;
         drainDeadline_ = clock_.now() + std::min(halfOfGrace, kMaxDrain);
         gateways_.drain();
+        duties_.drain();
         operatorApi_.startDraining();
         directory_.drain();
         listeners_.startDraining();
@@ -157,11 +163,19 @@
         status.member = settings_.nodeName;
         status.zone = settings_.zone;
         gateways_.describe(status);
+        status.duties = duties_.status();
         status.committedWrites = operatorApi_.committedWrites();
         if (driver_.replica()) describeReplica(*driver_.replica(), clock_.now(), status);
         return status;
     }
 
+    std::vector<std::pair<std::string, std::uint64_t>> liveSessions() const {
+        std::vector<std::pair<std::string, std::uint64_t>> sessions;
+        for (const leases::Gateway& gateway : gateways_.liveGateways())
+            sessions.emplace_back(gateway.name, gateway.session);
+        return sessions;
+    }
+
     // ---- The replica
 
     void openStore() {
@@ -175,11 +189,13 @@
     void onTableChanged() {
         gateways_.onTableMoved();
         operatorApi_.onReplicaChanged();
+        duties_.onReplicaChanged();
     }
 
     void onViewChanged() {
         gateways_.onView();
         operatorApi_.onReplicaChanged();
+        duties_.onReplicaChanged();
     }
 
     // ---- Time
@@ -191,6 +207,7 @@
             if (!driver_.replica() && now >= reopenStoreAt_) openStore();
             gateways_.tick();
         }
+        duties_.tick();
         directory_.answerPending();
         if (phase_ != Phase::serving && drained()) {
             end();
@@ -243,6 +260,7 @@
     ReplicaDriver driver_;
     OperatorApi operatorApi_;
     GatewayService gateways_;
+    DutyService duties_;
     directory::DirectoryService directory_;
     MemberRequests memberRequests_;
     HttpListeners listeners_;
--- a/src/control/control_settings.cpp
+++ b/src/control/control_settings.cpp
@@ -41,6 +41,21 @@
     return service;
 }
 
+DutyService::Settings dutySettingsOf(const settings::ProcessSettings& settings, std::uint64_t seed) {
+    const settings::TimingBounds& bounds = settings.timingBounds;
+    DutyService::Settings duties;
+    duties.platformAddress = settings.cloudApi.address;
+    duties.callsPerSecond = settings.cloudApi.dutyPerS;
+    duties.state.member = settings.nodeName;
+    duties.state.takeoverDelay = bounds.leaseMs;
+    duties.state.seed = seed;
+    if (settings.assigned(settings::kReportsUsage) && settings.cloudApi.dutyPerS > 0) {
+        duties.state.usageWindow = bounds.usageWindowS * kMillisPerSecond;
+        duties.state.usageLate = bounds.usageLateS * kMillisPerSecond;
+    }
+    return duties;
+}
+
 replica::Settings replicaSettingsOf(const settings::ProcessSettings& settings) {
     replica::Settings replica;
     replica.self.name = settings.nodeName;
--- a/src/control/control_settings.hpp
+++ b/src/control/control_settings.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "control/duty_service.hpp"
 #include "control/gateway_service.hpp"
 #include "host_discovery/list_reader.hpp"
 #include "leases/lease_table.hpp"
@@ -22,6 +23,9 @@
 [[nodiscard]] GatewayService::Settings gatewayServiceSettingsOf(
     const settings::ProcessSettings& settings, const host_discovery::ListReader::Settings& hostReading,
     std::uint64_t seed);
+/// `seed` must differ at each start of the process.
+[[nodiscard]] DutyService::Settings dutySettingsOf(const settings::ProcessSettings& settings,
+                                                   std::uint64_t seed);
 [[nodiscard]] replica::Settings replicaSettingsOf(const settings::ProcessSettings& settings);
 
 }  // namespace beechpoint::control
--- a/src/control/gateway_service.cpp
+++ b/src/control/gateway_service.cpp
@@ -16,7 +16,7 @@
 class GatewayService::Impl : public std::enable_shared_from_this<Impl> {
 public:
     Impl(asio::io_context& io, const Clock& clock, Logger& logger, ReplicaDriver& driver, rpc::Client& client,
-         Settings settings, std::function<void()> onGateways)
+         Settings settings, std::function<void()> onGateways, std::function<void(PollReply&)> completeReply)
         : clock_(clock),
           logger_(logger),
           driver_(driver),
@@ -24,7 +24,8 @@
           hostList_(io, clock, logger, std::move(settings.poller), settings.seed,
                     [this](const auto& list, Millis confirmedAt, bool) { onHosts(list, confirmedAt); }),
           state_(settings.leases, clock.now(), hostList_),
-          onGateways_(std::move(onGateways)) {}
+          onGateways_(std::move(onGateways)),
+          completeReply_(std::move(completeReply)) {}
 
     void onPoll(PollRequest request, rpc::Reply reply) {
         const PollTicket ticket = ++lastTicket_;
@@ -39,9 +40,9 @@
 
     void onPeerUpdate(const PeerUpdate& peerUpdate, rpc::Reply reply) {
         PeerUpdateReply answer;
-        const ServiceActions actions = state_.onPeerUpdate(clock_.now(), table(), peerUpdate, answer);
+        ServiceActions actions = state_.onPeerUpdate(clock_.now(), table(), peerUpdate, answer);
         reply.send(encode(answer));
-        perform(actions);
+        perform(std::move(actions));
     }
 
     void onTableMoved() { perform(state_.onTableMoved(clock_.now(), table())); }
@@ -72,9 +73,10 @@
         return table_ ? &*table_ : nullptr;
     }
 
-    void perform(const ServiceActions& actions) {
-        for (const PollAnswer& answer : actions.answers) {
+    void perform(ServiceActions actions) {
+        for (PollAnswer& answer : actions.answers) {
             auto reply = replies_.extract(answer.ticket);
+            if (answer.reply.status == PollStatus::ok) completeReply_(answer.reply);
             if (!reply.empty()) reply.mapped().send(encode(answer.reply));
         }
         for (const PeerUpdateCall& call : actions.peerUpdates) send(call);
@@ -108,6 +110,7 @@
     PolledHostList hostList_;
     GatewayServiceState state_;
     std::function<void()> onGateways_;
+    std::function<void(PollReply&)> completeReply_;
     std::optional<ReplicaTableSource> table_;
     std::map<PollTicket, rpc::Reply> replies_;  // not sent yet, by ticket: at most kMaxLongPolls
     PollTicket lastTicket_ = 0;
@@ -115,9 +118,10 @@
 
 GatewayService::GatewayService(asio::io_context& io, const Clock& clock, Logger& logger,
                                ReplicaDriver& driver, rpc::Client& client, Settings settings,
-                               std::function<void()> onGateways)
+                               std::function<void()> onGateways,
+                               std::function<void(PollReply&)> completeReply)
     : impl_(std::make_shared<Impl>(io, clock, logger, driver, client, std::move(settings),
-                                   std::move(onGateways))) {}
+                                   std::move(onGateways), std::move(completeReply))) {}
 
 GatewayService::~GatewayService() = default;
 
--- a/src/control/gateway_service.hpp
+++ b/src/control/gateway_service.hpp
@@ -40,8 +40,10 @@
 
     /// All references must outlive it.
     /// @param onGateways called when a lease was granted or other members' leases were received
+    /// @param completeReply adds to a poll's answer what other parts of the member have for gateways
     GatewayService(asio::io_context& io, const Clock& clock, Logger& logger, ReplicaDriver& driver,
-                   rpc::Client& client, Settings settings, std::function<void()> onGateways);
+                   rpc::Client& client, Settings settings, std::function<void()> onGateways,
+                   std::function<void(PollReply&)> completeReply);
     ~GatewayService();
     GatewayService(const GatewayService&) = delete;
     GatewayService& operator=(const GatewayService&) = delete;
--- a/src/control/gateway_service_state.cpp
+++ b/src/control/gateway_service_state.cpp
@@ -143,8 +143,19 @@
     return isFresh ? Freshness::fresh : Freshness::notFresh;
 }
 
-bool GatewayServiceState::hasUpdate(const CommittedTableSource& table, const PollRequest& request) const {
-    return table.committedPosition() > request.position || hosts_.hasUpdateFor(request);
+bool GatewayServiceState::hasUpdate(const CommittedTableSource& table, const PollRequest& request) {
+    noteTableChanges(table);
+    return newsPosition_ > request.position || hosts_.hasUpdateFor(request);
+}
+
+// Batches that hold nothing for gateways don't end their long polls.
+void GatewayServiceState::noteTableChanges(const CommittedTableSource& table) {
+    const Position committed = table.committedPosition();
+    if (committed == seenPosition_) return;
+    const auto update = table.updateSince(seenPosition_);
+    const bool isNews = !update || update->whole || std::ranges::any_of(update->changes, isForGateways);
+    if (isNews) newsPosition_ = committed;
+    if (update) seenPosition_ = committed;
 }
 
 // Where either of the two has no identity yet, nothing speaks against the other.
--- a/src/control/gateway_service_state.hpp
+++ b/src/control/gateway_service_state.hpp
@@ -91,7 +91,8 @@
 
     [[nodiscard]] Freshness freshness(Millis now, const CommittedTableSource* table) const;
     [[nodiscard]] Renewal renewLease(Millis now, const leases::Gateway& gateway);
-    [[nodiscard]] bool hasUpdate(const CommittedTableSource& table, const PollRequest& request) const;
+    [[nodiscard]] bool hasUpdate(const CommittedTableSource& table, const PollRequest& request);
+    void noteTableChanges(const CommittedTableSource& table);
 
     [[nodiscard]] bool isOfOtherCluster(const CommittedTableSource* table, std::uint64_t clusterId) const;
 
@@ -115,6 +116,8 @@
     PollResponder responder_;
     GatewayCountMonitor count_;
     PeerUpdates peerUpdates_;
+    Position seenPosition_;  // the committed one when changes were last looked at
+    Position newsPosition_;  // the newest at which something changed that gateways need
     bool draining_ = false;
 };
 
--- a/src/control/member_requests.cpp
+++ b/src/control/member_requests.cpp
@@ -3,6 +3,7 @@
 #include <string_view>
 #include <utility>
 
+#include "control/duty_service.hpp"
 #include "control/gateway_service.hpp"
 #include "control/replica_driver.hpp"
 #include "control_messages/codec.hpp"
@@ -24,6 +25,7 @@
         case RequestKind::poll: {
             auto request = decodePollRequest(body);
             if (!request) return rejectUnreadable(request.error(), reply);
+            duties_.onPoll(request.value());
             gateways_.onPoll(std::move(request.value()), std::move(reply));
             return;
         }
@@ -33,6 +35,24 @@
             gateways_.onPeerUpdate(peerUpdate.value(), std::move(reply));
             return;
         }
+        case RequestKind::usage: {
+            const auto message = decodeUsageMessage(body);
+            if (!message) return rejectUnreadable(message.error(), reply);
+            duties_.onUsage(message.value(), std::move(reply));
+            return;
+        }
+        case RequestKind::proposal: {
+            auto proposal = decodeProposal(body);
+            if (!proposal) return rejectUnreadable(proposal.error(), reply);
+            duties_.onProposal(std::move(proposal.value()), std::move(reply));
+            return;
+        }
+        case RequestKind::settlement: {
+            auto settlement = decodeSettlement(body);
+            if (!settlement) return rejectUnreadable(settlement.error(), reply);
+            duties_.onSettlement(std::move(settlement.value()), std::move(reply));
+            return;
+        }
     }
 }
 
--- a/src/control/member_requests.hpp
+++ b/src/control/member_requests.hpp
@@ -13,14 +13,15 @@
 
 namespace beechpoint::control {
 
+class DutyService;
 class GatewayService;
 class ReplicaDriver;
 
 class MemberRequests {
 public:
     /// All references must outlive it.
-    MemberRequests(Logger& logger, ReplicaDriver& driver, GatewayService& gateways)
-        : logger_(logger), driver_(driver), gateways_(gateways) {}
+    MemberRequests(Logger& logger, ReplicaDriver& driver, GatewayService& gateways, DutyService& duties)
+        : logger_(logger), driver_(driver), gateways_(gateways), duties_(duties) {}
 
     /// `bytes`: one envelope (codec.hpp). Every request is answered, now or later; one that can't be read with an empty answer.
     void handle(const std::string& bytes, rpc::Reply reply);
@@ -31,6 +32,7 @@
     Logger& logger_;
     ReplicaDriver& driver_;
     GatewayService& gateways_;
+    DutyService& duties_;
 };
 
 }  // namespace beechpoint::control
--- a/src/control/packed_table_updates.hpp
+++ b/src/control/packed_table_updates.hpp
@@ -11,9 +11,12 @@
 
 namespace beechpoint::control {
 
+/// Whether gateways need the change: the duties' intents are the members' own.
+[[nodiscard]] bool isForGateways(const Change& change);
+
 class PackedTableUpdates {
 public:
-    /// The update from `base` to the committed position, packed (table_packing.hpp). Nothing: the table is not fresh.
+    /// What gateways need of the update from `base` to the committed position, packed (table_packing.hpp). Nothing: the table is not fresh.
     [[nodiscard]] std::optional<std::string> since(const CommittedTableSource& table, Position base);
 
 private:
--- a/src/control/status.cpp
+++ b/src/control/status.cpp
@@ -52,6 +52,37 @@
     return Json{{"hosts", list->hosts}, {"age_ms", list->age}};
 }
 
+Json dutiesJson(const std::vector<DutyStatus>& duties) {
+    Json list = Json::array();
+    for (const DutyStatus& duty : duties)
+        list.push_back(Json{{"subject", duty.subject},
+                            {"holder", duty.holder},
+                            {"token", duty.token},
+                            {"held_here", duty.heldHere},
+                            {"open_intents", duty.openIntents},
+                            {"newest_number", duty.newestNumber ? Json(*duty.newestNumber) : Json(nullptr)},
+                            {"newest_state", duty.newestState},
+                            {"last_status", duty.lastStatus},
+                            {"calls", duty.calls}});
+    return list;
+}
+
+// Sums over the subjects: their number is the deployment's.
+void writeDutyMetrics(MetricsText& text, const std::vector<DutyStatus>& duties) {
+    double held = 0;
+    double openIntents = 0;
+    double calls = 0;
+    for (const DutyStatus& duty : duties) {
+        if (duty.heldHere) ++held;
+        openIntents += static_cast<double>(duty.openIntents);
+        calls += static_cast<double>(duty.calls);
+    }
+    text.gauge("beechpoint_control_duties_held", "Subjects of duties that this member holds.", held);
+    text.gauge("beechpoint_control_open_intents", "Calls to the platform that are recorded and not answered.",
+               openIntents);
+    text.counter("beechpoint_control_duty_calls_total", "Calls of duties that this process made.", calls);
+}
+
 }  // namespace
 
 void describeReplica(const replica::Replica& replica, Millis now, MemberStatus& status) {
@@ -87,7 +118,8 @@
                     {"host_list", hostListJson(status.hostList)},
                     {"reads_hosts", status.readsHosts},
                     {"waiting_polls", status.pendingLongPolls},
-                    {"writes_taken", status.committedWrites}};
+                    {"writes_taken", status.committedWrites},
+                    {"duties", dutiesJson(status.duties)}};
     return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -122,6 +154,7 @@
                number(status.pendingLongPolls));
     text.counter("beechpoint_control_writes_taken_total", "Operators' writes that this process committed.",
                  number(status.committedWrites));
+    writeDutyMetrics(text, status.duties);
     return text.text();
 }
 
--- a/src/control/status.hpp
+++ b/src/control/status.hpp
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "control/duty_service_state.hpp"
 #include "core/clock.hpp"
 #include "core/replicated_table.hpp"
 #include "leases/lease_table.hpp"
@@ -46,6 +47,7 @@
     bool readsHosts = false;
     std::size_t pendingLongPolls = 0;
     std::uint64_t committedWrites = 0;  ///< operators' writes that this process committed
+    std::vector<DutyStatus> duties;
 };
 
 /// Fills in what the replica knows at `now`: view, position, revision, evacuated zones, and whether it is fresh and writable.
--- a/src/control_messages/codec.cpp
+++ b/src/control_messages/codec.cpp
@@ -91,6 +91,16 @@
     return rpc::pack(packed);
 }
 std::string encode(const PeerUpdateReply& reply) { return rpc::pack(reply); }
+std::string encode(const UsageMessage& message) { return encodeRequest(RequestKind::usage, message); }
+std::string encode(const UsageReply& reply) { return rpc::pack(reply); }
+std::string encode(const duties::Proposal& proposal) {
+    return encodeRequest(RequestKind::proposal, proposal);
+}
+std::string encode(const ProposalReply& reply) { return rpc::pack(reply); }
+std::string encode(const duties::Settlement& settlement) {
+    return encodeRequest(RequestKind::settlement, settlement);
+}
+std::string encode(const SettlementReply& reply) { return rpc::pack(reply); }
 
 std::string packHostList(const host_discovery::HostList& list) {
     return packBytes(rpc::pack(HostListSnapshot{list.version, 0, list.hosts}));
@@ -104,7 +114,7 @@
 
 Result<Envelope> openEnvelope(std::string_view bytes) {
     constexpr auto kFirst = static_cast<std::uint8_t>(RequestKind::poll);
-    constexpr auto kLast = static_cast<std::uint8_t>(RequestKind::peerUpdate);
+    constexpr auto kLast = static_cast<std::uint8_t>(RequestKind::settlement);
     const auto kind = bytes.empty() ? std::uint8_t{0} : static_cast<std::uint8_t>(bytes.front());
     if (kind < kFirst || kind > kLast) return malformed("message", "the request is of no known kind");
     return Envelope{static_cast<RequestKind>(kind), bytes.substr(1)};
@@ -117,4 +127,17 @@
     return rpc::unpack<PeerUpdateReply>(bytes);
 }
 
+Result<UsageMessage> decodeUsageMessage(std::string_view body) { return rpc::unpack<UsageMessage>(body); }
+Result<UsageReply> decodeUsageReply(std::string_view bytes) { return rpc::unpack<UsageReply>(bytes); }
+Result<duties::Proposal> decodeProposal(std::string_view body) { return rpc::unpack<duties::Proposal>(body); }
+Result<ProposalReply> decodeProposalReply(std::string_view bytes) {
+    return rpc::unpack<ProposalReply>(bytes);
+}
+Result<duties::Settlement> decodeSettlement(std::string_view body) {
+    return rpc::unpack<duties::Settlement>(body);
+}
+Result<SettlementReply> decodeSettlementReply(std::string_view bytes) {
+    return rpc::unpack<SettlementReply>(bytes);
+}
+
 }  // namespace beechpoint::control
--- a/src/control_messages/codec.hpp
+++ b/src/control_messages/codec.hpp
@@ -14,6 +14,12 @@
 [[nodiscard]] std::string encode(const PollReply& reply);
 [[nodiscard]] std::string encode(const PeerUpdate& peerUpdate);
 [[nodiscard]] std::string encode(const PeerUpdateReply& reply);
+[[nodiscard]] std::string encode(const UsageMessage& message);
+[[nodiscard]] std::string encode(const UsageReply& reply);
+[[nodiscard]] std::string encode(const duties::Proposal& proposal);
+[[nodiscard]] std::string encode(const ProposalReply& reply);
+[[nodiscard]] std::string encode(const duties::Settlement& settlement);
+[[nodiscard]] std::string encode(const SettlementReply& reply);
 
 /// The packed fields of PollReply and PeerUpdate. The age of the list's reading is sent beside them (hostListReadAge), so that a field is
 /// packed once for all receivers.
@@ -34,5 +40,11 @@
 [[nodiscard]] Result<PollReply> decodePollReply(std::string_view bytes);
 [[nodiscard]] Result<PeerUpdate> decodePeerUpdate(std::string_view body);
 [[nodiscard]] Result<PeerUpdateReply> decodePeerUpdateReply(std::string_view bytes);
+[[nodiscard]] Result<UsageMessage> decodeUsageMessage(std::string_view body);
+[[nodiscard]] Result<UsageReply> decodeUsageReply(std::string_view bytes);
+[[nodiscard]] Result<duties::Proposal> decodeProposal(std::string_view body);
+[[nodiscard]] Result<ProposalReply> decodeProposalReply(std::string_view bytes);
+[[nodiscard]] Result<duties::Settlement> decodeSettlement(std::string_view body);
+[[nodiscard]] Result<SettlementReply> decodeSettlementReply(std::string_view bytes);
 
 }  // namespace beechpoint::control
--- a/src/control_messages/message_fields.hpp
+++ b/src/control_messages/message_fields.hpp
@@ -58,6 +58,26 @@
 struct Fields<HostListDelta> {
     static auto of(auto& shared) { return std::tie(shared.changes, shared.readAge); }
 };
+template <>
+struct Fields<duties::WindowCounts> {
+    static auto of(auto& window) { return std::tie(window.window, window.counts); }
+};
+template <>
+struct Fields<duties::UsageReport> {
+    static auto of(auto& report) {
+        return std::tie(report.gateway, report.session, report.coveredUntil, report.windows);
+    }
+};
+template <>
+struct Fields<duties::Subject> {
+    static auto of(auto& subject) { return std::tie(subject.duty, subject.service, subject.zone); }
+};
+template <>
+struct Fields<duties::Intent> {
+    static auto of(auto& intent) {
+        return std::tie(intent.number, intent.token, intent.holder, intent.state, intent.body);
+    }
+};
 // --- messages
 
 template <>
@@ -66,7 +86,7 @@
         return std::tie(request.gateway, request.position, request.hostList, request.waitMs,
                         request.wantsLoad, request.directoryDigest, request.acceptsHostChanges,
                         request.acceptsPackedState, request.clusterId, request.acceptsChunks,
-                        request.transferDigest, request.transferOffset);
+                        request.transferDigest, request.transferOffset, request.unixTime);
     }
 };
 template <>
@@ -82,7 +102,7 @@
                         reply.hostChanges, reply.packedHostList, reply.packedHostChanges,
                         reply.packedDirectory, reply.hostListReadAge, reply.retryAfterMs, reply.memberRegions,
                         reply.clusterId, reply.memberIncarnation, reply.transferDigest, reply.transferOffset,
-                        reply.transferSize);
+                        reply.transferSize, reply.trueTime, reply.usageAddress, reply.usageTerm);
     }
 };
 template <>
@@ -109,8 +129,52 @@
     }
 };
 
+template <>
+struct Fields<UsageMessage> {
+    static auto of(auto& message) {
+        return std::tie(message.report, message.term, message.unixTime, message.clusterId);
+    }
+};
+template <>
+struct Fields<UsageReply> {
+    static auto of(auto& reply) { return std::tie(reply.accepted, reply.recordedBefore); }
+};
+template <>
+struct Fields<duties::Proposal> {
+    static auto of(auto& proposal) {
+        return std::tie(proposal.subject, proposal.number, proposal.token, proposal.holder, proposal.body);
+    }
+};
+template <>
+struct Fields<ProposalReply> {
+    static auto of(auto& reply) { return std::tie(reply.answered, reply.outcome, reply.intent); }
+};
+template <>
+struct Fields<duties::Settlement> {
+    static auto of(auto& settlement) {
+        return std::tie(settlement.subject, settlement.number, settlement.state);
+    }
+};
+template <>
+struct Fields<SettlementReply> {
+    static auto of(auto& reply) { return std::tie(reply.recorded); }
+};
+
 // --- enums
 
+template <>
+struct EnumBounds<duties::Duty> {
+    static constexpr auto kLast = static_cast<std::uint8_t>(duties::Duty::scaling);
+};
+template <>
+struct EnumBounds<duties::IntentState> {
+    static constexpr auto kLast = static_cast<std::uint8_t>(duties::IntentState::refused);
+};
+template <>
+struct EnumBounds<duties::ProposalOutcome> {
+    static constexpr auto kLast = static_cast<std::uint8_t>(duties::ProposalOutcome::tooLarge);
+};
+
 template <>
 struct EnumBounds<host_discovery::HostState> {
     static constexpr auto kLast = static_cast<std::uint8_t>(host_discovery::HostState::draining);
--- a/src/control_messages/messages.hpp
+++ b/src/control_messages/messages.hpp
@@ -8,19 +8,28 @@
 ///   kind             request          sender          reply             fields in order
 ///   1 poll           PollRequest      gateway         PollReply         request: gateway, position, hostList, waitMs, wantsLoad,
 ///                                                                         directoryDigest, acceptsHostChanges, acceptsPackedState,
-///                                                                         clusterId, acceptsChunks, transferDigest, transferOffset
+///                                                                         clusterId, acceptsChunks, transferDigest, transferOffset,
+///                                                                         unixTime
 ///                                                                       reply: status, packedTable, hostList, hostListVersion,
 ///                                                                         hostListAge, liveGateways, largestLive, members, othersLoad,
 ///                                                                         leaseMs, directoryDigest, directory, hostChanges,
 ///                                                                         packedHostList, packedHostChanges, packedDirectory,
 ///                                                                         hostListReadAge, retryAfterMs, memberRegions,
 ///                                                                         clusterId, memberIncarnation, transferDigest,
-///                                                                         transferOffset, transferSize
+///                                                                         transferOffset, transferSize, trueTime,
+///                                                                         usageAddress, usageTerm
 ///   2 replica        replica::Message control member  those that answer at once, if any (replica_codec.hpp)
 ///   3 peerUpdate     PeerUpdate       control member  PeerUpdateReply   request: member, session, epoch, leases, hostListVersion,
 ///                                                                         hostListAge, hostList, readsHosts, renewals, packedHostList,
 ///                                                                         packedHostChanges, hostListReadAge, clusterId
 ///                                                                       reply: hostListVersion, acceptsIncrements, unknownLeases
+///   4 usage          UsageMessage     gateway         UsageReply        request: report, term, unixTime,
+///                                                                         clusterId
+///                                                                       reply: accepted, recordedBefore
+///   5 proposal       Proposal         control member  ProposalReply     request: subject, number, token, holder, body
+///                                                                       reply: answered, outcome, intent
+///   6 settlement     Settlement       control member  SettlementReply   request: subject, number, state
+///                                                                       reply: recorded
 ///
 ///   packed field                 | stands for                  | sent where the receiver                 | empty
 ///   PollReply::packedTable       | table                       | is any                                  | nothing newer, or left out for its size
@@ -46,6 +55,8 @@
 
 #include "core/clock.hpp"
 #include "core/replicated_table.hpp"
+#include "duties/intent_log.hpp"
+#include "duties/usage.hpp"
 #include "host_discovery/host_list.hpp"
 #include "host_discovery/host_list_changes.hpp"
 #include "leases/lease_table.hpp"
@@ -57,6 +68,9 @@
     poll = 1,        ///< PollRequest -> PollReply
     replica = 2,     ///< replica messages (replica_codec.hpp) -> those that answer them at once, if any
     peerUpdate = 3,  ///< PeerUpdate -> PeerUpdateReply
+    usage = 4,       ///< UsageMessage -> UsageReply
+    proposal = 5,    ///< duties::Proposal -> ProposalReply
+    settlement = 6,  ///< duties::Settlement -> SettlementReply
 };
 
 /// A gateway asks for updates and thereby renews its lease. It is answered at once where there is one, else after `waitMs`.
@@ -74,6 +88,7 @@
     bool acceptsChunks = false;        ///< understands PollReply's transfer fields
     std::uint64_t transferDigest = 0;  ///< of the transfer that is under way; 0: none
     std::uint64_t transferOffset = 0;  ///< bytes of it that have come
+    Millis unixTime = 0;               ///< the gateway's time of day, since 1970; 0: an earlier version
 };
 
 /// Largest chunk of a packed table in one reply, in bytes: a tenth of a second on a link of 10 Mbit/s.
@@ -133,6 +148,9 @@
     std::uint64_t transferDigest = 0;  ///< XXH3-64 of the complete packed table of which this is a chunk
     std::uint64_t transferOffset = 0;  ///< of packedTable's bytes in it
     std::uint64_t transferSize = 0;    ///< its bytes; 0: packedTable is complete
+    Millis trueTime = 0;               ///< estimated, since 1970; 0: not known
+    std::string usageAddress;          ///< internal address of the usage duty's holder; empty: none
+    std::uint64_t usageTerm = 0;       ///< epoch of the view that made it the holder
 };
 
 /// What one control member sends each other member of the view every kPeerUpdateInterval, and sooner where something changed that can't wait.
@@ -159,4 +177,28 @@
     std::vector<std::uint64_t> unknownLeases;  ///< ids renewed but not known here: to be sent in full
 };
 
+/// A gateway's counts for the holder of the usage duty.
+struct UsageMessage {
+    duties::UsageReport report;
+    std::uint64_t term = 0;       ///< PollReply::usageTerm that named the receiver
+    Millis unixTime = 0;          ///< the gateway's time of day, since 1970
+    std::uint64_t clusterId = 0;  ///< of the gateway's table; 0: not known
+};
+
+struct UsageReply {
+    bool accepted = false;  ///< the receiver holds the duty in that term and keeps the counts
+    duties::WindowNumber recordedBefore =
+        0;  ///< windows below have an intent: their counts are not wanted any more
+};
+
+struct ProposalReply {
+    bool answered = false;  ///< the rest counts; else it is not known whether anything was recorded
+    duties::ProposalOutcome outcome = duties::ProposalOutcome::stale;
+    duties::Intent intent;  ///< where accepted or recorded
+};
+
+struct SettlementReply {
+    bool recorded = false;
+};
+
 }  // namespace beechpoint::control
--- /dev/null
+++ b/src/duties/duty_runner.cpp
@@ -0,0 +1,134 @@
+#include "duties/duty_runner.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace beechpoint::duties {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kTooManyRequests = 429;
+constexpr int kRequestTimeout = 408;
+constexpr int kFirstClientError = 400;
+constexpr int kFirstServerError = 500;
+
+bool isAccepted(int status) { return status >= kOk && status < 300; }
+
+// Sent again as it is, it would be refused again.
+bool isRefusedForGood(int status) {
+    const bool isClientError = status >= kFirstClientError && status < kFirstServerError;
+    return isClientError && status != kTooManyRequests && status != kRequestTimeout;
+}
+
+}  // namespace
+
+std::optional<DutyAction> DutyRunner::step(Millis now, const DutySituation& situation,
+                                           const std::optional<DutyWork>& work) {
+    const bool isOtherTerm = situation.epoch != epoch_;
+    if (!situation.holds || isOtherTerm) state_ = State::idle;
+    epoch_ = situation.epoch;
+    if (state_ != State::idle || !mayAct(now, situation)) return std::nullopt;
+    if (const auto intent = oldestOpen(*situation.table)) return call(situation, *intent);
+    if (!work) return std::nullopt;
+    state_ = State::proposing;
+    number_ = work->number;
+    return ProposeIntent{++attempt_, {subject_, work->number, situation.epoch, situation.member, work->body}};
+}
+
+bool DutyRunner::wantsWork(Millis now, const DutySituation& situation) const {
+    const bool isIdle = state_ == State::idle || situation.epoch != epoch_;
+    return isIdle && mayAct(now, situation) && !oldestOpen(*situation.table);
+}
+
+std::optional<DutyAction> DutyRunner::onProposed(Millis now, const DutySituation& situation,
+                                                 std::uint64_t attempt, const ProposalAnswer& answer) {
+    if (state_ != State::proposing || attempt != attempt_) return std::nullopt;
+    state_ = State::idle;
+    if (!answer || answer->outcome == ProposalOutcome::stale) {
+        backOff(now);
+        return std::nullopt;
+    }
+    if (answer->outcome == ProposalOutcome::tooLarge) settledNumber_ = number_;  // never to be sent
+    const bool isKnown =
+        answer->outcome == ProposalOutcome::accepted || answer->outcome == ProposalOutcome::recorded;
+    if (!isKnown || answer->intent.state != IntentState::open) return std::nullopt;
+    if (situation.epoch != epoch_ || !mayAct(now, situation)) return std::nullopt;
+    return call(situation, answer->intent);
+}
+
+std::optional<DutyAction> DutyRunner::onCalled(Millis now, std::uint64_t attempt, int status) {
+    if (state_ != State::calling || attempt != attempt_) return std::nullopt;
+    state_ = State::idle;
+    lastStatus_ = status;
+    if (status == kConflict) {
+        refusedToken_ = std::max(refusedToken_, epoch_);
+        return std::nullopt;
+    }
+    const bool isAnswered = isAccepted(status) || isRefusedForGood(status);
+    if (!isAnswered) {
+        if (status == 0) timeout_ = std::min(2 * timeout_, kTimeoutMost);
+        backOff(now);
+        return std::nullopt;
+    }
+    succeed();
+    state_ = State::settling;
+    const IntentState outcome = isAccepted(status) ? IntentState::done : IntentState::refused;
+    return SettleIntent{++attempt_, {subject_, number_, outcome}};
+}
+
+void DutyRunner::onSettled(Millis now, std::uint64_t attempt, bool recorded) {
+    if (state_ != State::settling || attempt != attempt_) return;
+    state_ = State::idle;
+    if (recorded)
+        settledNumber_ = number_;
+    else
+        backOff(now);
+}
+
+bool DutyRunner::mayAct(Millis now, const DutySituation& situation) const {
+    if (!situation.holds || !situation.fresh || !situation.table) return false;
+    if (situation.epoch <= refusedToken_ || now < retryAt_) return false;
+    return !waitsForTakeover(now, situation);
+}
+
+// Without an intent nobody has acted on this subject.
+bool DutyRunner::waitsForTakeover(Millis now, const DutySituation& situation) const {
+    const bool isNew = now - situation.holdsSince < takeoverDelay_;
+    return isNew && !intentsOf(*situation.table, subject_).empty();
+}
+
+std::optional<Intent> DutyRunner::oldestOpen(const Table& table) const {
+    for (Intent& intent : intentsOf(table, subject_)) {
+        const bool isSettled = settledNumber_ && intent.number <= *settledNumber_;
+        if (intent.state == IntentState::open && !isSettled) return std::move(intent);
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> DutyRunner::newestNumber(const Table& table) const {
+    const std::vector<Intent> intents = intentsOf(table, subject_);
+    if (intents.empty()) return settledNumber_;
+    return std::max(intents.back().number, settledNumber_.value_or(0));
+}
+
+DutyAction DutyRunner::call(const DutySituation& situation, const Intent& intent) {
+    state_ = State::calling;
+    number_ = intent.number;
+    ++calls_;
+    return CallPlatform{++attempt_,       subject_,    intent.number, situation.epoch,
+                        situation.member, intent.body, timeout_};
+}
+
+void DutyRunner::backOff(Millis now) {
+    retryAt_ = now + retryAfter_ * (0.5 + random_());
+    retryAfter_ = std::min(2 * retryAfter_, kRetryMost);
+}
+
+void DutyRunner::succeed() {
+    retryAfter_ = kRetryFirst;
+    timeout_ = kTimeoutFirst;
+}
+
+}  // namespace beechpoint::duties
--- a/src/gateway/client_request.cpp
+++ b/src/gateway/client_request.cpp
@@ -3,10 +3,15 @@
 #include <algorithm>
 #include <charconv>
 
+#include "net/framing.hpp"
+
 namespace beechpoint::gateway {
 
 namespace {
 
+constexpr std::string_view kAuthorization = "Authorization";
+constexpr std::string_view kTenantName = "X-Tenant-Name";
+
 std::string_view trimmed(std::string_view text) {
     const auto first = text.find_first_not_of(" \t");
     if (first == std::string_view::npos) return {};
@@ -47,6 +52,20 @@
     return dispatch::RequestType::nonIdempotent;
 }
 
+// The regions of the tenant bind beside those of the route.
+void applyTenant(const tenants::TenantEntry& tenant, dispatch::RequestArrived& event) {
+    if (tenant.priorityClass) event.priorityClass = *tenant.priorityClass;
+    const std::vector<std::string>& regions = tenant.allowedRegions;
+    if (regions.empty()) return;
+    if (!event.allowedRegions) {
+        event.allowedRegions = regions;
+        return;
+    }
+    std::erase_if(*event.allowedRegions, [&regions](const std::string& region) {
+        return std::find(regions.begin(), regions.end(), region) == regions.end();
+    });
+}
+
 }  // namespace
 
 std::vector<dispatch::PromptPart> parsePromptPrefix(std::string_view text) {
@@ -77,6 +96,23 @@
     return request;
 }
 
+std::vector<std::string_view> authorizationOf(const net::HttpMessage& message) {
+    std::vector<std::string_view> values;
+    for (const auto& [name, value] : message.headers)
+        if (net::sameName(name, kAuthorization)) values.push_back(value);
+    return values;
+}
+
+void assignTenant(const tenants::Authentication& authentication, ClientRequest& request) {
+    const bool hasTenants = authentication.outcome != tenants::AuthenticationOutcome::unrestricted;
+    std::erase_if(request.headers, [hasTenants](const upstream::Header& header) {
+        return net::sameName(header.name, kTenantName) ||
+               (hasTenants && net::sameName(header.name, kAuthorization));
+    });
+    request.tenant = authentication.tenant;
+    if (request.tenant) request.headers.push_back({std::string(kTenantName), request.tenant->name});
+}
+
 dispatch::RequestArrived arrival(dispatch::RequestId id, const ClientRequest& request,
                                  const routing::RouteEntry& entry, Millis sinceFirstByte) {
     const configuration::Route& route = entry.route;
@@ -103,6 +139,7 @@
     event.outTokens = request.outTokens;
     event.bodyBytes = request.body ? request.body->size() : 0;
     if (!route.allowedRegions.empty()) event.allowedRegions = route.allowedRegions;
+    if (request.tenant) applyTenant(*request.tenant, event);
     return event;
 }
 
--- a/src/gateway/client_request.hpp
+++ b/src/gateway/client_request.hpp
@@ -10,6 +10,7 @@
 #include "dispatch/messages.hpp"
 #include "net/http.hpp"
 #include "routing/routing_table.hpp"
+#include "tenants/authentication.hpp"
 #include "upstream/headers.hpp"
 
 namespace beechpoint::gateway {
@@ -26,8 +27,15 @@
     Millis deadline = kDefaultDeadline;       ///< what the client will wait, from the request's first byte on
     std::vector<dispatch::PromptPart> prompt;
     std::uint32_t promptTokens = 0, outTokens = 0;
+    std::shared_ptr<const tenants::TenantEntry> tenant;  ///< null: none
 };
 
+/// Values of the message's Authorization fields, as views into it.
+[[nodiscard]] std::vector<std::string_view> authorizationOf(const net::HttpMessage& message);
+
+/// Makes the request its tenant's: hosts get the tenant's name and never the key.
+void assignTenant(const tenants::Authentication& authentication, ClientRequest& request);
+
 /// Headers that can't be read count as absent.
 [[nodiscard]] ClientRequest readClientRequest(const net::HttpMessage& message);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,7 @@
       exchange_(io, clock, log, dispatchSettings(settings_, policy), drawSeed()),
       load_(io, clock, log, {settings_.nodeName, settings_.zone, settings_.region, session_},
             [this](const dispatch::PeerLoad& load) { exchange_.handle(load); }),
+      usage_(io, clock, log, settings_.nodeName, session_, usageWindow(settings_)),
       control_(io, clock, log, settings_.nodeName, drawSeed(),
                {[this] { return pollRequest(); },
                 [this](const control::PollReply& reply, Millis) { onPollReply(reply); }}),
@@ -66,6 +67,8 @@
       drain_(drainSettings(settings_)) {
     configureFront();
     if (sharesLoad_) exchange_.onLoadReport([this](const auto& changed) { load_.ownLoad(changed); });
+    exchange_.onRunStarted([this](const std::string& tenant) { usage_.onRunStarted(tenant); });
+    exchange_.setTableIsCurrent([this] { return clock_.now() - control_.heardAt() < kControlTimeout; });
     exchange_.setAdmission([this](Millis mayLast) { return drain_.accepts(clock_.now(), mayLast); });
 }
 
@@ -90,6 +93,7 @@
         load_.start(settings_.ipAddress, static_cast<std::uint16_t>(settings_.internalPortRange.first));
     control_.seeds(controlAddresses(settings_));
     control_.start();
+    usage_.start();
     log_.info("gateway {} listens at {}", field("name", settings_.nodeName),
               field("address", settings_.listenAddresses.front));
     checkPeriodically();
@@ -125,6 +129,11 @@
     figures.openAttempts = exchange_.openAttempts();
     figures.routedRequests = exchange_.routedRequests();
     figures.endCounts = exchange_.endCounts();
+    figures.accessCounts = exchange_.accessCounts();
+    const auto table = table_.current();
+    figures.revision = table->revision();
+    figures.unreadable = table->unreadable();
+    if (const auto& tenants = table->tenants()) figures.tenants = tenants->size();
     figures.hostConnections = exchange_.upstreamConnections();
     figures.hostCounts = exchange_.upstreamCounts();
     return metricsPage(figures);
@@ -140,6 +149,7 @@
     request.clusterId = table_.current()->clusterId();
     transfer_.describe(request);
     request.directoryDigest = directoryDigest_;
+    request.unixTime = clock_.toUnix(clock_.now());
     return request;
 }
 
@@ -170,6 +180,7 @@
     if (hosts_.apply(reply, clock_.now())) updateHosts();
     if (reply.directory) updateDirectory(reply);
     updateLiveGateways(reply);
+    usage_.onPollReply(reply);
     // Other gateways' directories name this one as soon as control knows that it is ready.
     if (ready() != wasReady) control_.pollNow();
     directory_.answerPending();
@@ -252,6 +263,7 @@
               field("open", exchange_.openRequests()));
     front_.closing(true);
     directory_.drain();
+    usage_.drain();
     control_.pollNow();
     checkDrain();
 }
@@ -273,6 +285,7 @@
     exchange_.endAll();
     load_.stop();
     control_.stop();
+    usage_.stop();
     platform_.stop();
     log_.info("gateway {} has shut down", field("name", settings_.nodeName));
     ended_();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -27,6 +27,7 @@
 #include "gateway/load_sharing.hpp"
 #include "gateway/request_exchange.hpp"
 #include "gateway/table_transfer.hpp"
+#include "gateway/usage_reporter.hpp"
 #include "host_discovery/poller.hpp"
 #include "net/server.hpp"
 #include "routing/table_copy.hpp"
@@ -86,6 +87,7 @@
     HostListCopy hosts_;
     RequestExchange exchange_;
     LoadSharing load_;
+    UsageReporter usage_;
     ControlLink control_;
     host_discovery::Poller platform_;  // runs only while control is unreachable
     directory::DirectoryService directory_;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -61,6 +61,33 @@
                   byReason(counts.aborted));
 }
 
+LabelledFigure byOutcome(const AccessCounts& counts, tenants::AuthenticationOutcome outcome) {
+    return {tenants::nameOf(outcome), figure(counts.of(outcome))};
+}
+
+void writeAccess(MetricsText& text, const GatewayFigures& figures) {
+    using Outcome = tenants::AuthenticationOutcome;
+    const AccessCounts& counts = figures.accessCounts;
+    text.gauge("beechpoint_gateway_configuration_revision",
+               "Revision of the configuration in force; 0: none.", figure(figures.revision));
+    text.gauge("beechpoint_gateway_configuration_unreadable",
+               "Values of the last update that could not be read and are left out.",
+               figure(figures.unreadable));
+    text.gauge("beechpoint_gateway_keys_required", "1 where the configuration has a list of tenants.",
+               figure(figures.tenants.has_value()));
+    text.gauge("beechpoint_gateway_tenants", "Tenants of the configuration.",
+               figure(figures.tenants.value_or(0)));
+    text.counters("beechpoint_gateway_authorized_total", "Requests whose key did not speak against them.",
+                  "outcome",
+                  {byOutcome(counts, Outcome::tenant), byOutcome(counts, Outcome::anonymous),
+                   byOutcome(counts, Outcome::unrestricted)});
+    text.counters("beechpoint_gateway_unauthorized_total", "Requests answered with 401.", "reason",
+                  {byOutcome(counts, Outcome::missingKey), byOutcome(counts, Outcome::revokedKey),
+                   byOutcome(counts, Outcome::unknownKey)});
+    text.counter("beechpoint_gateway_route_not_found_total", "Requests answered with 404.",
+                 figure(counts.routeNotFound));
+}
+
 void writeHostConnections(MetricsText& text, const GatewayFigures& figures) {
     const upstream::UpstreamCounts& counts = figures.hostCounts;
     text.gauge("beechpoint_gateway_host_connections", "Open connections to hosts.",
@@ -83,6 +110,7 @@
     writeState(text, figures);
     writeRequests(text, figures);
     writeEnds(text, figures.endCounts);
+    writeAccess(text, figures);
     writeHostConnections(text, figures);
     return text.text();
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -30,6 +30,10 @@
     std::size_t openAttempts = 0;
     std::uint64_t routedRequests = 0;
     RequestEndCounts endCounts;
+    AccessCounts accessCounts;
+    std::uint64_t revision = 0;          ///< of the configuration in force
+    std::size_t unreadable = 0;          ///< values of it that were left out
+    std::optional<std::size_t> tenants;  ///< of the configuration; nothing: it has no list of tenants
     std::size_t hostConnections = 0;
     upstream::UpstreamCounts hostCounts;
 };
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr Millis kMillisPerSecond = 1000;
 constexpr Millis kPlatformPollPeriod = 2500;  // a gateway that polls the platform itself does so slowly
 constexpr double kMaxDirectoryTtlS = 2;
 constexpr std::size_t kReservedDescriptors = 232;  // 200 are the platform's; listeners, control, platform
@@ -75,4 +76,9 @@
     return (open - kReservedDescriptors) / 2;
 }
 
+Millis usageWindow(const settings::ProcessSettings& settings) {
+    const bool isWanted = settings.assigned(settings::kReportsUsage);
+    return isWanted ? settings.timingBounds.usageWindowS * kMillisPerSecond : 0;
+}
+
 }  // namespace beechpoint::gateway
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -37,4 +37,7 @@
 /// How many client connections fit into the limit of open files, with as many to hosts beside them.
 [[nodiscard]] std::size_t maxClientConnections(const settings::ProcessSettings& settings);
 
+/// Length of a window of usage reports in milliseconds; 0: usage is not reported.
+[[nodiscard]] Millis usageWindow(const settings::ProcessSettings& settings);
+
 }  // namespace beechpoint::gateway
--- a/src/gateway/request_end_counts.hpp
+++ b/src/gateway/request_end_counts.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "dispatch/reject_reason.hpp"
+#include "tenants/authentication.hpp"
 
 namespace beechpoint::gateway {
 
@@ -21,4 +22,15 @@
     }
 };
 
+/// Requests by what became of their key, and those that got no further than the search for a route.
+struct AccessCounts {
+    std::array<std::uint64_t, tenants::kAuthenticationOutcomes> authentications{};
+    std::uint64_t routeNotFound = 0;  ///< 404
+
+    void add(tenants::AuthenticationOutcome outcome) { ++authentications[static_cast<std::size_t>(outcome)]; }
+    [[nodiscard]] std::uint64_t of(tenants::AuthenticationOutcome outcome) const {
+        return authentications[static_cast<std::size_t>(outcome)];
+    }
+};
+
 }  // namespace beechpoint::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -57,8 +57,12 @@
         return client->respond(503, kJson, R"({"error":"no configuration yet"})",
                                net::retryAfterHeader(kRetryUnconfigured));
     const auto route = routes_->find(message.header("Host"), message.path());
-    if (!route) return client->respond(404, kJson, R"({"error":"no route"})");
+    if (!route) return rejectUnrouted(*client);
+    const tenants::Authentication authentication =
+        tenants::authenticate(routes_->tenants().get(), route->route.public_, authorizationOf(message));
+    accessCounts_.add(authentication.outcome);
     ClientRequest request = readClientRequest(message);
+    assignTenant(authentication, request);
     if (request.attemptId.empty() || message.count("X-Attempt-Id") != 1)
         return client->respond(400, kJson,
                                R"({"error":"X-Attempt-Id must be there once; send one id a try"})");
@@ -74,6 +78,33 @@
     handle(std::move(event));
 }
 
+void RequestExchange::rejectUnrouted(net::HttpConnection& client) {
+    ++accessCounts_.routeNotFound;
+    log_.seldom("route_not_found", "a request was answered with 404 by revision {}: no route",
+                field("revision", routes_->revision()));
+    client.respond(404, kJson, R"({"error":"no route"})");
+}
+
+// A 401 is final for clients, so a key that may be newer than this table is not called unknown.
+bool RequestExchange::mayBeNewKey(tenants::AuthenticationOutcome outcome) const {
+    const bool hasKey = outcome != tenants::AuthenticationOutcome::missingKey;
+    return hasKey && (!routes_->tenants()->complete() || !tableIsCurrent_());
+}
+
+// Each outcome has a kind of its own in the log, so that a flood of one does not hide another.
+void RequestExchange::rejectUnauthorized(tenants::AuthenticationOutcome outcome, const std::string& route,
+                                         net::HttpConnection& client) {
+    if (mayBeNewKey(outcome))
+        return client.respond(503, kJson,
+                              R"({"error":"the key is not known here yet; not taken and not run"})",
+                              net::retryAfterHeader(kRetryUnconfigured));
+    const std::string_view reason = tenants::nameOf(outcome);
+    log_.seldom(reason, "a request on route {} was answered with 401 by revision {}: {}",
+                field("route", route), field("revision", routes_->revision()), field("reason", reason));
+    client.respond(401, kJson, R"({"error":"no tenant holds this key; send Authorization: Bearer KEY"})",
+                   "WWW-Authenticate: Bearer\r\n");
+}
+
 void RequestExchange::handle(dispatch::Event event) {
     events_.push_back(std::move(event));
     processEvents();
@@ -259,11 +290,18 @@
     event.attempt = number;
     event.status = head.status;
     event.rejected = notExecuted(head);
+    if (!event.rejected && !attempt.eventStream) reportRun(*request);
     event.sealed = upstream::findHeader(head.headers, "X-Server-Seal") != nullptr;
     event.bodyBytes = head.noBody ? std::optional<std::uint64_t>(0) : head.contentLength;
     handle(std::move(event));
 }
 
+void RequestExchange::reportRun(OpenRequest& request) {
+    if (request.runReported) return;
+    request.runReported = true;
+    if (request.request.tenant) onRunStarted_(request.request.tenant->name);
+}
+
 void RequestExchange::reportFirstByte(dispatch::RequestId id, int number, HostAttempt& attempt) {
     if (attempt.firstByteReported) return;
     attempt.firstByteReported = true;
@@ -274,6 +312,7 @@
     OpenRequest* const request = find(id);
     if (!request) return;
     HostAttempt& attempt = request->attempts.at(number);
+    if (attempt.eventStream) reportRun(*request);
     reportFirstByte(id, number, attempt);
     if (request->relayed == number && request->answer.open())
         request->answer.forward(attempt, bytes);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -34,6 +34,8 @@
 public:
     /// What this gateway has waiting at hosts, wherever that has changed.
     using OnLoadReport = std::function<void(const dispatch::ReportLoad&)>;
+    /// A host has begun to run a request of this tenant; once for each request.
+    using OnRunStarted = std::function<void(const std::string& tenant)>;
     /// Whether a request that may last this long is accepted now.
     using Admission = std::function<bool(Millis mayLast)>;
 
@@ -44,7 +46,10 @@
     void setRoutes(std::shared_ptr<const routing::RoutingTable> table);
     /// How many gateways share the connections to each host, this one included; at least 1.
     void setLiveGateways(std::uint32_t gateways);
+    /// Whether the routes are as new as control's: else a key that they lack may have been added since.
+    void setTableIsCurrent(std::function<bool()> isCurrent) { tableIsCurrent_ = std::move(isCurrent); }
     void setAdmission(Admission admission) { admission_ = std::move(admission); }
+    void onRunStarted(OnRunStarted onRunStarted) { onRunStarted_ = std::move(onRunStarted); }
     void onLoadReport(OnLoadReport onLoadReport) { onLoadReport_ = std::move(onLoadReport); }
 
     /// A client's request, answered at once where it is not accepted. The message's slices hold during the call only.
@@ -59,6 +64,7 @@
     [[nodiscard]] std::uint64_t routedRequests() const { return lastId_; }
     [[nodiscard]] const RequestEndCounts& endCounts() const { return endCounts_; }
     [[nodiscard]] const upstream::UpstreamCounts& upstreamCounts() const { return upstream_.counts(); }
+    [[nodiscard]] const AccessCounts& accessCounts() const { return accessCounts_; }
     [[nodiscard]] std::size_t upstreamConnections() const { return upstream_.connections(); }
 
 private:
@@ -67,6 +73,7 @@
         ClientAnswer answer;
         std::map<int, HostAttempt> attempts;  // by number
         std::optional<int> relayed;           // the attempt whose answer is the client's
+        bool runReported = false;             // to onRunStarted_
     };
 
     void processEvents();
@@ -90,10 +97,15 @@
     void onEnd(dispatch::RequestId id, int number);
     void onFailed(dispatch::RequestId id, int number, const upstream::Failure& failure);
     void endAttempt(dispatch::RequestId id, int number, dispatch::Outcome outcome, HostAttempt::State state);
+    void reportRun(OpenRequest& request);
     void reportFirstByte(dispatch::RequestId id, int number, HostAttempt& attempt);
     void onClientLeft(dispatch::RequestId id);
     void failRequest(dispatch::RequestId id, int status, std::string_view error, Millis retryAfter);
 
+    [[nodiscard]] bool mayBeNewKey(tenants::AuthenticationOutcome outcome) const;
+    void rejectUnrouted(net::HttpConnection& client);
+    void rejectUnauthorized(tenants::AuthenticationOutcome outcome, const std::string& route,
+                            net::HttpConnection& client);
     void recordEnd(CountsByReason& counts, dispatch::RejectReason reason, int status);
 
     std::size_t connectionQuotaShare(const std::string& service) const;
@@ -109,11 +121,14 @@
     asio::steady_timer timer_;
     std::shared_ptr<const routing::RoutingTable> routes_;
     std::uint32_t liveGateways_ = 1;
+    std::function<bool()> tableIsCurrent_ = [] { return true; };
     Admission admission_ = [](Millis) { return true; };
     OnLoadReport onLoadReport_ = [](const auto&) {};
+    OnRunStarted onRunStarted_ = [](const auto&) {};
     std::unordered_map<dispatch::RequestId, OpenRequest> requests_;
     dispatch::RequestId lastId_ = 0;
     RequestEndCounts endCounts_;
+    AccessCounts accessCounts_;
     std::deque<dispatch::Event> events_;
     bool processing_ = false;  // events that come meanwhile wait in events_
 };
--- a/src/host_discovery/platform_client.cpp
+++ b/src/host_discovery/platform_client.cpp
@@ -18,6 +18,10 @@
     connection_->get(target, timeout, std::move(onAnswer));
 }
 
+void PlatformClient::send(const PlatformRequest& request, Millis timeout, OnAnswer onAnswer) {
+    connection_->send(request, timeout, std::move(onAnswer));
+}
+
 void PlatformClient::cancel() { connection_->cancel(); }
 
 }  // namespace beechpoint::host_discovery
--- a/src/host_discovery/platform_client.hpp
+++ b/src/host_discovery/platform_client.hpp
@@ -17,6 +17,14 @@
 
 class PlatformConnection;
 
+/// A call with a body.
+struct PlatformRequest {
+    std::string method;
+    std::string target;
+    std::string headerLines;  ///< complete lines, each ended by CRLF; without Host and Content-Length
+    std::string body;
+};
+
 class PlatformClient {
 public:
     /// Status and body of the answer; 0 and the reason where there was none.
@@ -31,6 +39,8 @@
 
     /// `timeout`: ms to the complete answer. Never called back from within. Only while no call is in flight.
     void get(const std::string& target, Millis timeout, OnAnswer onAnswer);
+    /// The same for any method and with a body.
+    void send(const PlatformRequest& request, Millis timeout, OnAnswer onAnswer);
     /// The call in flight, if any, is not answered.
     void cancel();
 
--- a/src/host_discovery/platform_connection.cpp
+++ b/src/host_discovery/platform_connection.cpp
@@ -24,9 +24,19 @@
     : address_(std::move(address)), socket_(io), timer_(io), io_(io) {}
 
 void PlatformConnection::get(const std::string& target, Millis timeout, OnAnswer onAnswer) {
+    begin(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", target, address_),
+          timeout, std::move(onAnswer));
+}
+
+void PlatformConnection::send(const PlatformRequest& request, Millis timeout, OnAnswer onAnswer) {
+    begin(fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n{}Content-Length: {}\r\n\r\n{}", request.method,
+                      request.target, address_, request.headerLines, request.body.size(), request.body),
+          timeout, std::move(onAnswer));
+}
+
+void PlatformConnection::begin(std::string request, Millis timeout, OnAnswer onAnswer) {
     onAnswer_ = std::move(onAnswer);
-    request_ =
-        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", target, address_);
+    request_ = std::move(request);
     call_++;
     startTimer(timeout);
     if (socket_.is_open())
--- a/src/host_discovery/platform_connection.hpp
+++ b/src/host_discovery/platform_connection.hpp
@@ -23,10 +23,13 @@
 
     /// As PlatformClient::get(); connects where no connection is open.
     void get(const std::string& target, Millis timeout, OnAnswer onAnswer);
+    /// As PlatformClient::send(); likewise.
+    void send(const PlatformRequest& request, Millis timeout, OnAnswer onAnswer);
     void cancel();
     void close();
 
 private:
+    void begin(std::string request, Millis timeout, OnAnswer onAnswer);
     void startTimer(Millis timeout);
     void connect();
     void write();
--- a/src/operator_client/configuration_difference.cpp
+++ b/src/operator_client/configuration_difference.cpp
@@ -14,6 +14,8 @@
 using Items = std::map<std::string, Json>;
 
 constexpr const char* kRevision = "revision";
+constexpr const char* kTenants = "tenants";
+constexpr const char* kApiKeys = "api_keys";
 constexpr std::size_t kMaxValueText = 60;  // of a member's value in a line
 
 std::string_view nameOf(DifferenceKind kind) {
@@ -51,8 +53,22 @@
     return items;
 }
 
+// API keys are secrets: a terminal and its records show how many there are, never what they are.
+std::string hiddenText(const Json& value) {
+    return value.is_array() ? fmt::format("{} not shown", value.size()) : "not shown";
+}
+
+Json withoutApiKeys(Json value) {
+    if (!value.is_structured()) return value;
+    for (auto member = value.begin(); member != value.end(); ++member) {
+        const bool secret = value.is_object() && member.key() == kApiKeys;
+        *member = secret ? Json(hiddenText(*member)) : withoutApiKeys(std::move(*member));
+    }
+    return value;
+}
+
 std::string shortText(const Json& value) {
-    std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
+    std::string text = withoutApiKeys(value).dump(-1, ' ', false, Json::error_handler_t::replace);
     if (text.size() > kMaxValueText) text = text.substr(0, kMaxValueText) + "...";
     return text;
 }
@@ -65,7 +81,8 @@
 }
 
 std::string memberText(const Json& object, const std::string& key) {
-    return object.contains(key) ? shortText(object.at(key)) : "none";
+    if (!object.contains(key)) return "none";
+    return key == kApiKeys ? hiddenText(object.at(key)) : shortText(object.at(key));
 }
 
 std::vector<std::string> changedMembers(const Json& before, const Json& after) {
@@ -114,8 +131,11 @@
 // Null stands for what is not there.
 void compareMember(const std::string& key, const Json* before, const Json* after,
                    std::vector<ItemDifference>& out) {
-    const bool bothEmpty = isEmpty(before) && isEmpty(after);
-    if (!bothEmpty) compare({}, key, before, after, out);
+    if (isEmpty(before) && isEmpty(after)) return;
+    const std::size_t known = out.size();
+    compare({}, key, before, after, out);
+    // What is no list of tenants is not valid, so that keys may be anywhere in it.
+    if (key == kTenants && out.size() > known) out.back().members.clear();
 }
 
 // The error of the first list that can't be read, if any.
--- a/src/operator_client/configuration_difference.hpp
+++ b/src/operator_client/configuration_difference.hpp
@@ -19,7 +19,8 @@
     bool operator==(const ItemDifference&) const = default;
 };
 
-/// Both are complete configurations as JSON text; the revision is left out, and so is the order of items. Error (invalid): one of
+/// Both are complete configurations as JSON text; the revision is left out, and so is the order of items. API keys are not
+/// in the result, only their number. Error (invalid): one of
 /// them is no JSON object, or an item of a list has no name.
 [[nodiscard]] Result<std::vector<ItemDifference>> difference(std::string_view current,
                                                              std::string_view proposed);
--- a/src/operator_client/status_text.cpp
+++ b/src/operator_client/status_text.cpp
@@ -68,9 +68,20 @@
     return out + memberLines(status) + gatewayLines(status);
 }
 
-}  // namespace
+std::string renderDuties(const Json& status) {
+    std::string out = fmt::format("{:<44} {:<24} {:>8} {:>6} {:>14} {:<8} {:>11} {:>6}\n", "duty", "holder",
+                                  "token", "open", "newest", "state", "last status", "calls");
+    for (const Json& duty : status.at("duties")) {
+        const Json& newest = duty.at("newest_number");
+        out += fmt::format("{:<44} {:<24} {:>8} {:>6} {:>14} {:<8} {:>11} {:>6}\n", text(duty, "subject"),
+                           text(duty, "holder"), number(duty, "token"), number(duty, "open_intents"),
+                           newest.is_null() ? "none" : newest.dump(), text(duty, "newest_state"),
+                           number(duty, "last_status"), number(duty, "calls"));
+    }
+    return out;
+}
 
-Result<std::string> renderStatusText(std::string_view body) {
+Result<std::string> rendered(std::string_view body, std::string (*render)(const Json& status)) {
     const Json status = Json::parse(body, nullptr, false);
     try {
         return render(status);
@@ -81,6 +92,12 @@
     }
 }
 
+}  // namespace
+
+Result<std::string> renderStatusText(std::string_view body) { return rendered(body, render); }
+
+Result<std::string> renderDutiesText(std::string_view body) { return rendered(body, renderDuties); }
+
 std::string describeRefusal(std::string_view body) {
     const Json answer = Json::parse(body, nullptr, false);
     const bool known = answer.is_object() && answer.contains("error") && answer["error"].is_object();
--- a/src/routing/routing_table.hpp
+++ b/src/routing/routing_table.hpp
@@ -16,6 +16,7 @@
 #include "configuration/configuration.hpp"
 #include "core/replicated_table.hpp"
 #include "routing/string_map.hpp"
+#include "tenants/tenant_directory.hpp"
 
 namespace beechpoint::routing {
 
@@ -66,6 +67,8 @@
     const StringMap<std::shared_ptr<const ServiceEntry>>& services() const { return services_; }
     const configuration::Limits& limits() const { return limits_; }
     const std::set<std::string, std::less<>>& evacuatedZones() const { return evacuatedZones_; }
+    /// Null where the configuration has no tenants: requests need no key.
+    const std::shared_ptr<const tenants::TenantDirectory>& tenants() const { return tenants_; }
     bool evacuated(std::string_view zone) const { return evacuatedZones_.contains(zone); }
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
     [[nodiscard]] Position position() const { return position_; }
@@ -87,6 +90,7 @@
     StringMap<std::shared_ptr<const ServiceEntry>> services_;
     StringMap<std::shared_ptr<const HostRoutes>> hosts_;
     configuration::Limits limits_;
+    std::shared_ptr<const tenants::TenantDirectory> tenants_;
     std::set<std::string, std::less<>> evacuatedZones_;
     std::uint64_t revision_ = 0;
     std::uint64_t clusterId_ = 0;
--- a/src/routing/routing_table_builder.cpp
+++ b/src/routing/routing_table_builder.cpp
@@ -93,6 +93,8 @@
         setService(key.substr(kServicePrefix.size()), value);
     } else if (key.starts_with(kEvacuatedPrefix)) {
         table_->evacuatedZones_.emplace(key.substr(kEvacuatedPrefix.size()));
+    } else if (key == configuration::kTenantsKey) {
+        setTenants(value);
     } else if (key == kVersionKey) {
         table_->revision_ = readRevision(value);
     } else if (key == configuration::kClusterKey) {
@@ -112,6 +114,8 @@
         table_->services_.erase(std::string{key.substr(kServicePrefix.size())});
     } else if (key.starts_with(kEvacuatedPrefix)) {
         table_->evacuatedZones_.erase(std::string{key.substr(kEvacuatedPrefix.size())});
+    } else if (key == configuration::kTenantsKey) {
+        table_->tenants_ = nullptr;
     } else if (key == kLimitsKey) {
         table_->limits_ = {};
     }
@@ -149,6 +153,15 @@
     table_->services_.erase(std::string{name});
 }
 
+// A list that can't be read leaves nobody known: requests are refused, since serving them would need no key.
+void RoutingTableBuilder::setTenants(std::string_view value) {
+    const auto list = configuration::parseTenants(value);
+    table_->unreadable_ += list ? list->unreadable : 1;
+    table_->tenants_ = std::make_shared<const tenants::TenantDirectory>(
+        list ? list->tenants : std::vector<configuration::Tenant>{}, base_.tenants_.get(),
+        list && list->unreadable == 0);
+}
+
 void RoutingTableBuilder::addToHost(std::shared_ptr<const RouteEntry> entry) {
     HostRoutes& host = writableHost(entry->host);
     std::string prefix = entry->route.pathPrefix;
--- a/src/routing/routing_table_builder.hpp
+++ b/src/routing/routing_table_builder.hpp
@@ -27,6 +27,7 @@
 
     void setRoute(std::string_view name, std::string_view value);
     void setService(std::string_view name, std::string_view value);
+    void setTenants(std::string_view value);
     void removeRoute(std::string_view name);
     void addToHost(std::shared_ptr<const RouteEntry> entry);
     void removeFromHost(const RouteEntry& entry);
--- a/src/settings/described.cpp
+++ b/src/settings/described.cpp
@@ -1,10 +1,22 @@
 #include "settings/described.hpp"
 
+#include <algorithm>
 #include <cctype>
 
 #include "settings/addresses.hpp"
 
 namespace beechpoint::settings {
+namespace {
+
+// Whether it arrives unchanged as the value of a header field (RFC 9110, 5.5).
+bool isHeaderValue(std::string_view text) {
+    constexpr unsigned char kDelete = 0x7f;
+    const auto isControl = [](unsigned char byte) { return byte < ' ' || byte == kDelete; };
+    return !text.empty() && text.front() != ' ' && text.back() != ' ' &&
+           std::none_of(text.begin(), text.end(), isControl);
+}
+
+}  // namespace
 
 bool hasForm(std::string_view text, Form form) {
     switch (form) {
@@ -12,6 +24,8 @@
             return true;
         case Form::notEmpty:
             return !text.empty();
+        case Form::headerValue:
+            return isHeaderValue(text);
         case Form::ipv4Address:
             return isIpv4Address(text);
         case Form::ipv4Endpoint:
@@ -28,6 +42,8 @@
             return "a text";
         case Form::notEmpty:
             return "a text of at least one character";
+        case Form::headerValue:
+            return "a text of at least one character, without control characters and blanks at its ends";
         case Form::ipv4Address:
             return "an IPv4 address such as 10.1.0.12";
         case Form::ipv4Endpoint:
@@ -39,6 +55,7 @@
 }
 
 std::string wireName(std::string_view memberName) {
+    if (memberName.ends_with('_')) memberName.remove_suffix(1);
     std::string name;
     for (const char character : memberName) {
         const auto byte = static_cast<unsigned char>(character);
--- a/src/settings/described.hpp
+++ b/src/settings/described.hpp
@@ -40,7 +40,7 @@
 namespace beechpoint::settings {
 
 /// Which texts are valid.
-enum class Form { any, notEmpty, ipv4Address, ipv4Endpoint, slashed };
+enum class Form { any, notEmpty, headerValue, ipv4Address, ipv4Endpoint, slashed };
 
 /// Whether the text has the form.
 [[nodiscard]] bool hasForm(std::string_view text, Form form);
@@ -69,7 +69,7 @@
 
 inline constexpr FieldRule kNoRule{};
 
-/// "timeoutMs" -> "timeout_ms".
+/// "timeoutMs" -> "timeout_ms". A trailing underscore is left out: a member may be named after a keyword, "public_" -> "public".
 [[nodiscard]] std::string wireName(std::string_view memberName);
 
 /// Where a value is in the document, as a list of names and indexes through `parent`, which must stay valid. The text is built
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -76,6 +76,11 @@
     return std::find(guarantees.begin(), guarantees.end(), part) != guarantees.end();
 }
 
+bool ProcessSettings::assigned(std::string_view duty) const {
+    const auto& duties = cloudApi.assignedDuties;
+    return std::find(duties.begin(), duties.end(), duty) != duties.end();
+}
+
 std::string_view ProcessSettings::regionOf(std::string_view zoneName) const {
     const auto found = zones.find(std::string{zoneName});
     return found == zones.end() ? std::string_view{} : std::string_view{found->second};
--- a/src/settings/process_settings.hpp
+++ b/src/settings/process_settings.hpp
@@ -24,6 +24,10 @@
 inline constexpr std::string_view kServesControlPlane = "control_plane";
 inline constexpr std::string_view kServesDirectory = "directory";
 
+/// Names in `assigned_duties`.
+inline constexpr std::string_view kReportsUsage = "usage_reporting";
+inline constexpr std::string_view kOrdersHosts = "autoscaling";
+
 struct PortRange {
     int first = 0;
     int last = 0;  ///< included
@@ -80,6 +84,10 @@
     double passMs = 250;
     double againS = 0;
     double ttlMaxS = 5;
+    bool fencing = false;     ///< the platform refuses calls under an older fencing token
+    double leaseMs = 3000;    ///< within it two holders of a duty must not act in turns
+    double usageWindowS = 0;  ///< of a usage report; 0: none are wanted
+    double usageLateS = 10;   ///< a report is due so long after its window's end
     bool operator==(const TimingBounds&) const = default;
 };
 
@@ -89,6 +97,7 @@
     double ratePerS = 1;  ///< calls that it accepts from all processes together
     std::vector<std::string> assignedDuties;
     double maxLagMs = 1000;  ///< largest age of what it answers
+    double dutyPerS = 10;    ///< calls of duties that it accepts from all processes together; 0: none
     bool operator==(const CloudApi&) const = default;
 };
 
@@ -122,6 +131,8 @@
     [[nodiscard]] bool serves(std::string_view role) const;
     /// Whether `guarantees` names the part.
     [[nodiscard]] bool guaranteed(std::string_view part) const;
+    /// Whether `cloud_api.assigned_duties` names the duty.
+    [[nodiscard]] bool assigned(std::string_view duty) const;
     /// Region of a zone; empty when the settings do not name it.
     [[nodiscard]] std::string_view regionOf(std::string_view zoneName) const;
     /// An own IP:PORT as it is announced to others: with the advertised IP, where one is set.
--- a/src/settings/process_settings_fields.hpp
+++ b/src/settings/process_settings_fields.hpp
@@ -13,8 +13,10 @@
 BOOST_HANA_ADAPT_STRUCT(beechpoint::settings::TimingBounds, seedLagS, addressReuseS, contactMs, ackMs,
                         catchUpS, drainMs, graceS, lossSlackMs, configApplyMs, rollbackSlackMs, maxStretchMs,
                         retryBudgetRatio, retryWindowS, retryBudgetSlack, warmupOvershoot, warmupSlack,
-                        evacuateMs, recoveryS, passMs, againS, ttlMaxS);
-BOOST_HANA_ADAPT_STRUCT(beechpoint::settings::CloudApi, address, ratePerS, assignedDuties, maxLagMs);
+                        evacuateMs, recoveryS, passMs, againS, ttlMaxS, fencing, leaseMs, usageWindowS,
+                        usageLateS);
+BOOST_HANA_ADAPT_STRUCT(beechpoint::settings::CloudApi, address, ratePerS, assignedDuties, maxLagMs,
+                        dutyPerS);
 BOOST_HANA_ADAPT_STRUCT(beechpoint::settings::ProcessSettings, nodeName, nodeRole, machineClass, servedRoles,
                         ipAddress, advertisedIpAddress, zone, region, internalPortRange, seedNodes, bootstrap,
                         countsAsLoss, dataDirectory, discoverySource, entryPoint, heartbeatMs, guarantees,
@@ -81,6 +83,9 @@
     FieldRule{.field = "pass_ms", .least = 0},
     FieldRule{.field = "again_s", .least = 0, .tolerant = true},
     FieldRule{.field = "ttl_max_s", .least = 0},
+    FieldRule{.field = "lease_ms", .least = 0},
+    FieldRule{.field = "usage_window_s", .least = 0},
+    FieldRule{.field = "usage_late_s", .least = 0},
 };
 
 template <>
@@ -89,6 +94,7 @@
     FieldRule{.field = "rate_per_s", .least = 0, .aboveLeast = true},
     FieldRule{.field = "assigned_duties", .tolerant = true},
     FieldRule{.field = "max_lag_ms", .least = 0},
+    FieldRule{.field = "duty_per_s", .least = 0},
 };
 
 template <>
--- /dev/null
+++ b/src/tenants/api_key_digest.hpp
@@ -0,0 +1,33 @@
+/// Digests of API keys (BLAKE2b, 256 bits), by which keys are looked up: the keys themselves are not kept. Values; to be used from any
+/// thread.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <string_view>
+
+namespace beechpoint::tenants {
+
+class ApiKeyDigest {
+public:
+    static constexpr std::size_t kBytes = 32;
+
+    [[nodiscard]] static ApiKeyDigest of(std::string_view key);
+
+    /// Takes the same time wherever the two differ.
+    [[nodiscard]] bool operator==(const ApiKeyDigest& other) const;
+
+    /// For hash tables: the digest's first bytes.
+    [[nodiscard]] std::size_t hash() const {
+        std::size_t value = 0;
+        std::memcpy(&value, bytes_.data(), sizeof value);
+        return value;
+    }
+
+private:
+    std::array<std::uint8_t, kBytes> bytes_{};
+};
+
+}  // namespace beechpoint::tenants
--- /dev/null
+++ b/src/tenants/authentication.hpp
@@ -0,0 +1,43 @@
+/// Whose request it is, by its API key (`Authorization: Bearer KEY`, RFC 6750). Pure functions.
+///
+///   configuration    | route      | key of the request                       | outcome
+///   without tenants  | any        | any                                      | unrestricted
+///   with tenants     | any        | one that a tenant holds                  | tenant
+///   with tenants     | public     | none, or one that nobody holds           | anonymous
+///   with tenants     | not public | none, several, or not of the Bearer form | missingKey
+///   with tenants     | not public | one that somebody held earlier           | revokedKey
+///   with tenants     | not public | one that nobody holds                    | unknownKey
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "tenants/tenant_directory.hpp"
+
+namespace beechpoint::tenants {
+
+enum class AuthenticationOutcome { unrestricted, anonymous, tenant, missingKey, revokedKey, unknownKey };
+inline constexpr std::size_t kAuthenticationOutcomes = 6;
+
+struct Authentication {
+    AuthenticationOutcome outcome = AuthenticationOutcome::missingKey;
+    std::shared_ptr<const TenantEntry> tenant;  ///< not null where the outcome is tenant
+
+    /// Whether the request may be served.
+    [[nodiscard]] bool accepted() const {
+        return outcome == AuthenticationOutcome::unrestricted ||
+               outcome == AuthenticationOutcome::anonymous || outcome == AuthenticationOutcome::tenant;
+    }
+};
+
+/// @param directory null: the configuration has no tenants
+/// @param authorization values of the request's Authorization fields
+[[nodiscard]] Authentication authenticate(const TenantDirectory* directory, bool isPublicRoute,
+                                          const std::vector<std::string_view>& authorization);
+
+/// Stable name for logs and metrics.
+[[nodiscard]] std::string_view nameOf(AuthenticationOutcome outcome);
+
+}  // namespace beechpoint::tenants
--- /dev/null
+++ b/tests/duties/duty_runner_test.cpp
@@ -0,0 +1,296 @@
+#include "duties/duty_runner.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace beechpoint::duties {
+namespace {
+
+const Subject kUsage{Duty::usage, "", ""};
+constexpr Millis kDelay = 3000;
+constexpr Millis kLate = 100'000;  // after any back-off and take-over delay
+
+// One member, and the committed table that it sees.
+struct DutyRunnerTest : ::testing::Test {
+    Table table;
+    DutyRunner runner{kUsage, kDelay, 1};
+    DutySituation situation{true, true, 0, 12, "core-1", &table};
+    Millis now = kLate;
+    DutyWork work{7, "seven"};
+
+    void open(std::uint64_t number, const std::string& body) {
+        table[intentKey(kUsage, number)] = formatIntent({number, 11, "core-9", IntentState::open, body});
+    }
+    void settleAs(std::uint64_t number, IntentState state) {
+        beechpoint::apply(settle(table, {kUsage, number, state}), table);
+    }
+    template <class Action>
+    std::optional<Action> stepFor(bool hasWork = true) {
+        const auto action = runner.step(now, situation, hasWork ? std::optional{work} : std::nullopt);
+        if (!action || !std::holds_alternative<Action>(*action)) return std::nullopt;
+        return std::get<Action>(*action);
+    }
+    bool acts() { return runner.step(now, situation, work).has_value(); }
+    std::optional<DutyAction> proposed(std::uint64_t attempt, const ProposalAnswer& answer) {
+        return runner.onProposed(now, situation, attempt, answer);
+    }
+    // Proposes, and calls after the commit.
+    CallPlatform callOfNewIntent() {
+        const auto proposal = stepFor<ProposeIntent>();
+        EXPECT_TRUE(proposal);
+        const ProposalDecision decision = decide(table, proposal->proposal, situation.epoch);
+        beechpoint::apply(decision.changes, table);
+        const auto call = proposed(proposal->attempt, decision);
+        EXPECT_TRUE(call && std::holds_alternative<CallPlatform>(*call));
+        return std::get<CallPlatform>(*call);
+    }
+    SettleIntent settlementOf(const CallPlatform& call, int status) {
+        const auto action = runner.onCalled(now, call.attempt, status);
+        EXPECT_TRUE(action && std::holds_alternative<SettleIntent>(*action));
+        return std::get<SettleIntent>(*action);
+    }
+};
+
+TEST_F(DutyRunnerTest, AWindowsWayIsProposalThenCallThenSettlement) {
+    EXPECT_TRUE(runner.wantsWork(now, situation));
+    const auto proposal = stepFor<ProposeIntent>();
+    ASSERT_TRUE(proposal);
+    EXPECT_EQ(proposal->proposal.token, 12U);
+    EXPECT_EQ(proposal->proposal.holder, "core-1");
+    EXPECT_EQ(proposal->proposal.body, "seven");
+    EXPECT_FALSE(acts()) << "no call before the commit";
+    EXPECT_FALSE(runner.wantsWork(now, situation));
+    const ProposalDecision decision = decide(table, proposal->proposal, 12);
+    beechpoint::apply(decision.changes, table);
+    const auto action = proposed(proposal->attempt, decision);
+    ASSERT_TRUE(action && std::holds_alternative<CallPlatform>(*action));
+    const auto& call = std::get<CallPlatform>(*action);
+    EXPECT_EQ(call.number, 7U);
+    EXPECT_EQ(call.token, 12U);
+    EXPECT_EQ(call.holder, "core-1");
+    EXPECT_EQ(call.body, "seven");
+    EXPECT_FALSE(acts());
+    const SettleIntent settlement = settlementOf(call, 200);
+    EXPECT_EQ(settlement.settlement.number, 7U);
+    EXPECT_EQ(settlement.settlement.state, IntentState::done);
+    EXPECT_FALSE(acts());
+    runner.onSettled(now, settlement.attempt, true);
+    EXPECT_EQ(runner.newestNumber(table), 7U);
+    EXPECT_FALSE(stepFor<CallPlatform>(false)) << "its table shows the outcome later";
+    EXPECT_EQ(runner.calls(), 1U);
+    EXPECT_EQ(runner.lastStatus(), 200);
+}
+
+TEST_F(DutyRunnerTest, TheOldestOpenIntentIsSentWithItsRecordedBody) {
+    open(5, "five");
+    open(6, "six");
+    open(4, "four");
+    settleAs(4, IntentState::done);
+    EXPECT_FALSE(runner.wantsWork(now, situation));
+    const auto call = stepFor<CallPlatform>();
+    ASSERT_TRUE(call);
+    EXPECT_EQ(call->number, 5U);
+    EXPECT_EQ(call->body, "five");
+    EXPECT_EQ(call->token, 12U);
+}
+
+TEST_F(DutyRunnerTest, ASuccessorsOwnBodyYieldsToTheRecordedOne) {
+    const auto proposal = stepFor<ProposeIntent>();
+    open(7, "recorded");
+    const auto action = proposed(proposal->attempt, decide(table, proposal->proposal, 12));
+    ASSERT_TRUE(action && std::holds_alternative<CallPlatform>(*action));
+    EXPECT_EQ(std::get<CallPlatform>(*action).body, "recorded");
+}
+
+TEST_F(DutyRunnerTest, ASettledOrSupersededNumberIsNotSent) {
+    auto proposal = stepFor<ProposeIntent>();
+    open(7, "seven");
+    settleAs(7, IntentState::refused);
+    EXPECT_FALSE(proposed(proposal->attempt, decide(table, proposal->proposal, 12)));
+    proposal = stepFor<ProposeIntent>();
+    ASSERT_TRUE(proposal) << "idle without a back-off";
+    EXPECT_FALSE(proposed(proposal->attempt, ProposalDecision{ProposalOutcome::superseded, {}, {}}));
+    EXPECT_TRUE(acts());
+}
+
+TEST_F(DutyRunnerTest, AProposalThatFailedIsMadeAgainAfterABackOff) {
+    for (const ProposalAnswer& answer :
+         {ProposalAnswer{}, ProposalAnswer{ProposalDecision{ProposalOutcome::stale, {}, {}}},
+          ProposalAnswer{ProposalDecision{ProposalOutcome::tooLarge, {}, {}}}}) {
+        const auto proposal = stepFor<ProposeIntent>();
+        ASSERT_TRUE(proposal);
+        EXPECT_FALSE(proposed(proposal->attempt, answer));
+        EXPECT_FALSE(acts());
+        now += 1.5 * DutyRunner::kRetryMost;
+    }
+    EXPECT_TRUE(acts());
+}
+
+TEST_F(DutyRunnerTest, NoAnswerOf429Or5xxSendsTheSameBodyAgainAfterABackOff) {
+    CallPlatform call = callOfNewIntent();
+    for (const int status : {0, 429, 408, 500, 503, 302, 100}) {
+        EXPECT_FALSE(runner.onCalled(now, call.attempt, status)) << status;
+        EXPECT_FALSE(acts()) << status;
+        now += 1.5 * DutyRunner::kRetryMost;
+        const auto again = stepFor<CallPlatform>();
+        ASSERT_TRUE(again) << status;
+        EXPECT_EQ(again->body, call.body);
+        EXPECT_EQ(again->number, call.number);
+        EXPECT_GT(again->attempt, call.attempt);
+        call = *again;
+    }
+}
+
+TEST_F(DutyRunnerTest, TheBackOffDoublesUpToItsBoundAndEndsWithAnAnswer) {
+    CallPlatform call = callOfNewIntent();
+    Millis expected = DutyRunner::kRetryFirst;
+    for (int failure = 0; failure < 8; ++failure) {
+        EXPECT_FALSE(runner.onCalled(now, call.attempt, 0));
+        const Millis failedAt = now;
+        now = failedAt + 0.5 * expected - 1;
+        EXPECT_FALSE(acts());
+        now = failedAt + 1.5 * expected;
+        call = *stepFor<CallPlatform>();
+        expected = std::min(2 * expected, DutyRunner::kRetryMost);
+    }
+    runner.onSettled(now, settlementOf(call, 200).attempt, false);
+    const Millis failedAt = now;
+    now = failedAt + 1.5 * DutyRunner::kRetryFirst;
+    EXPECT_TRUE(acts());
+}
+
+TEST_F(DutyRunnerTest, AConflictEndsTheTokenButNotTheIntent) {
+    const CallPlatform call = callOfNewIntent();
+    EXPECT_FALSE(runner.onCalled(now, call.attempt, 409));
+    now += kLate;
+    EXPECT_FALSE(acts());
+    EXPECT_FALSE(runner.wantsWork(now, situation));
+    situation.epoch = 13;
+    const auto again = stepFor<CallPlatform>();
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->body, "seven");
+    EXPECT_EQ(again->token, 13U);
+}
+
+TEST_F(DutyRunnerTest, AnotherClientErrorRefusesTheIntentForGood) {
+    const SettleIntent settlement = settlementOf(callOfNewIntent(), 422);
+    EXPECT_EQ(settlement.settlement.state, IntentState::refused);
+}
+
+TEST_F(DutyRunnerTest, KilledBeforeTheIntentTheSuccessorProposesItsOwnBody) {
+    ASSERT_TRUE(stepFor<ProposeIntent>());
+    DutyRunner successor(kUsage, kDelay, 2);
+    situation.epoch = 13;
+    const auto action = successor.step(now, situation, DutyWork{7, "other"});
+    ASSERT_TRUE(action && std::holds_alternative<ProposeIntent>(*action));
+    const ProposalDecision decision = decide(table, std::get<ProposeIntent>(*action).proposal, 13);
+    EXPECT_EQ(decision.intent.body, "other");
+}
+
+// Between commit and call, call and answer, answer and settlement: the table is the same, and so is what a successor does.
+TEST_F(DutyRunnerTest, KilledAfterTheCommitTheSuccessorSendsTheRecordedBodyUnderItsToken) {
+    callOfNewIntent();
+    DutyRunner successor(kUsage, kDelay, 2);
+    situation.epoch = 13;
+    situation.member = "core-2";
+    const auto action = successor.step(now, situation, DutyWork{8, "other"});
+    ASSERT_TRUE(action && std::holds_alternative<CallPlatform>(*action));
+    EXPECT_EQ(std::get<CallPlatform>(*action).body, "seven");
+    EXPECT_EQ(std::get<CallPlatform>(*action).token, 13U);
+    EXPECT_EQ(std::get<CallPlatform>(*action).holder, "core-2");
+}
+
+TEST_F(DutyRunnerTest, ASettlementThatIsLostSendsTheSameBodyAgain) {
+    const CallPlatform call = callOfNewIntent();
+    const SettleIntent settlement = settlementOf(call, 200);
+    runner.onSettled(now, settlement.attempt, false);
+    EXPECT_FALSE(acts());
+    now += 1.5 * DutyRunner::kRetryMost;
+    const auto again = stepFor<CallPlatform>();
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->body, call.body);
+}
+
+TEST_F(DutyRunnerTest, EndsOfEarlierAttemptsAreIgnored) {
+    const auto proposal = stepFor<ProposeIntent>();
+    EXPECT_FALSE(runner.onCalled(now, proposal->attempt, 200)) << "not the end of this action";
+    runner.onSettled(now, proposal->attempt, true);
+    proposed(proposal->attempt, ProposalAnswer{});
+    now += 1.5 * DutyRunner::kRetryMost;
+    const CallPlatform call = callOfNewIntent();
+    EXPECT_FALSE(
+        proposed(proposal->attempt, ProposalDecision{ProposalOutcome::accepted, {7, 12, "", {}, "x"}, {}}));
+    EXPECT_FALSE(runner.onCalled(now, call.attempt - 1, 409));
+    const SettleIntent settlement = settlementOf(call, 200);
+    EXPECT_FALSE(runner.onCalled(now, call.attempt, 409)) << "the same end twice";
+    runner.onSettled(now, settlement.attempt - 1, false);
+    runner.onSettled(now, settlement.attempt, true);
+    EXPECT_FALSE(stepFor<CallPlatform>(false));
+}
+
+TEST_F(DutyRunnerTest, AnotherTermEndsWhatIsUnderWay) {
+    const auto proposal = stepFor<ProposeIntent>();
+    open(7, "seven");
+    situation.epoch = 13;
+    EXPECT_FALSE(proposed(proposal->attempt, decide(table, proposal->proposal, 12)))
+        << "the answer of an earlier term makes no call";
+    const auto call = stepFor<CallPlatform>();
+    ASSERT_TRUE(call);
+    situation.holds = false;
+    EXPECT_FALSE(acts());
+    EXPECT_FALSE(runner.onCalled(now, call->attempt, 200));
+}
+
+TEST_F(DutyRunnerTest, NothingIsDoneWithoutFreshnessHoldOrTable) {
+    open(7, "seven");
+    situation.fresh = false;
+    EXPECT_FALSE(acts());
+    situation.fresh = true;
+    situation.holds = false;
+    EXPECT_FALSE(acts());
+    situation.holds = true;
+    situation.table = nullptr;
+    EXPECT_FALSE(acts());
+    situation.table = &table;
+    EXPECT_TRUE(acts());
+}
+
+TEST_F(DutyRunnerTest, FrozenBetweenCommitAndAnswerItDoesNotCallUntilItIsFresh) {
+    const auto proposal = stepFor<ProposeIntent>();
+    const ProposalDecision decision = decide(table, proposal->proposal, 12);
+    beechpoint::apply(decision.changes, table);
+    now += 60'000;
+    situation.fresh = false;
+    EXPECT_FALSE(proposed(proposal->attempt, decision));
+    EXPECT_FALSE(acts());
+    situation.fresh = true;
+    EXPECT_TRUE(stepFor<CallPlatform>());
+}
+
+TEST_F(DutyRunnerTest, ANewHolderWaitsForTheTakeOverDelayUnlessNobodyHasActed) {
+    situation.holdsSince = now;
+    EXPECT_TRUE(runner.wantsWork(now, situation)) << "no intent: nobody has acted";
+    open(6, "six");
+    settleAs(6, IntentState::done);
+    EXPECT_FALSE(acts());
+    now += kDelay - 1;
+    EXPECT_FALSE(acts());
+    now += 1;
+    EXPECT_TRUE(acts());
+}
+
+TEST_F(DutyRunnerTest, TheNewestNumberIsThatOfTheTableOrTheLastSettled) {
+    EXPECT_EQ(runner.newestNumber(table), std::nullopt);
+    const CallPlatform call = callOfNewIntent();
+    const SettleIntent settlement = settlementOf(call, 200);
+    const Table before;
+    EXPECT_EQ(runner.newestNumber(before), std::nullopt);
+    runner.onSettled(now, settlement.attempt, true);
+    EXPECT_EQ(runner.newestNumber(before), 7U);
+    open(9, "nine");
+    EXPECT_EQ(runner.newestNumber(table), 9U);
+}
+
+}  // namespace
+}  // namespace beechpoint::duties
--- a/tests/operator_client/configuration_difference_test.cpp
+++ b/tests/operator_client/configuration_difference_test.cpp
@@ -49,6 +49,37 @@
     EXPECT_EQ(differencesOf(R"({"routes":[{"name":"a"}]})", R"({})"), expected);
 }
 
+TEST(ConfigurationDifference, ApiKeysAreNotShown) {
+    const auto differences = differencesOf(
+        R"({"tenants":[{"name":"a","api_keys":["secret-1"]},{"name":"b","api_keys":["secret-2"]},{"name":"c"}]})",
+        R"({"tenants":[{"name":"a","api_keys":["secret-1","secret-3"]},{"name":"c","api_keys":"secret-4",)"
+        R"("x":{"api_keys":["secret-5"]}},{"name":"d","api_keys":["secret-2"]}]})");
+    const std::vector<ItemDifference> expected = {
+        {DifferenceKind::changed, "tenants", "a", {"api_keys: 1 not shown -> 2 not shown"}},
+        {DifferenceKind::removed, "tenants", "b", {}},
+        {DifferenceKind::changed,
+         "tenants",
+         "c",
+         {"api_keys: none -> not shown", R"(x: none -> {"api_keys":"1 not shown"})"}},
+        {DifferenceKind::added, "tenants", "d", {}},
+    };
+    EXPECT_EQ(differences, expected);
+    EXPECT_EQ(renderDifferences(differences).find("secret"), std::string::npos);
+    EXPECT_EQ(renderDifferencesJson(differences).find("secret"), std::string::npos);
+}
+
+TEST(ConfigurationDifference, ApiKeysOfMalformedTenantsAreNotShown) {
+    for (const char* tenants : {R"([{"api_keys":["secret"]}])", R"({"secret":{"api_keys":["secret"]}})",
+                                R"(["secret"])", R"("secret")"}) {
+        const std::string malformed = std::string(R"({"tenants":)") + tenants + "}";
+        for (const auto& differences : {differencesOf(R"({"tenants":[]})", malformed),
+                                        differencesOf(malformed, R"({"tenants":{"secret":1}})")}) {
+            ASSERT_EQ(differences.size(), 1u) << tenants;
+            EXPECT_EQ(renderDifferences(differences).find("secret"), std::string::npos) << tenants;
+        }
+    }
+}
+
 TEST(ConfigurationDifference, RejectsWhatIsNoConfiguration) {
     EXPECT_FALSE(difference("{", "{}").has_value());
     EXPECT_FALSE(difference("{}", "[]").has_value());
--- a/tests/settings/process_settings_test.cpp
+++ b/tests/settings/process_settings_test.cpp
@@ -68,6 +68,10 @@
 pass_ms = 250
 again_s = 0
 ttl_max_s = 5
+fencing = true
+lease_ms = 3000
+usage_window_s = 5
+usage_late_s = 10
 [cloud_api]
 address = "10.200.0.4:8142"
 rate_per_s = 44.0
--- a/tests/system/addresses.hpp
+++ b/tests/system/addresses.hpp
@@ -29,7 +29,7 @@
     std::string relayed(std::size_t member) const { return ip(101 + member); }  // where it is reached
     std::string gateway(std::size_t gateway) const { return ip(51 + gateway); }
     std::string platform() const { return ip(200); }
-    std::string host() const { return ip(201); }
+    std::string host(std::size_t host = 0) const { return ip(201 + host); }
 
 private:
     std::string ip(std::size_t last) const;
--- a/tests/system/operator.hpp
+++ b/tests/system/operator.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "operator_client/client.hpp"
 #include "system.hpp"
@@ -23,6 +24,10 @@
 
     // The whole configuration of that revision, built on the one before, offered to these members in turn until the answer is clear.
     Outcome put(std::uint64_t revision, const Members& members, Millis most = kConditionMost);
+    // Any call, with the same client.
+    Outcome send(operator_client::Call call, const Members& members, Millis most = kConditionMost) {
+        return perform(std::move(call), members, most);
+    }
     Outcome read(const Members& members, Millis most = kConditionMost);
     Outcome evacuate(const std::string& zone, bool back, const Members& members,
                      Millis most = kConditionMost);
--- /dev/null
+++ b/tests/system/soak_schedule.hpp
@@ -0,0 +1,28 @@
+// What a seed has done to the processes of a soak: signals, ends and restarts that overlap. Free of I/O.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/clock.hpp"
+
+namespace beechpoint::system_test {
+
+enum class SoakAction { terminate, kill, stop, reload };
+
+struct SoakEvent {
+    Millis at = 0;  // from the beginning
+    SoakAction action = SoakAction::reload;
+    bool isMember = false;
+    std::size_t number = 0;  // of the member or gateway
+    Millis length = 0;       // of the stop, or from the end of the process to its restart
+};
+
+// In the order of their times.
+std::vector<SoakEvent> drawSchedule(std::uint64_t seed, std::size_t members, std::size_t gateways,
+                                    Millis length);
+std::string describe(const SoakEvent& event);
+
+}  // namespace beechpoint::system_test
--- a/tests/system/system.cpp
+++ b/tests/system/system.cpp
@@ -47,6 +47,25 @@
     return text.size() > kLogBytes ? text.substr(text.size() - kLogBytes) : text;
 }
 
+std::vector<asio::ip::tcp::endpoint> hostEndpoints(const Addresses& addresses, std::size_t hosts) {
+    std::vector<asio::ip::tcp::endpoint> endpoints;
+    for (std::size_t host = 0; host < hosts; ++host)
+        endpoints.push_back(endpointOf(addresses.host(host), Ports::kHost));
+    return endpoints;
+}
+
+// Whether the kernel lists the signal among those that the process catches.
+bool handlesSignals(pid_t process, std::initializer_list<int> signals) {
+    const std::string kCaught = "SigCgt:";
+    std::ifstream status(fmt::format("/proc/{}/status", process));
+    for (std::string line; std::getline(status, line);) {
+        if (!line.starts_with(kCaught)) continue;
+        const std::uint64_t caught = std::strtoull(line.c_str() + kCaught.size(), nullptr, 16);
+        return std::ranges::all_of(signals, [&](int signal) { return (caught >> (signal - 1) & 1u) != 0; });
+    }
+    return false;
+}
+
 }  // namespace
 
 System::System(Shape shape)
@@ -55,7 +74,7 @@
       relay_(background_,
              [this](const auto& caller, const auto& called) { return owners_.ownerOf(caller, called); }),
       surroundings_(background_, endpointOf(addresses_.platform(), Ports::kPlatform),
-                    endpointOf(addresses_.host(), Ports::kHost)),
+                    hostEndpoints(addresses_, shape.hosts)),
       program_(program()) {
     for (std::size_t member = 0; member < kMostMembers; ++member)
         for (const std::uint16_t port : {Ports::kInternal, Ports::kControl})
@@ -86,6 +105,17 @@
         node, ip, Ports::kInternal, Ports::kInternal, listText(seedAddresses));
 }
 
+std::string System::dutyBounds() const {
+    if (!shape_.duties) return {};
+    return fmt::format(
+        "usage_window_s = {}\nusage_late_s = {}\nlease_ms = {}\nfencing = true\nconfig_apply_ms = {}\n",
+        kUsageWindowS, kUsageLate / 1000, kLease, kConfigApply);
+}
+
+std::string System::dutySettings() const {
+    return shape_.duties ? "assigned_duties = [\"usage_reporting\"]\nduty_per_s = 20\n" : "";
+}
+
 void System::startMember(std::size_t member, bool bootstrap, const Members& seeds) {
     const std::string node = nodeOf(member), ip = addresses_.member(member);
     std::string text = commonSettings(node, ip, seeds);
@@ -97,9 +127,9 @@
     text += fmt::format(
         "[listen_addresses]\ncontrol = \"{0}:{1}\"\ndirectory = \"{0}:{2}\"\nreadiness = \"{0}:{3}\"\n"
         "[fault_tolerance]\nmachines = {4}\nzones = {5}\n"
-        "[cloud_api]\naddress = \"{6}:{7}\"\nrate_per_s = 20\n",
+        "[timing_bounds]\n{8}[cloud_api]\naddress = \"{6}:{7}\"\nrate_per_s = 20\n{9}",
         ip, Ports::kControl, Ports::kDirectory, Ports::kReadiness, shape_.machinesToLose, shape_.zonesToLose,
-        addresses_.platform(), Ports::kPlatform);
+        addresses_.platform(), Ports::kPlatform, dutyBounds(), dutySettings());
     launch(members_[member], node, "control", text);
 }
 
@@ -109,9 +139,10 @@
     text += fmt::format(
         "node_role = \"gateway\"\nmachine_class = \"edge\"\nserved_roles = [\"edge\"]\nzone = \"z1\"\n"
         "[listen_addresses]\nfront = \"{0}:{1}\"\nreadiness = \"{0}:{2}\"\n"
-        "[fault_tolerance]\nmachines = {3}\n[timing_bounds]\nretry_budget_slack = 50\n"
-        "[cloud_api]\naddress = \"{4}:{5}\"\nrate_per_s = 20\n",
-        ip, Ports::kFront, Ports::kReadiness, shape_.machinesToLose, addresses_.platform(), Ports::kPlatform);
+        "[fault_tolerance]\nmachines = {3}\n[timing_bounds]\nretry_budget_slack = 50\n{6}"
+        "[cloud_api]\naddress = \"{4}:{5}\"\nrate_per_s = 20\n{7}",
+        ip, Ports::kFront, Ports::kReadiness, shape_.machinesToLose, addresses_.platform(), Ports::kPlatform,
+        dutyBounds(), dutySettings());
     launch(gateways_[gateway], node, "gateway", text);
 }
 
@@ -150,6 +181,13 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool System::memberHandlesSignals(std::size_t member) const {
+    return runs(member) && handlesSignals(members_[member].pid(), {SIGTERM, SIGHUP});
+}
+bool System::gatewayHandlesSignals(std::size_t gateway) const {
+    return gateways_[gateway].runs() && handlesSignals(gateways_[gateway].pid(), {SIGTERM, SIGHUP});
+}
+
 void System::wipe(std::size_t member) {
     if (runs(member)) throw std::logic_error("a disk is emptied only while its process does not run");
     fs::remove_all(fileOf(nodeOf(member), "data"));
--- a/tests/system/system.hpp
+++ b/tests/system/system.hpp
@@ -23,6 +23,10 @@
 
 inline constexpr std::size_t kMostMembers = 9;
 inline constexpr std::size_t kMostGateways = 4;
+inline constexpr int kUsageWindowS = 1;           // short, so that a short run has many
+inline constexpr Millis kUsageLate = 10'000;      // a report is due so long after its window's end
+inline constexpr Millis kLease = 3'000;           // of a duty
+inline constexpr Millis kConfigApply = 3'000;     // from an acknowledgement
 inline constexpr Millis kConditionMost = 20'000;  // for a condition to come true
 
 using Members = std::vector<std::size_t>;
@@ -34,6 +38,8 @@
         std::size_t gateways = 2;
         int machinesToLose = 1;
         int zonesToLose = 1;
+        std::size_t hosts = 1;  // each in a zone of its own, z1 first
+        bool duties = false;    // usage reports, in windows of kUsageWindow
     };
 
     explicit System(Shape shape);
@@ -55,6 +61,9 @@
     // The status that the process ended with; nothing where it goes on running.
     std::optional<int> awaitEnd(std::size_t member, Millis most = kConditionMost);
     std::optional<int> awaitGatewayEnd(std::size_t gateway, Millis most = kConditionMost);
+    // Whether the process has its handlers of SIGTERM and SIGHUP in place: before, either ends it as any other program.
+    bool memberHandlesSignals(std::size_t member) const;
+    bool gatewayHandlesSignals(std::size_t gateway) const;
     void wipe(std::size_t member);  // its disk; not while it runs
     bool runs(std::size_t member) const { return members_[member].runs(); }
 
@@ -85,6 +94,7 @@
     Members chainAt(std::size_t member) const;
 
     Relay& relay() { return relay_; }
+    Surroundings& surroundings() { return surroundings_; }
     const Clock& clock() const { return clock_; }
     const Shape& shape() const { return shape_; }
     Members founders() const;
@@ -94,6 +104,8 @@
 private:
     std::filesystem::path fileOf(const std::string& node, const char* ending) const;
     std::string commonSettings(const std::string& node, const std::string& ip, const Members& seeds) const;
+    std::string dutyBounds() const;
+    std::string dutySettings() const;
     void launch(emulator::RealProcess& process, const std::string& node, const char* role,
                 const std::string& settings);
     std::optional<int> awaitEndOf(emulator::RealProcess& process, const std::string& node, Millis most);
