--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -61,6 +61,8 @@
     const tenants::Authentication authentication =
         tenants::authenticate(routes_->tenants().get(), route->route.public_, authorizationOf(message));
     accessCounts_.add(authentication.outcome);
+    if (!authentication.accepted())
+        return rejectUnauthorized(authentication.outcome, route->route.name, *client);
     ClientRequest request = readClientRequest(message);
     assignTenant(authentication, request);
     if (request.attemptId.empty() || message.count("X-Attempt-Id") != 1)
