--- a/src/configuration/tenant_checks.cpp
+++ b/src/configuration/tenant_checks.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -99,13 +100,15 @@
                          std::vector<Error>& faults) {
     const auto change = std::find_if(changes.begin(), changes.end(),
                                      [](const Change& one) { return one.key == kTenantsKey; });
-    if (change == changes.end() || !change->value) return;
+    if (change == changes.end()) return;
+    const std::optional<std::string>& merged = change->value;
+    if (!merged) return;
     const auto member = std::find_if(sent.begin(), sent.end(),
                                      [](const OtherMember& one) { return one.name == kTenantsMember; });
     if (member == sent.end())
-        checkTenants(*change->value, kUpsertPointer, faults);
+        checkTenants(*merged, kUpsertPointer, faults);
     else
-        checkAmongOthers(*change->value, member->json, faults);
+        checkAmongOthers(*merged, member->json, faults);
 }
 
 }  // namespace beechpoint::configuration
--- a/src/gateway/usage_reporter.cpp
+++ b/src/gateway/usage_reporter.cpp
@@ -36,12 +36,12 @@
     timer_.expires_after(toMicroseconds(UsageReportState::kTick));
     timer_.async_wait([this](asio::error_code error) {
         if (error || stopped_) return;
-        if (auto call = state_.onTimer(clock_.now(), ownTime())) send(std::move(*call));
+        if (const auto call = state_.onTimer(clock_.now(), ownTime())) send(*call);
         armTimer();
     });
 }
 
-void UsageReporter::send(UsageCall call) {
+void UsageReporter::send(const UsageCall& call) {
     client_.call(call.address, control::encode(call.message), kReportTimeout,
                  [this](const Result<std::string>& bytes) {
                      std::optional<control::UsageReply> reply;
--- a/src/gateway/usage_reporter.hpp
+++ b/src/gateway/usage_reporter.hpp
@@ -31,7 +31,7 @@
 
 private:
     void armTimer();
-    void send(UsageCall call);
+    void send(const UsageCall& call);
     [[nodiscard]] Millis ownTime() const { return clock_.toUnix(clock_.now()); }
 
     const Clock& clock_;
