--- a/src/routing/table_copy.hpp
+++ b/src/routing/table_copy.hpp
@@ -19,14 +19,13 @@
 
     /// Never null; empty at position {0, 0} before the first update.
     [[nodiscard]] const std::shared_ptr<const RoutingTable>& current() const { return current_; }
-    [[nodiscard]] Position position() const { return position_; }
+    [[nodiscard]] Position position() const { return current_->position(); }
     /// Whether a configuration has come yet.
     [[nodiscard]] bool configured() const { return current_->revision() != 0; }
     [[nodiscard]] std::uint64_t ignoredUpdates() const { return ignoredUpdates_; }
 
 private:
     std::shared_ptr<const RoutingTable> current_;
-    Position position_;  // of the newest update; ahead of current_ where that changed nothing
     std::uint64_t ignoredUpdates_ = 0;
 };
 
