--- a/src/control/gateway_service_state.cpp
+++ b/src/control/gateway_service_state.cpp
@@ -148,13 +148,14 @@
     return newsPosition_ > request.position || hosts_.hasUpdateFor(request);
 }
 
-// Batches that hold nothing for gateways don't end their long polls.
+// Batches of duties' intents don't end the gateways' long polls.
 void GatewayServiceState::noteTableChanges(const CommittedTableSource& table) {
     const Position committed = table.committedPosition();
     if (committed == seenPosition_) return;
     const auto update = table.updateSince(seenPosition_);
-    const bool isNews = !update || update->whole || std::ranges::any_of(update->changes, isForGateways);
-    if (isNews) newsPosition_ = committed;
+    const bool isOnlyForMembers = update && !update->whole && !update->changes.empty() &&
+                                  std::ranges::none_of(update->changes, isForGateways);
+    if (!isOnlyForMembers) newsPosition_ = committed;
     if (update) seenPosition_ = committed;
 }
 
