Report no window whose counts a session may have dropped

Cause: after a standstill the collector offered the window kMaxWindows back, while each session keeps kMaxWindows windows, the current one included. Change: it begins two windows later.

--- a/src/duties/usage_collector.cpp
+++ b/src/duties/usage_collector.cpp
@@ -32,7 +32,9 @@
     if (newestRecorded) window = *newestRecorded + 1;
     if (!window) return std::nullopt;
     const WindowNumber current = windowAt(unixTime, windowLength_);
-    if (current > kMaxWindows) window = std::max(*window, current - kMaxWindows);
+    // Older ones may have been dropped already by some session; one gateway may be a window ahead.
+    constexpr WindowNumber kKeptBefore = kMaxWindows - 2;
+    if (current > kKeptBefore) window = std::max(*window, current - kKeptBefore);
     const Millis sinceEnd = unixTime - endOf(*window, windowLength_);
     if (sinceEnd < kGatherTime) return std::nullopt;
     const bool mayBeCovered = std::min(sinceEnd, collectedFor) < longestGatherTime_;
--- a/src/duties/usage_collector.hpp
+++ b/src/duties/usage_collector.hpp
@@ -5,8 +5,8 @@
 ///
 ///   a window may be reported | when it is over for kGatherTime and each live gateway's counts cover it, or both its end and
 ///                            | the holder's term lie longestGatherTime back
-///   the next window          | the one after the newest recorded; the first with a count, where none is recorded; never one that was over
-///                            | more than kMaxWindows windows ago
+///   the next window          | the one after the newest recorded; the first with a count, where none is recorded; never one that some
+///                            | session may have dropped
 ///
 ///   bound                         | at the bound
 ///   kMaxSessions gateway sessions | reports of further ones are refused
