--- a/src/configuration/configuration.hpp
+++ b/src/configuration/configuration.hpp
@@ -39,7 +39,8 @@
     bool resumable = false;
     double gapAimMs = 0;  ///< target of the longest time between two events of a stream; 0: not stated
     std::vector<std::string> allowedRegions;  ///< empty: all
-    bool public_ = false;                     ///< requests need no API key
+    /// Requests need no API key. The word on the wire is a keyword here.
+    bool public_ = false;  // NOLINT(readability-identifier-naming)
     bool operator==(const Route&) const = default;
 
     /// May run twice without harm (RFC 9110, 9.2.2): idempotent, or a stream that another backend may resume.
--- a/src/control/duty_service_state.cpp
+++ b/src/control/duty_service_state.cpp
@@ -71,7 +71,8 @@
     std::vector<DutyAction> actions;
     followTerm(now, replica);
     forgetRecordedUsage(replica);
-    for (auto& [subject, held] : held_) {
+    for (auto& entry : held_) {
+        Held& held = entry.second;
         const duties::DutySituation situation = situationOf(now, replica, held);
         std::optional<duties::DutyWork> work;
         if (held.runner.wantsWork(now, situation))
@@ -114,7 +115,9 @@
 
 std::vector<DutyStatus> DutyServiceState::status(const DutyReplica& replica) const {
     std::vector<DutyStatus> all;
-    for (const auto& [subject, held] : held_) {
+    for (const auto& entry : held_) {
+        const Subject& subject = entry.first;
+        const Held& held = entry.second;
         DutyStatus status;
         status.subject = duties::keyOf(subject);
         if (const replica::Member* const holder = duties::holderOf(subject, replica.view))
--- a/src/control/gateway_service_state.cpp
+++ b/src/control/gateway_service_state.cpp
@@ -145,18 +145,18 @@
 
 bool GatewayServiceState::hasUpdate(const CommittedTableSource& table, const PollRequest& request) {
     noteTableChanges(table);
-    return newsPosition_ > request.position || hosts_.hasUpdateFor(request);
+    return updatePosition_ > request.position || hosts_.hasUpdateFor(request);
 }
 
 // Batches of duties' intents don't end the gateways' long polls.
 void GatewayServiceState::noteTableChanges(const CommittedTableSource& table) {
     const Position committed = table.committedPosition();
-    if (committed == seenPosition_) return;
-    const auto update = table.updateSince(seenPosition_);
+    if (committed == checkedPosition_) return;
+    const auto update = table.updateSince(checkedPosition_);
     const bool isOnlyForMembers = update && !update->whole && !update->changes.empty() &&
                                   std::ranges::none_of(update->changes, isForGateways);
-    if (!isOnlyForMembers) newsPosition_ = committed;
-    if (update) seenPosition_ = committed;
+    if (!isOnlyForMembers) updatePosition_ = committed;
+    if (update) checkedPosition_ = committed;
 }
 
 // Where either of the two has no identity yet, nothing speaks against the other.
--- a/src/control/gateway_service_state.hpp
+++ b/src/control/gateway_service_state.hpp
@@ -116,8 +116,8 @@
     PollResponder responder_;
     GatewayCountMonitor count_;
     PeerUpdates peerUpdates_;
-    Position seenPosition_;  // the committed one when changes were last looked at
-    Position newsPosition_;  // the newest at which something changed that gateways need
+    Position checkedPosition_;  // the committed one when changes were last looked at
+    Position updatePosition_;   // the newest at which something changed that gateways need
     bool draining_ = false;
 };
 
--- a/src/duties/scaling_policy.cpp
+++ b/src/duties/scaling_policy.cpp
@@ -95,8 +95,9 @@
     for (Zone& zone : assessed) regions[zone.seen->region].zones.push_back(&zone);
 
     int unplaced = 0;
-    for (auto& [name, region] : regions) {
-        region.state = &regions_[name];
+    for (auto& entry : regions) {
+        Region& region = entry.second;
+        region.state = &regions_[entry.first];
         const int wanted = growth(now, bounds, region);
         if (wanted == 0) {
             shrink(now, region);
@@ -105,9 +106,9 @@
         region.state->lowSince.reset();
         unplaced += addWithinRegion(wanted, bounds.maxCount, region.zones);
     }
-    for (auto& [name, region] : regions) {
+    for (auto& entry : regions) {
         if (unplaced == 0) break;
-        unplaced = addWithinRegion(unplaced, bounds.maxCount, region.zones);
+        unplaced = addWithinRegion(unplaced, bounds.maxCount, entry.second.zones);
     }
     std::map<std::string, int> counts;
     for (const Zone& zone : assessed) counts[zone.seen->zone] = zone.wanted;
--- a/src/duties/usage_collector.cpp
+++ b/src/duties/usage_collector.cpp
@@ -53,10 +53,11 @@
 
 std::optional<WindowNumber> UsageCollector::firstCounted() const {
     std::optional<WindowNumber> first;
-    for (const auto& [key, session] : sessions_) {
-        if (session.windows.empty()) continue;
-        const WindowNumber oldest = session.windows.begin()->first;
-        first = first ? std::min(*first, oldest) : oldest;
+    for (const auto& entry : sessions_) {
+        const auto& windows = entry.second.windows;
+        if (windows.empty()) continue;
+        const WindowNumber oldest = windows.begin()->first;
+        if (!first || oldest < *first) first = oldest;
     }
     return first;
 }
