Blame a member for a missing item only if its predecessor can forward it

Cause: the head reports as stalled the first member that has not stored its current item within 1 s. Where the member before it had stored the item, reported so, and failed before it had passed it on, that is an innocent successor. If the silence of the failed member is noticed at the same assessment of the view, both are excluded, the head alone is not enough for a view, and nothing ends this state. Evidence: the trace of the simulation, with the item and what is reported at chosen times; the lost member's last heartbeat must have been sent within one assessment of the item. Ruled out: the voters (2 of 3 answer), the proposal (none is begun), the transfer of the state. Change: Chain::stalledMember blames a member only while the member before it replies, has the session of the view, has a working disk and reports the link as sound. Otherwise the fault is that of the other member or of the link, which are assessed on their own.

--- a/src/replica/chain.cpp
+++ b/src/replica/chain.cpp
@@ -253,13 +253,34 @@
     if (installed_ && !table_.hasStoredPending()) return {};
     const Millis limit = installed_ ? kStallTimeout : kOpeningStallTimeout;
     if (now - itemStartedAt_ < limit) return {};
+    const Member* previous = nullptr;
     for (const Member& member : membership_.view.members) {
-        if (sameProcess(member, membership_.self)) continue;
-        if (!hasStored(member, detector)) return member.internalAddress;
+        const bool isSelf = sameProcess(member, membership_.self);
+        if (!isSelf && !hasStored(member, detector)) {
+            return forwardsTo(now, *previous, member, detector) ? member.internalAddress : std::string{};
+        }
+        previous = &member;
     }
     return {};
 }
 
+// Whether this member of the chain is known to be able to forward items to its successor. Otherwise a missing item is no evidence
+// against the successor, and the failure is that of the member or of the link.
+bool Chain::forwardsTo(Millis now, const Member& member, const Member& successor,
+                       const FailureDetector& detector) const {
+    if (sameProcess(member, membership_.self)) return true;
+    if (!runs(now, member, detector)) return false;
+    const Status& status = detector.find(member.internalAddress)->status;
+    return !status.diskFailing && std::ranges::find(status.unresponsivePeers, successor.internalAddress) ==
+                                      status.unresponsivePeers.end();
+}
+
+// Whether the process that the view lists still replies. A process that was restarted takes no part in the chain before the next view.
+bool Chain::runs(Millis now, const Member& member, const FailureDetector& detector) const {
+    const Peer* peer = detector.findReachable(member.internalAddress, now);
+    return peer && sameProcess(peer->member, member);
+}
+
 // Whether the member has reported storing as many items of this epoch as the head.
 bool Chain::hasStored(const Member& member, const FailureDetector& detector) const {
     const Peer* peer = detector.find(member.internalAddress);
--- a/src/replica/chain.hpp
+++ b/src/replica/chain.hpp
@@ -75,8 +75,8 @@
     const ReplicaTable& table() const { return table_; }
     /// Whether a process at this position lacks at most kMaxCatchUpBytes of the committed changes.
     bool isNearlyCaughtUp(Position position) const;
-    /// Internal address of the first member that, according to its status reports, has exceeded the time limit for storing
-    /// the head's current item; empty if there is none.
+    /// Internal address of the first member that, according to the status reports, has exceeded the time limit for storing the head's
+    /// current item although its predecessor is able to forward it; empty if there is none.
     std::string stalledMember(Millis now, const FailureDetector& detector) const;
     /// Update from an older position to the committed one; nullopt unless the view is installed.
     std::optional<TableUpdate> updateSince(Position position) const;
@@ -91,6 +91,9 @@
     bool isSynced() const { return table_.isSynced(membership_.view); }
     bool hasStoredBatchOfEpoch() const;
     bool hasStored(const Member& member, const FailureDetector& detector) const;
+    bool forwardsTo(Millis now, const Member& member, const Member& successor,
+                    const FailureDetector& detector) const;
+    bool runs(Millis now, const Member& member, const FailureDetector& detector) const;
 
     void passOpening(Millis now);
     void installView(Millis now);
--- a/src/replica/failure_detector.cpp
+++ b/src/replica/failure_detector.cpp
@@ -102,6 +102,10 @@
     return found == peers_.end() ? nullptr : &found->second;
 }
 
+const Peer* FailureDetector::findReachable(const std::string& address, Millis now) const {
+    return isReachable(address, now) ? find(address) : nullptr;
+}
+
 bool FailureDetector::isReachable(const std::string& address, Millis now) const {
     const Peer* peer = find(address);
     return peer && now - peer->answeredHeartbeatSentAt <= kReachableDuration;
--- a/src/replica/failure_detector.hpp
+++ b/src/replica/failure_detector.hpp
@@ -68,6 +68,8 @@
 
     const std::map<std::string, Peer>& peers() const { return peers_; }  // by internal address
     const Peer* find(const std::string& address) const;
+    /// The peer if it isReachable(), else nullptr.
+    const Peer* findReachable(const std::string& address, Millis now) const;
     /// Whether it has answered a heartbeat sent within the last kReachableDuration.
     bool isReachable(const std::string& address, Millis now) const;
     /// Whether it has not answered for kSuspectTimeout.
--- a/tests/replica/simulated_cluster.hpp
+++ b/tests/replica/simulated_cluster.hpp
@@ -91,6 +91,10 @@
     void onSend(std::function<void(std::size_t from, const Body& body)> action) {
         onSend_ = std::move(action);
     }
+    // Additional delay of each message, decided as it is sent.
+    void delayMessages(std::function<Millis(std::size_t from, const Body& body)> delay) {
+        messageDelay_ = std::move(delay);
+    }
     // Ends all faults except machines that are permanently down.
     void heal();
     bool up(std::size_t node) const { return nodes_[node].replica != nullptr; }
@@ -208,6 +212,7 @@
     NetworkFaults network_;
     DiskFaults disks_;
     std::function<void(std::size_t, const Body&)> onSend_;
+    std::function<Millis(std::size_t, const Body&)> messageDelay_;
 
     bool clientRuns_ = false;
     std::uint64_t nextToken_ = 1;
--- a/tests/replica/simulated_links.cpp
+++ b/tests/replica/simulated_links.cpp
@@ -22,6 +22,7 @@
     network_ = NetworkFaults{};
     disks_ = DiskFaults{};
     onSend_ = nullptr;
+    messageDelay_ = nullptr;
     healPartitions();
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
         nodes_[index].diskFails = false;
@@ -45,12 +46,14 @@
     if (found == byAddress_.end()) return;
     const std::size_t to = found->second;
     if (onSend_) onSend_(from, send.message.body);
+    const Millis ownDelay = messageDelay_ ? messageDelay_(from, send.message.body) : 0;
     const int copies = random_() < network_.duplicate ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
         if (random_() < network_.loss) continue;
         const bool sameZone = nodes_[from].member.zone == nodes_[to].member.zone;
         const Millis delay = (sameZone ? 0.5 : draw(0.9, 13)) + draw(0, 0.5) + draw(0, network_.extraDelay) +
-                             (random_() < network_.late ? draw(0, 3'000) : 0) + transferTime(send.message);
+                             (random_() < network_.late ? draw(0, 3'000) : 0) + transferTime(send.message) +
+                             ownDelay;
         at(now_ + delay, [this, from, to, message = send.message]() mutable {
             if (!partitions_.contains({from, to})) deliver(to, MessageReceived{std::move(message)});
         });
