Do not blame a restarted member for the item that its old process missed

Callers saw: with one of three members lost for good, a restart of one of the other two while a change was on its way to it ended all acknowledgements. Cause: the old process is the one that the view lists; the new one takes no part in the chain before the next view. Its reports never show the item as stored, so the head excluded it as stalled, and the head alone is not enough for the view that would list the new process. Change: only the process that the view lists, and that replies, can be stalled. A restart or silence is assessed as such. Test: ViewProgressTest.RestartedMemberIsNotBlamedForEarlierBatch; before the change it failed on 12 seeds of 12, now on none.

--- a/src/replica/chain.cpp
+++ b/src/replica/chain.cpp
@@ -257,7 +257,8 @@
     for (const Member& member : membership_.view.members) {
         const bool isSelf = sameProcess(member, membership_.self);
         if (!isSelf && !hasStored(member, detector)) {
-            return forwardsTo(now, *previous, member, detector) ? member.internalAddress : std::string{};
+            const bool isBlamed = forwardsTo(now, *previous, member, detector) && runs(now, member, detector);
+            return isBlamed ? member.internalAddress : std::string{};
         }
         previous = &member;
     }
