Choose other exclusions where broken links and stalls leave too few members

Callers saw: no acknowledgement any more although a majority of members that reach each other met the tolerance. Cause: the greedy choice (most broken links, later positions first) does not look at what is left. `Assessment::possible` is then false for as long as the link is cut. Change: broken links do not show which of two members failed, nor does a stall prove more than one. Where excluding for them leaves too few members for a view, ViewPlanner takes the fewest other exclusions that leave no broken link (LinkAssessment::sufficientExclusion, at most 2^9 sets), and only then gives up the exclusions for stalls. The greedy choice and everything decided by it before stay as they were. Links are assessed in a module of their own.

--- a/src/replica/view_planner.cpp
+++ b/src/replica/view_planner.cpp
@@ -17,8 +17,7 @@
     if (!membership_.isInChain()) return assessment;
     const View& view = membership_.view;
     assessMembers(now, assessment);
-    assessLinks(now, assessment);
-    assessStalls(now, assessment);
+    assessReachability(now, assessment);
     assessUncounted(assessment);
     assessLeavers(now, assessment);
     joiners_.select(now, assessment, Candidates::ready);
@@ -51,7 +50,7 @@
 }
 
 void ViewPlanner::assessMember(Millis now, const Member& member, Assessment& assessment) const {
-    const Peer* peer = reachablePeer(member, now);
+    const Peer* peer = detector_.findReachable(member.internalAddress, now);
     if (!peer) return;
     const bool diskLost = !sameDisk(peer->member, member);
     if (diskLost || peer->status.diskFailing) {
@@ -68,69 +67,30 @@
 
 void ViewPlanner::assessVoterOutsideChain(Millis now, const Member& voter, Assessment& assessment) const {
     const View& view = membership_.view;
-    const Peer* peer = reachablePeer(voter, now);
+    const Peer* peer = detector_.findReachable(voter.internalAddress, now);
     if (view.findDisk(voter) || !peer || !sameDisk(peer->member, voter)) return;
     if (peer->epoch == view.epoch && peer->status.sealed) assessment.unfinished = true;
 }
 
-// ---- Links
-
-// Excludes the unresponsive members, then greedily those with the most broken links, later chain positions first.
-void ViewPlanner::assessLinks(Millis now, Assessment& assessment) const {
-    assessUnresponsive(now, assessment);
-    std::vector<BrokenLink> broken = brokenLinks(now, assessment);
-    while (!broken.empty()) {
-        const std::string worst = memberWithMostBroken(broken);
-        if (worst.empty()) return;
-        assessment.excluded.insert(worst);
-        std::erase_if(broken, [&](const BrokenLink& link) { return link.from == worst || link.to == worst; });
-    }
-}
-
-void ViewPlanner::assessUnresponsive(Millis now, Assessment& assessment) const {
-    for (const std::string& address : detector_.unresponsivePeers(now)) {
-        if (!isMember(address) || assessment.excluded.contains(address)) continue;
-        assessment.observedDirectly = true;
-        if (!detector_.isReachedByAnyPeer(address, now)) assessment.excluded.insert(address);
-    }
-}
+// ---- Links and stalls
 
-std::vector<ViewPlanner::BrokenLink> ViewPlanner::brokenLinks(Millis now,
-                                                              const Assessment& assessment) const {
-    std::vector<BrokenLink> broken;
-    const auto add = [&](const std::string& from, const std::string& to) {
-        if (!isMember(to) || assessment.excluded.contains(from) || assessment.excluded.contains(to)) return;
-        broken.push_back({from, to});
-    };
-    for (const std::string& address : detector_.unresponsivePeers(now))
-        add(membership_.self.internalAddress, address);
-    for (const Member& member : membership_.view.members) {
-        const Peer* peer = reachablePeer(member, now);
-        if (!peer || peer->epoch != membership_.view.epoch) continue;
-        for (const std::string& address : peer->status.unresponsivePeers)
-            add(member.internalAddress, address);
-    }
-    return broken;
-}
-
-// Among equals the last in the chain; empty if no member of the view has a broken link.
-std::string ViewPlanner::memberWithMostBroken(const std::vector<BrokenLink>& broken) const {
-    std::map<std::string, std::size_t> count;
-    for (const BrokenLink& link : broken) {
-        ++count[link.from];
-        ++count[link.to];
-    }
-    std::string worst;
-    for (const Member& member : membership_.view.members) {
-        const auto entry = count.find(member.internalAddress);
-        if (entry == count.end()) continue;
-        if (worst.empty() || entry->second >= count[worst]) worst = member.internalAddress;
-    }
-    return worst;
+// Broken links and stalls do not prove which member has failed. If excluding members for them leaves too few for a view, others are
+// excluded for the links instead, and then none for the stalls.
+void ViewPlanner::assessReachability(Millis now, Assessment& assessment) const {
+    links_.excludeUnresponsive(now, assessment);
+    const Assessment unresponsive = assessment;
+    links_.excludeBroken(now, assessment);
+    assessStalls(now, assessment);
+    if (links_.isSufficient(now, assessment)) return;
+    Assessment withoutStalled = unresponsive;
+    for (const std::string& address : assessment.stalled) excludeStalled(address, withoutStalled);
+    std::optional<Assessment> sufficient = links_.sufficientExclusion(now, withoutStalled);
+    if (!sufficient) sufficient = links_.sufficientExclusion(now, unresponsive);
+    if (!sufficient) return;
+    sufficient->observedDirectly = assessment.observedDirectly;
+    assessment = *std::move(sufficient);
 }
 
-// ---- Stalls
-
 void ViewPlanner::assessStalls(Millis now, Assessment& assessment) const {
     for (const std::string& address : stalledAtProposal_) excludeStalled(address, assessment);
     const std::string own = chain_.stalledMember(now, detector_);
@@ -141,7 +101,7 @@
     const View& view = membership_.view;
     if (view.members.empty() || sameDisk(view.members.front(), membership_.self)) return;
     const Member& head = view.members.front();
-    const Peer* peer = reachablePeer(head, now);
+    const Peer* peer = detector_.findReachable(head.internalAddress, now);
     if (!peer || peer->epoch != view.epoch || !sameProcess(peer->member, head)) return;
     const std::string& reported = peer->status.stalledMember;
     if (isMember(reported)) excludeStalled(reported, assessment);
@@ -201,7 +161,7 @@
 
 bool ViewPlanner::isLeaving(const Member& member, Millis now) const {
     if (sameDisk(member, membership_.self)) return membership_.leaving;
-    const Peer* peer = reachablePeer(member, now);
+    const Peer* peer = detector_.findReachable(member.internalAddress, now);
     return peer && sameDisk(peer->member, member) && peer->status.leaving;
 }
 
@@ -212,11 +172,6 @@
     return std::ranges::find(members, address, &Member::internalAddress) != members.end();
 }
 
-const Peer* ViewPlanner::reachablePeer(const Member& member, Millis now) const {
-    const Peer* peer = detector_.find(member.internalAddress);
-    return peer && detector_.isReachable(member.internalAddress, now) ? peer : nullptr;
-}
-
 // ---- Proposing
 
 std::size_t ViewPlanner::rank(Millis now, const Assessment& assessment) const {
@@ -224,7 +179,7 @@
     for (const Member& member : membership_.view.members) {
         const bool excluded = assessment.excluded.contains(member.internalAddress);
         if (sameDisk(member, membership_.self)) return excluded ? membership_.view.members.size() : rank;
-        if (!excluded && reachablePeer(member, now)) ++rank;
+        if (!excluded && detector_.findReachable(member.internalAddress, now)) ++rank;
     }
     return rank;
 }
--- a/src/replica/view_planner.hpp
+++ b/src/replica/view_planner.hpp
@@ -8,7 +8,7 @@
 ///   member's disk lost or failing                  | assessMembers      | without it
 ///   member restarted                               | assessMembers      | with its new session
 ///   a promise without a view, view never installed | assessMembers      | the same members
-///   member unresponsive, link broken               | assessLinks        | without the fewest members that end all broken links
+///   member unresponsive, link broken               | LinkAssessment     | without the fewest members that end all broken links
 ///   member does not store the head's current item  | assessStalls       | without it
 ///   majority depends on uncounted members          | assessUncounted    | without these
 ///   member is leaving                              | assessLeavers      | without it, if enough members remain
@@ -28,6 +28,7 @@
 #include "replica/chain.hpp"
 #include "replica/failure_detector.hpp"
 #include "replica/joiner_selection.hpp"
+#include "replica/link_assessment.hpp"
 #include "replica/membership.hpp"
 #include "replica/removal_history.hpp"
 #include "replica/view_agreement.hpp"
@@ -45,6 +46,7 @@
           chain_(chain),
           requirements_(membership),
           joiners_(membership, detector, chain, removals_),
+          links_(membership, detector, requirements_, joiners_),
           voters_(membership, detector),
           composer_(membership, detector) {}
     ViewPlanner(const ViewPlanner&) = delete;
@@ -64,20 +66,11 @@
     View composeFounding(const std::map<std::string, ReceivedPromise>& promises) const;
 
 private:
-    // Internal addresses of two members of which `from` reports `to` as unresponsive.
-    struct BrokenLink {
-        std::string from;
-        std::string to;
-    };
-
     void assessMembers(Millis now, Assessment& assessment) const;
     void assessOwnSession(const Member& member, Assessment& assessment) const;
     void assessMember(Millis now, const Member& member, Assessment& assessment) const;
     void assessVoterOutsideChain(Millis now, const Member& voter, Assessment& assessment) const;
-    void assessLinks(Millis now, Assessment& assessment) const;
-    void assessUnresponsive(Millis now, Assessment& assessment) const;
-    std::vector<BrokenLink> brokenLinks(Millis now, const Assessment& assessment) const;
-    std::string memberWithMostBroken(const std::vector<BrokenLink>& broken) const;
+    void assessReachability(Millis now, Assessment& assessment) const;
     void assessStalls(Millis now, Assessment& assessment) const;
     void excludeStalled(const std::string& address, Assessment& assessment) const;
     void assessUncounted(Assessment& assessment) const;
@@ -86,7 +79,6 @@
     void assessVoters(Millis now, Assessment& assessment) const;
     bool isLeaving(const Member& member, Millis now) const;
     bool isMember(const std::string& address) const;
-    const Peer* reachablePeer(const Member& member, Millis now) const;
 
     const Membership& membership_;
     const FailureDetector& detector_;
@@ -94,6 +86,7 @@
     RemovalHistory removals_;
     ViewRequirements requirements_;
     JoinerSelection joiners_;
+    LinkAssessment links_;
     VoterAssessment voters_;
     ViewComposer composer_;
     std::set<std::string> stalledAtProposal_;  // internal addresses, as of the start of the current proposal
--- a/tests/replica/view_progress_test.cpp
+++ b/tests/replica/view_progress_test.cpp
@@ -33,6 +33,10 @@
             << cluster.describe() << cluster.trace();
         EXPECT_FALSE(cluster.failed()) << cluster.failure();
     }
+    static void cut(Cluster& cluster, std::size_t one, std::size_t other) {
+        cluster.partition(one, other, true);
+        cluster.partition(other, one, true);
+    }
     static std::size_t tailOf(Cluster& cluster) {
         for (std::size_t node = 0; node < cluster.nodes(); ++node)
             if (cluster.up(node) && cluster.replica(node).isTail()) return node;
@@ -62,6 +66,31 @@
     expectAcknowledgement(cluster);
 }
 
+// Guards against: of two members whose link is cut the later one was always excluded, though without the other one the view would have
+// met the tolerance.
+TEST_P(ViewProgressTest, CutLinkExcludesMemberThatCanBeSpared) {
+    Cluster cluster(options(2));  // zones of the members: 0, 1, 0
+    found(cluster);
+    cut(cluster, 0, 1);
+    expectAcknowledgement(cluster);
+}
+
+// Guards against: the tail of a view of two excluded itself when its link to the head was cut, though a voter outside the chain could
+// have joined it.
+TEST_P(ViewProgressTest, TailGoesOnWithVoterOutsideChain) {
+    Cluster cluster(options());
+    found(cluster);
+    const std::size_t outside = GetParam() % 3;
+    cluster.losePower(outside);
+    cluster.runFor(kSuspected);
+    const std::size_t tail = tailOf(cluster);
+    const std::size_t head = 3 - outside - tail;
+    cut(cluster, head, tail);
+    cluster.failDisk(head, true);
+    cluster.start(outside);
+    expectAcknowledgement(cluster);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ViewProgressTest, ::testing::Range<std::uint64_t>(1, 13));
 
 }  // namespace
