Check in the simulation that a majority that can acknowledge does so within ack_ms

Change: Cluster::checkAvailability runs in every simulated cluster: while working processes that all reach each other meet the tolerance, hold a majority of the newest view's votes and one of them holds its state, no more than 5 s without an acknowledgement may pass since the last fault. The mix of any faults runs long enough at its end for the check to apply.

--- a/tests/replica/simulated_client.cpp
+++ b/tests/replica/simulated_client.cpp
@@ -11,6 +11,7 @@
 
 void Cluster::startClient() {
     clientRuns_ = true;
+    resetAvailability();
     clientStep();
 }
 
@@ -66,6 +67,7 @@
     openWrites_.erase(found);
     if (done.outcome != WriteOutcome::committed) return;
     ++counters_.writesAcknowledged;
+    resetAvailability();
     const Replica& head = replica(index);
     const auto entry = head.committedTable().find(open.key);
     if (entry == head.committedTable().end() || entry->second != open.value)
--- a/tests/replica/simulated_cluster.cpp
+++ b/tests/replica/simulated_cluster.cpp
@@ -30,6 +30,7 @@
             node.seeds.push_back(nodes_[seed].member.controlAddress);
     for (std::size_t index = 0; index < options_.nodes; ++index)
         at(now_ + draw(0, options_.startSpread), [this, index] { start(index, true); });
+    checkAvailability();
 }
 
 Cluster::~Cluster() = default;
@@ -87,7 +88,7 @@
     node.lastShown = Position{};
     checkDisk(index);
     node.replica = std::make_unique<Replica>(settings, node.written, random_.bits(), now_);
-    record(fmt::format("start {}", index));
+    recordFault(fmt::format("start {}", index));
     deliver(index, Tick{});
 }
 
@@ -109,13 +110,13 @@
 
 void Cluster::kill(std::size_t index) {
     if (!up(index)) return;
-    record(fmt::format("kill {}", index));
+    recordFault(fmt::format("kill {}", index));
     endProcess(index);
 }
 
 void Cluster::losePower(std::size_t index) {
     if (!up(index)) return;
-    record(fmt::format("power {}", index));
+    recordFault(fmt::format("power {}", index));
     endProcess(index);
     Node& node = nodes_[index];
     if (random_() < 0.7)
@@ -126,7 +127,7 @@
 
 void Cluster::leave(std::size_t index, Millis most) {
     if (!up(index) || leaving(index)) return;
-    record(fmt::format("leave {}", index));
+    recordFault(fmt::format("leave {}", index));
     nodes_[index].leaving = true;
     at(now_ + most, [this, index, session = nodes_[index].session] {
         if (nodes_[index].session == session) kill(index);
@@ -137,7 +138,7 @@
 void Cluster::wipe(std::size_t index) {
     Node& node = nodes_[index];
     if (node.replica) return;
-    record(fmt::format("wipe {}", index));
+    recordFault(fmt::format("wipe {}", index));
     node.written = node.synced = DurableState{};
     ++counters_.wipes;
 }
@@ -152,7 +153,7 @@
     node.member.zone = nodes_[index].member.zone;
     node.seeds = std::move(seeds);
     byAddress_[node.member.internalAddress] = added;
-    record(fmt::format("replacement {} for {}", added, index));
+    recordFault(fmt::format("replacement {} for {}", added, index));
     return added;
 }
 
@@ -165,14 +166,14 @@
 
 void Cluster::freeze(std::size_t index) {
     if (!up(index)) return;
-    record(fmt::format("freeze {}", index));
+    recordFault(fmt::format("freeze {}", index));
     nodes_[index].frozen = true;
 }
 
 void Cluster::thaw(std::size_t index) {
     Node& node = nodes_[index];
     if (!node.replica || !node.frozen) return;
-    record(fmt::format("thaw {}", index));
+    recordFault(fmt::format("thaw {}", index));
     node.frozen = false;
     std::deque<Event> waiting = std::exchange(node.waiting, {});
     const std::uint64_t session = node.session;
@@ -245,6 +246,11 @@
     record("FAILED " + text);
 }
 
+void Cluster::recordFault(const std::string& text) {
+    record(text);
+    resetAvailability();
+}
+
 void Cluster::record(const std::string& text) {
     trace_.push_back(fmt::format("{:.1f} {}", now_, text));
     if (trace_.size() > kTraceLines) trace_.pop_front();
--- a/tests/replica/simulated_cluster.hpp
+++ b/tests/replica/simulated_cluster.hpp
@@ -52,8 +52,9 @@
     std::uint64_t faultsWithWriteInFlight = 0;
     std::uint64_t viewChanges = 0;
     std::uint64_t wipes = 0;
-    Millis slowestWrite = 0;   // from the end of faults to an acknowledgement
-    Millis slowestReturn = 0;  // from the end of faults until all are in the view again
+    Millis slowestWrite = 0;    // from the end of faults to an acknowledgement
+    Millis slowestReturn = 0;   // from the end of faults until all are in the view again
+    Millis longestSilence = 0;  // without an acknowledgement although a majority could acknowledge
 };
 
 class Cluster {
@@ -83,6 +84,7 @@
     void thaw(std::size_t node);
     void stallDisk(std::size_t node, Millis until);
     void failDisk(std::size_t node, bool failing);
+    void endDiskFaults(std::size_t node);
     void partition(std::size_t from, std::size_t to, bool cut);
     void healPartitions();  // removes all partitions
     NetworkFaults& network() { return network_; }
@@ -118,6 +120,9 @@
     Position lastAcknowledged() const { return acknowledged_; }
     // Whether every node that is not permanently gone runs, is listed in a view of all nodes and is fresh.
     bool isComplete() const;
+    // Whether processes with working disks that all reach each other meet the tolerance, hold a majority of the votes of the newest
+    // view, and include a member of its chain that has its starting state.
+    bool canAcknowledge() const;
 
     Counters& counters() { return counters_; }
     void countFault();
@@ -194,12 +199,19 @@
     void checkLeft(std::size_t node);
     void checkState(std::size_t node);
     void checkDisk(std::size_t node);
+    void checkAvailability();
+    void resetAvailability() { silentSince_ = now_; }
+    const View& newestView() const;
+    bool isWorking(std::size_t node) const;
+    bool reachEachOther(const std::vector<std::size_t>& group) const;
+    bool isSufficient(const std::vector<std::size_t>& group, const View& view) const;
     void onWriteDone(std::size_t node, const WriteDone& done);
     void onReadDone(std::size_t node, const ReadDone& done);
     void onCommitted(std::size_t node, const Batch& batch);
     std::string address(std::size_t node) const { return nodes_[node].member.internalAddress; }
     std::vector<std::string> currentSeeds() const;
     void record(const std::string& text);
+    void recordFault(const std::string& text);  // or its end
 
     ClusterOptions options_;
     SplitMix random_;
@@ -225,6 +237,8 @@
     std::uint64_t clientSteps_ = 0;
     std::uint64_t leftByAgreement_ = 0;
     Position acknowledged_;
+    // Start of the time without faults and acknowledgements in which a majority could acknowledge.
+    Millis silentSince_ = 0;
     std::deque<std::pair<Millis, Position>> acknowledgements_;
     std::map<std::uint64_t, CommittedState> history_;  // committed states by sequence
 
--- a/tests/replica/simulated_disks.cpp
+++ b/tests/replica/simulated_disks.cpp
@@ -15,15 +15,25 @@
 }  // namespace
 
 void Cluster::stallDisk(std::size_t index, Millis until) {
-    record(fmt::format("stall {}", index));
+    recordFault(fmt::format("stall {}", index));
     nodes_[index].diskStalledUntil = until;
 }
 
 void Cluster::failDisk(std::size_t index, bool failing) {
-    record(fmt::format("fail disk {} {}", index, failing));
+    recordFault(fmt::format("fail disk {} {}", index, failing));
     nodes_[index].diskFails = failing;
 }
 
+void Cluster::endDiskFaults(std::size_t index) {
+    Node& node = nodes_[index];
+    if (node.diskFails) failDisk(index, false);
+    if (node.diskStalledUntil <= now_) return;
+    recordFault(fmt::format("end stall {}", index));
+    node.diskStalledUntil = 0;
+    node.diskBusy = false;
+    startPersist(index);
+}
+
 void Cluster::startPersist(std::size_t index) {
     Node& node = nodes_[index];
     if (node.diskBusy || node.persists.empty()) return;
--- a/tests/replica/simulated_links.cpp
+++ b/tests/replica/simulated_links.cpp
@@ -8,29 +8,27 @@
 namespace beechpoint::replica::simulation {
 
 void Cluster::partition(std::size_t from, std::size_t to, bool partitioned) {
-    record(fmt::format("cut {}>{} {}", from, to, partitioned));
+    recordFault(fmt::format("cut {}>{} {}", from, to, partitioned));
     if (partitioned)
         partitions_.insert({from, to});
     else
         partitions_.erase({from, to});
 }
 
-void Cluster::healPartitions() { partitions_.clear(); }
+void Cluster::healPartitions() {
+    partitions_.clear();
+    resetAvailability();
+}
 
 void Cluster::heal() {
-    record("heal");
+    recordFault("heal");
     network_ = NetworkFaults{};
     disks_ = DiskFaults{};
     onSend_ = nullptr;
     messageDelay_ = nullptr;
     healPartitions();
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
-        nodes_[index].diskFails = false;
-        if (nodes_[index].diskStalledUntil > now_) {
-            nodes_[index].diskStalledUntil = 0;
-            nodes_[index].diskBusy = false;
-            startPersist(index);
-        }
+        endDiskFaults(index);
         if (nodes_[index].frozen) thaw(index);
         if (!up(index)) start(index);
     }
--- a/tests/replica/simulation_test.cpp
+++ b/tests/replica/simulation_test.cpp
@@ -15,6 +15,7 @@
 
 constexpr Millis kRecoverWithin = 3'000;
 constexpr Millis kReturnWithin = 3'000;
+constexpr Millis kWatched = 5'300;         // longer than the bound of Cluster::checkAvailability
 constexpr Millis kCatchUp = 4'000;         // time after the return for which a loss still counts
 constexpr Millis kLeavingBound = 3'001;    // a leaving process exits within this time
 constexpr Millis kSuccessorAfter = 1'000;  // delay of an empty machine that replaces a permanently lost one
@@ -360,8 +361,8 @@
     });
 }
 
-// With any faults and any number of lost disks, the system may stop permanently but must never fork, move backwards or lose an
-// acknowledged write. Faults hit the sender of an agreement or chain message at the moment of sending.
+// With any faults and any number of lost disks, the system may stop permanently if no majority is left that can acknowledge, but must
+// never fork, move backwards or lose an acknowledged write. Faults hit the sender of an agreement or chain message at the moment of sending.
 void strikeSenders(Cluster& cluster) {
     cluster.onSend([&cluster](std::size_t from, const Body& body) {
         const bool vote = std::holds_alternative<Promise>(body) || std::holds_alternative<Accepted>(body);
@@ -437,7 +438,7 @@
                 if (cluster.random()() < 0.5) cluster.start(node);
         }
         cluster.heal();
-        cluster.runFor(3'000);
+        cluster.runFor(kWatched);
         cluster.stopClient();
         cluster.runFor(1'500);
         EXPECT_FALSE(cluster.failed())
