--- a/src/replica/view_change.cpp
+++ b/src/replica/view_change.cpp
@@ -1,6 +1,7 @@
 #include "replica/view_change.hpp"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <set>
@@ -159,6 +160,7 @@
     if (!membership_.isInChain() || membership_.diskFailing || now < assessAt_) return;
     assessAt_ = now + kAssessmentInterval;
     const Assessment assessment = planner_.assess(now);
+    logIfImpossible(assessment);
     if (!assessment.isActionable() || !detector_.isMajorityReachable(now)) {
         changeDueSince_ = 0;
         return;
@@ -174,6 +176,18 @@
     begin(now, assessment.observedDirectly);
 }
 
+// Logs each set of exclusions once, so that a view that cannot change is visible without a line per assessment.
+void ViewChange::logIfImpossible(const Assessment& assessment) {
+    const bool impossible = assessment.isChangeNeeded() && !assessment.possible;
+    std::set<std::string> excluded = impossible ? assessment.excluded : std::set<std::string>{};
+    if (excluded == impossibleExclusions_) return;
+    impossibleExclusions_ = std::move(excluded);
+    if (!impossible) return;
+    outbox_.log(fmt::format("no view can follow epoch {}: too few members without {} (stalled: {})",
+                            membership_.view.epoch, fmt::join(assessment.excluded, ", "),
+                            fmt::join(assessment.stalled, ", ")));
+}
+
 void ViewChange::begin(Millis now, bool observedDirectly) {
     highestRound_ = std::max(highestRound_, acceptor_.vote().promised.round) + 1;
     observedDirectly_ = observedDirectly;
--- a/src/replica/view_change.hpp
+++ b/src/replica/view_change.hpp
@@ -20,6 +20,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,7 @@
 
     void considerFounding(Millis now);
     void considerChange(Millis now);
+    void logIfImpossible(const Assessment& assessment);
     void begin(Millis now, bool observedDirectly);
     void advance(Millis now);
     void checkProposalTimers(Millis now);
@@ -105,6 +107,8 @@
     Millis resendAt_ = 0;
     Millis backOffUntil_ = 0;
     Millis lastInstallAt_;
+    std::set<std::string>
+        impossibleExclusions_;  // internal addresses; as last logged, empty while a view is possible
 };
 
 }  // namespace beechpoint::replica
--- a/tests/replica/view_votes_test.cpp
+++ b/tests/replica/view_votes_test.cpp
@@ -106,6 +106,20 @@
     EXPECT_FALSE(replica_->isFresh(now_));
 }
 
+// Guards against: a view that could not change left no trace, so that operators saw only refused orders.
+TEST_F(ReplicaTest, LogsOnceThatNoViewIsPossible) {
+    startWith(usedDisk());
+    enterView(0);
+    clearActions();
+    advanceTime(kSuspectTimeout + 2'000);
+    const auto count = std::ranges::count_if(actions_, [](const Action& action) {
+        const auto* log = std::get_if<Log>(&action);
+        return log &&
+               log->text.starts_with("no view can follow epoch 2: too few members without 10.0.0.1:7660");
+    });
+    EXPECT_EQ(count, 1);
+}
+
 TEST_F(ReplicaTest, ProposesViewWithoutUnresponsiveMember) {
     startWith(usedDisk());
     enterView(0);
