Share the drawing of nodes and seeds between the replica's simulations

Need: two simulations each read the wanted seeds from the environment and drew a present node by a loop of their own. Change: Cluster::drawNode and wanted_seeds.hpp.

--- a/tests/replica/availability_test.cpp
+++ b/tests/replica/availability_test.cpp
@@ -10,10 +10,12 @@
 #include <utility>
 
 #include "simulated_cluster.hpp"
+#include "wanted_seeds.hpp"
 
 namespace beechpoint::replica::simulation {
 namespace {
 
+constexpr std::uint64_t kSeeds = 60;
 constexpr int kSeriesPerRun = 4;
 constexpr Millis kFoundWithin = 6'000;
 constexpr Millis kMomentWithin = 1'500;
@@ -22,11 +24,6 @@
 constexpr Millis kCatchUp = 4'000;
 constexpr Millis kForGood = 600'000;
 
-std::uint64_t parameter(const char* name, std::uint64_t otherwise) {
-    const char* const text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : otherwise;
-}
-
 // ---- Moments
 
 // Kinds of messages whose sending is the moment of a fault.
@@ -62,13 +59,6 @@
 
 // ---- Faults
 
-std::size_t presentNode(Cluster& cluster) {
-    for (;;) {
-        const std::size_t node = cluster.random().below(cluster.nodes());
-        if (!cluster.gone(node)) return node;
-    }
-}
-
 void partitionFromAll(Cluster& cluster, std::size_t node, bool in, bool out) {
     for (std::size_t peer = 0; peer < cluster.nodes(); ++peer) {
         if (peer == node) continue;
@@ -79,7 +69,7 @@
 
 // A link that fails in one or both directions.
 void partitionLink(Cluster& cluster, std::size_t node) {
-    const std::size_t other = presentNode(cluster);
+    const std::size_t other = cluster.drawNode();
     if (other == node) return;
     cluster.partition(node, other, true);
     if (cluster.random()() < 0.6) cluster.partition(other, node, true);
@@ -115,7 +105,7 @@
 void injectFaultAtMoment(Cluster& cluster) {
     const auto done = std::make_shared<bool>(false);
     const double moment = cluster.random()();
-    const std::size_t node = presentNode(cluster);
+    const std::size_t node = cluster.drawNode();
     const auto fault = [&cluster, node, done] {
         if (!std::exchange(*done, true)) injectFault(cluster, node);
     };
@@ -144,7 +134,7 @@
 // Ends faults in a drawn order until a majority can acknowledge.
 void endFaultsUntilSufficient(Cluster& cluster) {
     for (int count = 0; count < 100 && !cluster.canAcknowledge() && !cluster.failed(); ++count) {
-        const std::size_t node = presentNode(cluster);
+        const std::size_t node = cluster.drawNode();
         cluster.thaw(node);
         cluster.start(node);
         cluster.endDiskFaults(node);
@@ -184,8 +174,7 @@
 }
 
 TEST(Availability, MajorityAcknowledgesAfterEverySeriesOfFaults) {
-    const std::uint64_t first = parameter("REPLICA_FIRST_SEED", 1);
-    const std::uint64_t seeds = parameter("REPLICA_SEEDS", 60);
+    const auto [first, seeds] = wantedSeeds(kSeeds);
     Millis longestSilence = 0;
     for (std::uint64_t seed = first; seed < first + seeds; ++seed) play(seed, longestSilence);
     std::cout << "series of faults: " << seeds << " seeds, longest time without an acknowledgement "
--- a/tests/replica/simulated_cluster.cpp
+++ b/tests/replica/simulated_cluster.cpp
@@ -67,6 +67,13 @@
 
 // ---- Processes
 
+std::size_t Cluster::drawNode() {
+    for (;;) {
+        const std::size_t node = random_.below(nodes());
+        if (!gone(node)) return node;
+    }
+}
+
 namespace {
 
 constexpr std::size_t kSmallChunkBytes =
--- a/tests/replica/simulated_cluster.hpp
+++ b/tests/replica/simulated_cluster.hpp
@@ -71,6 +71,7 @@
 
     // ---- Faults. Nodes are numbered from 0; a replacement gets a new number.
     std::size_t nodes() const { return nodes_.size(); }
+    std::size_t drawNode();  // one that is not permanently gone
     void start(std::size_t node, bool bootstrap = false);
     void kill(std::size_t node);
     void losePower(std::size_t node);
--- a/tests/replica/simulation_test.cpp
+++ b/tests/replica/simulation_test.cpp
@@ -9,10 +9,12 @@
 #include <utility>
 
 #include "simulated_cluster.hpp"
+#include "wanted_seeds.hpp"
 
 namespace beechpoint::replica::simulation {
 namespace {
 
+constexpr std::uint64_t kSeedsPerMix = 50;
 constexpr Millis kRecoverWithin = 3'000;
 constexpr Millis kReturnWithin = 3'000;
 constexpr Millis kWatched = 5'300;         // longer than the bound of Cluster::checkAvailability
@@ -20,15 +22,6 @@
 constexpr Millis kLeavingBound = 3'001;    // a leaving process exits within this time
 constexpr Millis kSuccessorAfter = 1'000;  // delay of an empty machine that replaces a permanently lost one
 
-std::uint64_t seedsPerMix() {
-    const char* wanted = std::getenv("REPLICA_SEEDS");
-    return wanted ? std::strtoull(wanted, nullptr, 10) : 50;
-}
-std::uint64_t firstSeed() {
-    const char* wanted = std::getenv("REPLICA_FIRST_SEED");
-    return wanted ? std::strtoull(wanted, nullptr, 10) : 1;
-}
-
 ClusterOptions optionsOf(std::uint64_t seed) {
     ClusterOptions options;
     options.seed = seed;
@@ -68,7 +61,8 @@
 
 void play(const std::string& name, const Mix& mix) {
     Counters total;
-    for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seedsPerMix(); ++seed) {
+    const auto [first, seeds] = wantedSeeds(kSeedsPerMix);
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
         Cluster cluster(optionsOf(seed));
         cluster.startClient();
         if (!cluster.runUntil(4'000, [&] { return cluster.acknowledged() > 0; })) cluster.fail("no founding");
@@ -118,17 +112,10 @@
         cluster.fail("no write within 3 s of the last recovery");
 }
 
-std::size_t anyNode(Cluster& cluster) {
-    for (;;) {
-        const std::size_t node = cluster.random().below(cluster.nodes());
-        if (!cluster.gone(node)) return node;
-    }
-}
-
 // Injects and ends one fault that the system must tolerate.
 void oneFault(Cluster& cluster) {
-    const std::size_t node = anyNode(cluster);
-    const std::size_t other = anyNode(cluster);
+    const std::size_t node = cluster.drawNode();
+    const std::size_t other = cluster.drawNode();
     const double kind = cluster.random()();
     const Millis span = cluster.draw(100, 3'500);
     if (kind < 0.15) {
@@ -193,7 +180,7 @@
 
 TEST(Simulation, ServesWritesWhileOneMachineIsLost) {
     play("one machine lost", [](Cluster& cluster) {
-        const std::size_t node = anyNode(cluster);
+        const std::size_t node = cluster.drawNode();
         const double kind = cluster.random()();
         injectFault(cluster, [&] {
             if (kind < 0.4)
@@ -216,7 +203,7 @@
     play("all at once", [](Cluster& cluster) {
         const bool power = cluster.random()() < 0.6;
         const bool wiped = cluster.random()() < 0.5;
-        const std::size_t victim = anyNode(cluster);
+        const std::size_t victim = cluster.drawNode();
         injectFault(cluster, [&] {
             for (std::size_t node = 0; node < cluster.nodes(); ++node)
                 power || (wiped && node == victim) ? cluster.losePower(node) : cluster.kill(node);
@@ -232,7 +219,7 @@
 TEST(Simulation, FaultsDuringRepair) {
     play("faults during repair", [](Cluster& cluster) {
         for (int round = 0; round < 3 && !cluster.failed(); ++round) {
-            const std::size_t first = anyNode(cluster);
+            const std::size_t first = cluster.drawNode();
             injectFault(cluster, [&] {
                 const bool whole = cluster.isComplete();
                 cluster.losePower(first);
@@ -241,7 +228,7 @@
             cluster.at(cluster.now() + cluster.draw(50, 1'500), [&cluster, first] { cluster.start(first); });
             for (int count = 0; count < 3 && !cluster.failed(); ++count) {
                 const auto done = std::make_shared<bool>(false);
-                const std::size_t next = anyNode(cluster);
+                const std::size_t next = cluster.drawNode();
                 const double kind = cluster.random()();
                 cluster.onNextView([&cluster, done, next, kind] {
                     if (std::exchange(*done, true)) return;
@@ -293,9 +280,9 @@
 TEST(Simulation, SecondLossRightAfterReplacement) {
     play("a second loss right after a replacement", [](Cluster& cluster) {
         for (int round = 0; round < 3 && !cluster.failed(); ++round) {
-            replaceMachine(cluster, anyNode(cluster), cluster.random()() < 0.5);
+            replaceMachine(cluster, cluster.drawNode(), cluster.random()() < 0.5);
             cluster.countFault();
-            const std::size_t second = anyNode(cluster);
+            const std::size_t second = cluster.drawNode();
             const double kind = cluster.random()();
             if (kind < 0.8) cluster.losePower(second);
             if (kind < 0.5) cluster.wipe(second);
@@ -311,14 +298,14 @@
                 cluster.fail("not whole when the second loss is over");
         }
         // The last fault occurs while a write is in flight, as in the other mixes.
-        injectFault(cluster, [&] { cluster.losePower(anyNode(cluster)); });
+        injectFault(cluster, [&] { cluster.losePower(cluster.drawNode()); });
         cluster.heal();
     });
 }
 
 void anyFault(Cluster& cluster) {
-    const std::size_t node = anyNode(cluster);
-    const std::size_t other = anyNode(cluster);
+    const std::size_t node = cluster.drawNode();
+    const std::size_t other = cluster.drawNode();
     const double kind = cluster.random()();
     if (cluster.isComplete() && cluster.random()() < 0.3) {
         cluster.losePower(node);
@@ -393,7 +380,7 @@
 }
 
 void wipeOrReplace(Cluster& cluster) {
-    const std::size_t node = anyNode(cluster);
+    const std::size_t node = cluster.drawNode();
     cluster.losePower(node);
     if (cluster.random()() < 0.5) {
         cluster.wipe(node);
@@ -415,7 +402,8 @@
 
 TEST(Simulation, NeverWrongWhateverFails) {
     Counters total;
-    for (std::uint64_t seed = firstSeed(); seed < firstSeed() + 2 * seedsPerMix(); ++seed) {
+    const auto [first, seeds] = wantedSeeds(kSeedsPerMix);
+    for (std::uint64_t seed = first; seed < first + 2 * seeds; ++seed) {
         Cluster cluster(harshOptions(seed));
         cluster.startClient();
         if (!cluster.runUntil(4'000, [&] { return cluster.acknowledged() > 0; }) && !cluster.failed())
@@ -456,7 +444,8 @@
 }
 
 TEST(Simulation, FoundingUnderFaults) {
-    for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seedsPerMix(); ++seed) {
+    const auto [first, seeds] = wantedSeeds(kSeedsPerMix);
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
         ClusterOptions options = optionsOf(seed);
         options.seeds = 1 + seed % 3;
         options.startSpread = seed % 2 ? 300 : 3'000;
@@ -465,8 +454,8 @@
         cluster.network() = {cluster.draw(0, 0.2), 0.05, cluster.draw(0, 50)};
         for (int count = 0; count < 6; ++count) {
             cluster.runFor(cluster.draw(10, 400));
-            const std::size_t node = anyNode(cluster);
-            cluster.partition(node, anyNode(cluster), true);
+            const std::size_t node = cluster.drawNode();
+            cluster.partition(node, cluster.drawNode(), true);
             if (cluster.random()() < 0.2) cluster.healPartitions();
             const bool power = cluster.random()() < 0.5;
             if (!cluster.up(node)) continue;
