--- a/tests/system/soak_checks_test.cpp
+++ b/tests/system/soak_checks_test.cpp
@@ -4,6 +4,9 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
+#include "soak_schedule.hpp"
 #include "system.hpp"
 
 namespace beechpoint::system_test {
@@ -169,5 +172,16 @@
     EXPECT_FALSE(allReported(record.dutyCalls, record.healthy));
 }
 
+TEST(SoakScheduleTest, SeriesAreRepeatableAndInOrder) {
+    constexpr Millis kLength = 60'000;
+    const auto events = drawSeries(7, 5, 4, kLength);
+    EXPECT_EQ(describe(events), describe(drawSeries(7, 5, 4, kLength)));
+    EXPECT_NE(describe(events), describe(drawSeries(8, 5, 4, kLength)));
+    EXPECT_TRUE(std::ranges::is_sorted(events, {}, &SoakEvent::at));
+    for (const SoakAction action :
+         {SoakAction::terminate, SoakAction::kill, SoakAction::stop, SoakAction::reload})
+        EXPECT_NE(std::ranges::find(events, action, &SoakEvent::action), events.end());
+}
+
 }  // namespace
 }  // namespace beechpoint::system_test
--- a/tests/system/soak_schedule.hpp
+++ b/tests/system/soak_schedule.hpp
@@ -23,6 +23,11 @@
 // In the order of their times.
 std::vector<SoakEvent> drawSchedule(std::uint64_t seed, std::size_t members, std::size_t gateways,
                                     Millis length);
-std::string describe(const SoakEvent& event);
+// Series that begin at drawn moments and overlap: processes of one kind one after the other or all at once, one process again and again, or
+// one that is down for long.
+std::vector<SoakEvent> drawSeries(std::uint64_t seed, std::size_t members, std::size_t gateways,
+                                  Millis length);
+// The events, a line each, each after a line break.
+std::string describe(const std::vector<SoakEvent>& events);
 
 }  // namespace beechpoint::system_test
--- a/tests/system/system.hpp
+++ b/tests/system/system.hpp
@@ -22,7 +22,7 @@
 namespace beechpoint::system_test {
 
 inline constexpr std::size_t kMostMembers = 9;
-inline constexpr std::size_t kMostGateways = 4;
+inline constexpr std::size_t kMostGateways = 40;
 inline constexpr int kUsageWindowS = 1;           // short, so that a short run has many
 inline constexpr Millis kUsageLate = 10'000;      // a report is due so long after its window's end
 inline constexpr Millis kLease = 3'000;           // of a duty
