Require a head before the upstream test reads whether it came on a kept connection

Seen: upstream.variant.used_after_an_early_answer failed once in 1,941 tests (two at a time beside other work): 'load of value 59, which is not a valid value for type bool'. The test expects the broken variant's run to end with FAILED. Cause: in the broken variant the second request has no answer; the test had noted that, and then read a member of the empty head. Whether the sanitizer stops the process there depends on what the memory holds. Change: the head is asserted first. The check is as strict; the variant's run ends with FAILED whatever the memory holds.

--- a/tests/upstream/crossing_test.cpp
+++ b/tests/upstream/crossing_test.cpp
@@ -172,6 +172,7 @@
     first->read();
     ASSERT_TRUE(until(io, [&] { return next.over() && first->ended; }));
     EXPECT_TRUE(answeredWith(next, 200, "x"));
+    ASSERT_TRUE(next.head);
     EXPECT_FALSE(next.head->reused);
     const std::size_t body = first->got.find("\r\n\r\n") + 4;
     EXPECT_EQ(first->got.find_first_not_of('x', body), std::string::npos);
