Fail the soak where the chain of all members is not formed before one is lost

Need: loseOneMember() returned without a failure when the chain that a member reports was shorter than the system, so the proof beside a lost member could be left out unnoticed. awaitView() before it fails in most of these cases, but not where the view changes in between.

Change: ASSERT_EQ in place of the return. The check is stricter; nothing else changes.

--- a/tests/system/soak_fixture.cpp
+++ b/tests/system/soak_fixture.cpp
@@ -357,7 +357,7 @@
 void SoakTest::loseOneMember(std::uint64_t seed) {
     EXPECT_TRUE(system_->awaitView(system_->founders(), kHealMost)) << "the members did not come together";
     const Members chain = system_->chainAt(0);
-    if (chain.size() != system_->shape().members) return;
+    ASSERT_EQ(chain.size(), system_->shape().members) << "no chain of all members";
     Disturbed& lost = processOf(chain[seed % chain.size()]);
     std::mt19937_64 random(seed);
     const Millis at = system_->clock().now() + static_cast<Millis>(random() % kSeriesGapMs);
