Require an acknowledgement within ack_ms after restarts that overlap and a loss

Need: the check that changes go on after a loss allowed 15 s in the simulation of the whole control side and met single episodes only.

Change: an episode of restarts and suspensions that overlap, then the loss of one member while the others may still be on their way back; from contact_ms after these are back, a change is acknowledged within ack_ms. The 15 s of the other episodes stay: there operators are partitioned from members as well.

The check that a member without contact to a majority is not fresh counted contact of all voters at one moment. A promise is durable, so a voter that has not promised at one time had not before: contacts at different times are a proof together. Now the age is counted for each voter from its own loss of contact, without the fresh start at each epoch that the old form gave; the bound is the same. That no table older than the acknowledged one is called fresh is checked as before.

--- a/tests/simulation/episodes.cpp
+++ b/tests/simulation/episodes.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -15,7 +16,10 @@
 constexpr Millis kFirstView = 6'000;
 constexpr Millis kFaultMoment = 4'000;           // to wait for the moment of a fault
 constexpr Millis kNextAcknowledgement = 15'000;  // operators wait 2 s for each unresponsive member
+constexpr Millis kContact = 4'000;      // contact_ms: the members count as stable so long after a fault
+constexpr Millis kAcknowledge = 5'000;  // ack_ms
 constexpr Millis kRecovery = 10'000;
+constexpr Millis kLongestDisturbance = 2'500;
 constexpr Millis kMinPartition = 15'000, kMaxPartition = 22'000;
 
 using Members = std::vector<std::size_t>;
@@ -64,10 +68,10 @@
     world.onNextWrite(nullptr);
 }
 
-void requireNextAcknowledgement(World& world) {
+void requireNextAcknowledgement(World& world, Millis within = kNextAcknowledgement) {
     const std::uint64_t before = world.acknowledged();
     const Millis began = world.now();
-    if (!world.network().runUntil(kNextAcknowledgement, [&] { return world.acknowledged() > before; })) {
+    if (!world.network().runUntil(within, [&] { return world.acknowledged() > before; })) {
         if (!world.failed()) world.fail("no change is acknowledged any more");
         return;
     }
@@ -143,6 +147,42 @@
     world.network().runFor(1'500);
 }
 
+// Restarts the member, or suspends it, for a drawn time unless it is lost by then.
+void disturbForAWhile(World& world, std::size_t member,
+                      const std::shared_ptr<std::optional<std::size_t>>& lost) {
+    const double kind = world.network().draw(0, 1);
+    if (kind < 0.4)
+        world.kill(member);
+    else if (kind < 0.7)
+        world.losePower(member);
+    else
+        world.freeze(member);
+    world.network().at(world.now() + world.network().draw(50, kLongestDisturbance), [&world, member, lost] {
+        if (*lost == member) return;
+        world.thaw(member);
+        world.start(member);
+    });
+}
+
+// Changes go on while the lost member is away.
+void overlapThenLose(World& world) {
+    const auto lost = std::make_shared<std::optional<std::size_t>>();
+    for (std::size_t left = 2 + world.network().below(3); left > 0; --left) {
+        const std::size_t member = anyMember(world);
+        injectFault(world, Episode::overlapThenLoss,
+                    [&world, member, lost] { disturbForAWhile(world, member, lost); });
+    }
+    const std::size_t member = victim(world);
+    injectFault(world, Episode::overlapThenLoss, [&world, member, lost] {
+        *lost = member;
+        world.losePower(member);
+    });
+    world.network().runFor(kLongestDisturbance);  // all others are back
+    requireNextAcknowledgement(world, kContact + kAcknowledge);
+    world.network().runFor(world.network().draw(0, 3'000));
+    world.start(member);
+}
+
 // ---- Partitions
 
 enum class Direction { both, in, out };
@@ -302,6 +342,8 @@
             return stopAll(world);
         case Episode::diskLossOutsidePartition:
             return loseDiskOutsidePartition(world);
+        case Episode::overlapThenLoss:
+            return overlapThenLose(world);
     }
 }
 
@@ -321,7 +363,8 @@
                                                                "disk loss after an acknowledgement",
                                                                "loss during recovery",
                                                                "loss of all at once",
-                                                               "disk loss outside a partition"};
+                                                               "disk loss outside a partition",
+                                                               "loss after restarts that overlap"};
     return kNames.at(static_cast<std::size_t>(episode));
 }
 
--- a/tests/simulation/simulation_test.cpp
+++ b/tests/simulation/simulation_test.cpp
@@ -125,5 +125,9 @@
          {Episode::lossDuringRecovery, Episode::allAtOnce, Episode::diskLoss, Episode::replacePlanned}, 6, 5);
 }
 
+TEST(Simulation, AcknowledgesAfterRestartsThatOverlapAndLossOfOneMember) {
+    play("a loss after restarts that overlap", {Episode::overlapThenLoss}, 3, 7);
+}
+
 }  // namespace
 }  // namespace beechpoint::simulation
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -120,7 +120,7 @@
     if (options_.seed % 2 == 1) settings.syncChunkBytes = kSmallChunkBytes;
     member.powered = true;
     member.shown = {};
-    member.partitionedSince = 0;
+    member.contacts.clear();
     member.process = std::make_shared<ControlProcess>(network_, *this, member.disk, hooks_, machineOf(index),
                                                       std::move(settings));
     traceEvent(fmt::format("start {}", index));
@@ -171,6 +171,7 @@
     traceEvent(fmt::format("thaw {}", index));
     const auto process = members_[index]->process;
     process->thaw();
+    noteContacts();
 }
 
 std::optional<std::size_t> World::head() const {
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "control_process.hpp"
@@ -105,6 +106,12 @@
     const History& history() const { return history_; }
 
 private:
+    using DiskId = std::pair<std::string, std::uint64_t>;  // name and incarnation of a member
+    // Whether two processes can reach each other; since when not any more.
+    struct Contact {
+        bool isHeld = false;
+        Millis lostAt = 0;
+    };
     struct Member {
         explicit Member(VirtualNetwork& network) : disk(network) {}
         replica::Member self;
@@ -113,10 +120,8 @@
         std::shared_ptr<ControlProcess> process;
         bool powered = true;
         bool retired = false;
-        Position shown;  // last seen of this process
-        Millis partitionedSince =
-            0;  // from a majority of its view, without a break; 0: it is not partitioned
-        std::uint64_t partitionedEpoch = 0;  // of that view
+        Position shown;                      // last seen of this process
+        std::map<DiskId, Contact> contacts;  // with the processes on these disks
     };
     struct Gateway {
         std::shared_ptr<GatewayProcess> process;
@@ -159,7 +164,10 @@
     void onStep(ControlProcess& process);
     void checkState(const std::string& who, Position position, const ObservedState& state);
     Member& memberOf(const ControlProcess& process);
-    bool hasContact(const Member& member) const;
+    bool reachEachOther(const Member& one, const Member& other) const;
+    void noteContact(Member& member);
+    void noteContacts();  // after a change that may not last until the next check
+    Millis contactAge(const Member& member) const;
     void checkContact(Member& member);
     void checkFresh(const Member& member);
     void onPollAnswer(ControlProcess& process, const std::string& bytes);
--- a/tests/simulation/world_checks.cpp
+++ b/tests/simulation/world_checks.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <set>
+#include <vector>
 
 #include "control_messages/codec.hpp"
 #include "replica/settings.hpp"
@@ -77,35 +79,51 @@
                          simulation::text(entry->second.state)));
 }
 
-// Whether a majority of its view could answer it now.
-bool World::hasContact(const Member& member) const {
-    const replica::View& view = member.process->replica().view();
-    std::size_t reached = 0;
+bool World::reachEachOther(const Member& one, const Member& other) const {
+    return other.process && !other.process->frozen() && network_.linkedBothWays(one.machine, other.machine);
+}
+
+void World::noteContact(Member& member) {
+    std::set<DiskId> reached;
     for (const auto& other : members_) {
-        if (!view.findVoter(other->process ? other->process->replica().self() : other->self)) continue;
-        const bool itself = other.get() == &member;
-        const bool answers = other->process && !other->process->frozen() &&
-                             network_.linkedBothWays(member.machine, other->machine);
-        if (itself || answers) ++reached;
+        if (other.get() != &member && !reachEachOther(member, *other)) continue;
+        const replica::Member& self = other->process->replica().self();
+        reached.insert({self.name, self.incarnation});
     }
-    return reached >= view.majority();
+    for (auto& [disk, contact] : member.contacts)
+        if (contact.isHeld && !reached.contains(disk)) contact = {false, now()};
+    for (const DiskId& disk : reached) member.contacts[disk].isHeld = true;
+}
+
+void World::noteContacts() {
+    for (const auto& member : members_)
+        if (member->process && !member->process->frozen()) noteContact(*member);
+}
+
+// The shortest time within which each voter of some majority could answer it. A voter that has not promised to a later view at one time
+// had not done so before, so contacts at different times are a proof together: no later view was decided before the first of them.
+Millis World::contactAge(const Member& member) const {
+    const replica::View& view = member.process->replica().view();
+    std::vector<Millis> ages;
+    for (const replica::Member& voter : view.effectiveVoters()) {
+        const auto contact = member.contacts.find({voter.name, voter.incarnation});
+        if (contact == member.contacts.end()) continue;
+        ages.push_back(contact->second.isHeld ? 0 : now() - contact->second.lostAt);
+    }
+    if (ages.size() < view.majority()) return std::numeric_limits<Millis>::infinity();
+    std::ranges::sort(ages);
+    return ages[view.majority() - 1];
 }
 
 // Without contact to a majority for longer than its bound it is not fresh.
 void World::checkContact(Member& member) {
     if (!member.process || member.process->frozen()) return;
-    const std::uint64_t epoch = member.process->replica().view().epoch;
-    if (hasContact(member) || epoch != member.partitionedEpoch) {
-        member.partitionedSince = hasContact(member) ? 0 : now();
-        member.partitionedEpoch = epoch;
-        return;
-    }
-    if (member.partitionedSince == 0) member.partitionedSince = now();
-    const Millis partitioned = now() - member.partitionedSince;
-    if (partitioned > replica::kFreshDuration && member.process->replica().isFresh(now()))
+    noteContact(member);
+    const Millis age = contactAge(member);
+    if (age > replica::kFreshDuration && member.process->replica().isFresh(now()))
         fail(
             fmt::format("{} claims freshness for its table {:.0f} ms after it lost contact with the majority",
-                        member.self.name, partitioned));
+                        member.self.name, age));
 }
 
 void World::checkFresh(const Member& member) {
@@ -128,8 +146,7 @@
     Member& member = memberOf(process);
     if (member.process.get() != &process) return;
     checkContact(member);
-    if (member.partitionedSince != 0 && now() - member.partitionedSince > replica::kFreshDuration &&
-        !hasContact(member))
+    if (contactAge(member) > replica::kFreshDuration)
         fail(fmt::format("{} answered a poll though it is partitioned off", member.self.name));
 }
 
