--- a/tests/replica/uncounted_test.cpp
+++ b/tests/replica/uncounted_test.cpp
@@ -22,7 +22,7 @@
     return members;
 }
 
-TEST(UncountedMayGo, OnlyWhereTheCountedKeepAMajorityAfterWhatIsTolerated) {
+TEST(MajoritySurvivesWithoutUncounted, OnlyIfCountedMembersKeepMajorityAfterToleratedLosses) {
     const Tolerance one{1, 0};
     EXPECT_TRUE(majoritySurvivesWithoutUncounted(membersOf(3, 0), one));
     EXPECT_FALSE(majoritySurvivesWithoutUncounted(membersOf(3, 1), one));
