Name constants and outcomes of the replica's simulations in standard terms

Change: kUpBetweenFailures, kFullTableTransfer, kShortestForcedWrite, "complete" as in Cluster::isComplete(). No value or check changes; the exploration, flapping and learner tests and the mixes that use them pass with sanitizers.

--- a/tests/replica/availability_test.cpp
+++ b/tests/replica/availability_test.cpp
@@ -74,7 +74,7 @@
         if (cluster.failed()) break;
         cluster.heal();
         cluster.runUntil(kReturnWithin, [&] { return cluster.isComplete(); });
-        if (!cluster.isComplete() && !cluster.failed()) cluster.fail("not whole after a series");
+        if (!cluster.isComplete() && !cluster.failed()) cluster.fail("not complete after a series");
         cluster.runFor(kCatchUp);
     }
     longestSilence = std::max(longestSilence, cluster.counters().longestSilence);
--- a/tests/replica/explore_world.cpp
+++ b/tests/replica/explore_world.cpp
@@ -65,8 +65,8 @@
     const bool writes = runUntil(now_ + 200, [&] { return outcome_.acknowledged > before; });
     clientRuns_ = false;
     runUntil(now_ + kFreshLag, [] { return false; });
-    outcome_.whole = writes && isComplete();
-    for (std::size_t index = 0; outcome_.whole && index < kNodes; ++index)
+    outcome_.complete = writes && isComplete();
+    for (std::size_t index = 0; outcome_.complete && index < kNodes; ++index)
         if (nodes_[index].replica && nodes_[index].replica->committedPosition() < acknowledged_)
             fail("an acknowledged write is missing in the end");
     return std::move(outcome_);
--- a/tests/replica/explore_world.hpp
+++ b/tests/replica/explore_world.hpp
@@ -82,8 +82,8 @@
 const std::vector<Scenario>& scenarios();
 
 struct Outcome {
-    std::string failure;  // empty: none
-    bool whole = false;   // at the end all nodes share one view that accepts writes
+    std::string failure;    // empty: none
+    bool complete = false;  // at the end all nodes share one view that accepts writes
     std::size_t acknowledged = 0;
     std::size_t reads = 0;
     std::vector<Point> points;
--- a/tests/replica/explorer.cpp
+++ b/tests/replica/explorer.cpp
@@ -29,7 +29,7 @@
 
 std::string Findings::report() const {
     std::string text = fmt::format(
-        "{} runs, {} distinct states, {} writes acknowledged, {} reads, {} runs that did not end whole\n",
+        "{} runs, {} distinct states, {} writes acknowledged, {} reads, {} runs that did not end complete\n",
         runs, states.size(), acknowledged, reads, unfinished);
     text += "deviations by kind:";
     for (std::size_t kind = 0; kind < kDeviations; ++kind)
@@ -38,7 +38,7 @@
     for (std::size_t step = 0; step < kSteps; ++step)
         text += fmt::format(" {} {},", nameOf(static_cast<Step>(step)), byStep[step]);
     text += "\n";
-    for (const std::string& plan : unfinishedPlans) text += "did not end whole: " + plan + "\n";
+    for (const std::string& plan : unfinishedPlans) text += "did not end complete: " + plan + "\n";
     for (const Fault& fault : faults)
         text += fmt::format("FAULT in run {}: {}: {}: {}\n", fault.run, fault.scenario, fault.plan,
                             fault.failure);
@@ -56,7 +56,7 @@
     }
     if (!outcome.failure.empty()) {
         findings_.faults.push_back({scenario.name, describe(plan, known), outcome.failure, findings_.runs});
-    } else if (!outcome.whole) {
+    } else if (!outcome.complete) {
         ++findings_.unfinished;
         if (mustEndWhole(scenario, plan))
             findings_.unfinishedPlans.push_back(scenario.name + ": " + describe(plan, known));
--- a/tests/replica/flapping_test.cpp
+++ b/tests/replica/flapping_test.cpp
@@ -7,8 +7,8 @@
 namespace beechpoint::replica::simulation {
 namespace {
 
-constexpr Millis kOutage = 1'300;  // long enough to be removed from the view
-constexpr Millis kBack = 1'100;    // long enough to be added again after the first probation
+constexpr Millis kOutage = 1'300;             // long enough to be removed from the view
+constexpr Millis kUpBetweenFailures = 1'100;  // long enough to be added again after the first probation
 constexpr int kRounds = 8;
 constexpr std::uint64_t kMaxViews = 6;  // for three additions and removals
 constexpr Millis kCatchUp = 4'000;
@@ -35,7 +35,7 @@
         isolate(cluster, node, true);
         cluster.runFor(kOutage);
         isolate(cluster, node, false);
-        cluster.runFor(kBack);
+        cluster.runFor(kUpBetweenFailures);
     }
     const std::uint64_t views = cluster.replica(other).view().epoch - before;
     EXPECT_GE(views, 2u);
--- a/tests/replica/learner_test.cpp
+++ b/tests/replica/learner_test.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr Millis kCatchUp = 4'000;
-constexpr Millis kCopy = 700;      // duration of a full table transfer
-constexpr Millis kMaxPause = 450;  // between two acknowledgements, including view changes
+constexpr Millis kFullTableTransfer = 700;  // duration of a full table transfer
+constexpr Millis kMaxPause = 450;           // between two acknowledgements, including view changes
 
 class LearnerTest : public ::testing::TestWithParam<std::uint64_t> {
 protected:
@@ -44,7 +44,7 @@
 };
 
 TEST_P(LearnerTest, WritesDoNotWaitForTransferToEmptyMachine) {
-    Cluster cluster = make(kCopy);
+    Cluster cluster = make(kFullTableTransfer);
     age(cluster);
     const std::size_t node = GetParam() % 3;
     cluster.losePower(node);
--- a/tests/replica/overlapping_faults_test.cpp
+++ b/tests/replica/overlapping_faults_test.cpp
@@ -159,7 +159,7 @@
         cluster.runFor(kLeavingBound + kLongestFault + kWatched);
         cluster.healPartitions();  // a moment may leave a link cut; all other faults have ended
         cluster.runUntil(kReturnWithin, [&] { return cluster.isComplete(); });
-        if (!cluster.isComplete() && !cluster.failed()) cluster.fail("not whole after a series");
+        if (!cluster.isComplete() && !cluster.failed()) cluster.fail("not complete after a series");
         cluster.runFor(kCatchUp);
     }
     lastSeries(cluster, options.tolerance);
--- a/tests/replica/safety_simulation_test.cpp
+++ b/tests/replica/safety_simulation_test.cpp
@@ -80,8 +80,8 @@
         while (cluster.now() < end && !cluster.failed()) {
             cluster.runFor(cluster.draw(5, 800));
             cluster.countFault();
-            const bool whole = cluster.isComplete();
-            if (cluster.random()() < (whole ? 0.5 : 0.1))
+            const bool complete = cluster.isComplete();
+            if (cluster.random()() < (complete ? 0.5 : 0.1))
                 wipeOrReplace(cluster);
             else if (cluster.random()() < 0.15)
                 for (std::size_t node = 0; node < cluster.nodes(); ++node) cluster.losePower(node);
--- a/tests/replica/simulated_disks.cpp
+++ b/tests/replica/simulated_disks.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Millis kForcedLow = 1;
+constexpr Millis kShortestForcedWrite = 1;
 
 }  // namespace
 
@@ -39,7 +39,7 @@
     if (node.diskBusy || node.persists.empty()) return;
     node.diskBusy = true;
     Millis done = std::max(now_, node.diskStalledUntil);
-    done += node.persists.front().update.force ? draw(kForcedLow, disks_.slowest) : draw(0.05, 0.3);
+    done += node.persists.front().update.force ? draw(kShortestForcedWrite, disks_.slowest) : draw(0.05, 0.3);
     at(done, [this, index, order = ++node.diskOrder] {
         if (nodes_[index].diskOrder == order && nodes_[index].diskBusy) finishPersist(index);
     });
--- a/tests/replica/simulation_runs.cpp
+++ b/tests/replica/simulation_runs.cpp
@@ -38,8 +38,8 @@
     const Millis began = cluster.now();
     if (!recovers(cluster) && !cluster.failed()) cluster.fail("no write within 3 s of the end of the faults");
     const Millis left = began + kReturnWithin - cluster.now();
-    const bool whole = cluster.runUntil(left, [&] { return cluster.isComplete(); });
-    if (!whole && !cluster.failed()) cluster.fail("not all were taken in again within 3 s");
+    const bool complete = cluster.runUntil(left, [&] { return cluster.isComplete(); });
+    if (!complete && !cluster.failed()) cluster.fail("not all were taken in again within 3 s");
     cluster.counters().slowestReturn = cluster.now() - began;
     cluster.runFor(1'000);
     cluster.stopClient();
--- a/tests/replica/simulation_test.cpp
+++ b/tests/replica/simulation_test.cpp
@@ -123,9 +123,9 @@
         for (int round = 0; round < 3 && !cluster.failed(); ++round) {
             const std::size_t first = cluster.drawNode();
             injectFault(cluster, [&] {
-                const bool whole = cluster.isComplete();
+                const bool complete = cluster.isComplete();
                 cluster.losePower(first);
-                if (whole && cluster.random()() < 0.6) cluster.wipe(first);
+                if (complete && cluster.random()() < 0.6) cluster.wipe(first);
             });
             cluster.at(cluster.now() + cluster.draw(50, 1'500), [&cluster, first] { cluster.start(first); });
             for (int count = 0; count < 3 && !cluster.failed(); ++count) {
@@ -197,7 +197,7 @@
             cluster.start(second);
             cluster.runFor(kCatchUp);
             if (!cluster.isComplete() && !cluster.failed())
-                cluster.fail("not whole when the second loss is over");
+                cluster.fail("not complete when the second loss is over");
         }
         // The last fault occurs while a write is in flight, as in the other mixes.
         injectFault(cluster, [&] { cluster.losePower(cluster.drawNode()); });
