Correct the head comment of the test of overlapping faults

Need: it said that one machine is lost at times; the last series always loses as many as the tolerance allows. Change: the comment; no code. Formatter clean; the tests were not run again.

--- a/tests/replica/overlapping_faults_test.cpp
+++ b/tests/replica/overlapping_faults_test.cpp
@@ -1,6 +1,6 @@
-// Restarts, lost disks, SIGTERM, replaced machines, suspensions and disturbed disks and links in series that overlap, at times followed
-// by the loss of one machine for good: then, too, a majority that can acknowledge writes does so within the operators' bound
-// (Cluster::checkAvailability).
+// Restarts, lost disks, SIGTERM, replaced machines, suspensions and disturbed disks and links in series that overlap; in the last series as
+// many machines as the tolerance allows are lost for good. A majority that can acknowledge writes always does so within the operators'
+// bound (Cluster::checkAvailability).
 #include <gtest/gtest.h>
 
 #include <algorithm>
