Log and count which host failed in its answer, to whom, and how far it had come

Nothing named the host, the request, the reason or how much had been passed on.

Change: AnswerFault (reason, counter, name); one log line for each reason at most once a second; beechpoint_gateway_answer_faults_total by reason. What the gateway does is unchanged.

--- a/src/gateway/client_answer.hpp
+++ b/src/gateway/client_answer.hpp
@@ -37,6 +37,9 @@
     /// The last event that the client has; nothing: none with an id.
     [[nodiscard]] const std::optional<std::string>& lastEventId() const { return progress_.lastId(); }
 
+    /// Events passed on so far, of all attempts.
+    [[nodiscard]] std::size_t eventsPassed() const { return progress_.admitted(); }
+
     /// From now on this attempt's answer is the client's: passes on its head, unless one has been, and its pending body.
     void relay(HostAttempt& attempt);
     /// Passes on bytes of the relayed attempt; of an event stream complete events only, none twice.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -129,6 +129,7 @@
     figures.openAttempts = exchange_.openAttempts();
     figures.routedRequests = exchange_.routedRequests();
     figures.endCounts = exchange_.endCounts();
+    figures.answerFaults = exchange_.answerFaults();
     figures.accessCounts = exchange_.accessCounts();
     const auto table = table_.current();
     figures.revision = table->revision();
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -88,6 +88,16 @@
                  figure(counts.routeNotFound));
 }
 
+void writeAnswerFaults(MetricsText& text, const AnswerFaultCounts& counts) {
+    std::vector<LabelledFigure> figures;
+    for (std::size_t index = 0; index < kAnswerFaultCount; ++index) {
+        const auto fault = static_cast<AnswerFault>(index);
+        figures.push_back({nameOf(fault), figure(counts.of(fault))});
+    }
+    text.counters("beechpoint_gateway_answer_faults_total", "Answers of hosts that were no proper answer.",
+                  "reason", figures);
+}
+
 void writeHostConnections(MetricsText& text, const GatewayFigures& figures) {
     const upstream::UpstreamCounts& counts = figures.hostCounts;
     text.gauge("beechpoint_gateway_host_connections", "Open connections to hosts.",
@@ -111,6 +121,7 @@
     writeRequests(text, figures);
     writeEnds(text, figures.endCounts);
     writeAccess(text, figures);
+    writeAnswerFaults(text, figures.answerFaults);
     writeHostConnections(text, figures);
     return text.text();
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -8,6 +8,7 @@
 
 #include "core/clock.hpp"
 #include "core/replicated_table.hpp"
+#include "gateway/answer_fault.hpp"
 #include "gateway/request_end_counts.hpp"
 #include "upstream/upstream.hpp"
 
@@ -30,6 +31,7 @@
     std::size_t openAttempts = 0;
     std::uint64_t routedRequests = 0;
     RequestEndCounts endCounts;
+    AnswerFaultCounts answerFaults;
     AccessCounts accessCounts;
     std::uint64_t revision = 0;          ///< of the configuration in force
     std::size_t unreadable = 0;          ///< values of it that were left out
--- a/src/gateway/host_attempt.hpp
+++ b/src/gateway/host_attempt.hpp
@@ -1,6 +1,7 @@
 /// One attempt of a request: what has come of it from its host so far.
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "core/clock.hpp"
@@ -16,11 +17,13 @@
         complete,  ///< the answer has come to its proper end
     };
 
+    std::string instanceId;  ///< of the host
     upstream::Handle handle = 0;
     State state = State::open;
     upstream::AnswerHead head;
     bool eventStream = false;        ///< known once the head has come
     bool firstByteReported = false;  ///< to the dispatcher
+    std::uint64_t bodyBytes = 0;     ///< received so far
     std::string pendingBody;         ///< bytes of an answer that is not relayed yet
     upstream::EventSplitter splitter;
     Millis warmupLeft = 0;  ///< as the host stated it
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -188,6 +188,7 @@
         return;
     }
     HostAttempt& attempt = request->attempts[send.attempt];
+    attempt.instanceId = send.instanceId;
     if (send.resume) request->relayed.reset();
     attempt.handle = upstream_.send(address.value(), connectionQuotaShare(send.service),
                                     hostRequest(request->request, send, request->answer.lastEventId()),
@@ -314,6 +315,7 @@
     OpenRequest* const request = find(id);
     if (!request) return;
     HostAttempt& attempt = request->attempts.at(number);
+    attempt.bodyBytes += bytes.size();
     if (attempt.eventStream) reportRun(*request);
     reportFirstByte(id, number, attempt);
     if (request->relayed == number && request->answer.open())
@@ -328,19 +330,35 @@
     if (!request) return;
     const HostAttempt& attempt = request->attempts.at(number);
     const bool endsInsideEvent = attempt.eventStream && attempt.splitter.pending() > 0;
-    if (endsInsideEvent)
+    if (endsInsideEvent) {
+        recordFault(*request, attempt, AnswerFault::truncatedEvent, "the answer ended inside an event");
         endAttempt(id, number, Outcome::incomplete, HostAttempt::State::ended);
-    else
+    } else {
         endAttempt(id, number, outcomeOf(attempt.head), HostAttempt::State::complete);
+    }
     processEvents();
 }
 
 void RequestExchange::onFailed(dispatch::RequestId id, int number, const upstream::Failure& failure) {
-    if (!find(id)) return;
+    const OpenRequest* const request = find(id);
+    if (!request) return;
+    if (const auto fault = faultOf(failure))
+        recordFault(*request, request->attempts.at(number), *fault, failure.message);
     endAttempt(id, number, outcomeOf(failure), HostAttempt::State::ended);
     processEvents();
 }
 
+// Each fault has a kind of its own in the log, so that a flood of one does not hide another.
+void RequestExchange::recordFault(const OpenRequest& request, const HostAttempt& attempt, AnswerFault fault,
+                                  std::string_view detail) {
+    answerFaults_.add(fault);
+    const std::string_view reason = nameOf(fault);
+    log_.seldom(reason, "host {} failed in its answer to {}: {} after {} bytes and {} events passed on ({})",
+                field("instance", attempt.instanceId), field("attempt_id", request.request.attemptId),
+                field("reason", reason), field("bytes", attempt.bodyBytes),
+                field("events", request.answer.eventsPassed()), field("detail", detail));
+}
+
 void RequestExchange::endAttempt(dispatch::RequestId id, int number, Outcome outcome,
                                  HostAttempt::State state) {
     OpenRequest* const request = find(id);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -19,6 +19,7 @@
 
 #include "core/logger.hpp"
 #include "dispatch/dispatcher.hpp"
+#include "gateway/answer_fault.hpp"
 #include "gateway/client_answer.hpp"
 #include "gateway/client_request.hpp"
 #include "gateway/health_check_client.hpp"
@@ -63,6 +64,7 @@
     [[nodiscard]] std::size_t openAttempts() const { return dispatcher_.attemptsInFlight(); }
     [[nodiscard]] std::uint64_t routedRequests() const { return lastId_; }
     [[nodiscard]] const RequestEndCounts& endCounts() const { return endCounts_; }
+    [[nodiscard]] const AnswerFaultCounts& answerFaults() const { return answerFaults_; }
     [[nodiscard]] const upstream::UpstreamCounts& upstreamCounts() const { return upstream_.counts(); }
     [[nodiscard]] const AccessCounts& accessCounts() const { return accessCounts_; }
     [[nodiscard]] std::size_t upstreamConnections() const { return upstream_.connections(); }
@@ -106,6 +108,8 @@
     void rejectUnrouted(net::HttpConnection& client);
     void rejectUnauthorized(tenants::AuthenticationOutcome outcome, const std::string& route,
                             net::HttpConnection& client);
+    void recordFault(const OpenRequest& request, const HostAttempt& attempt, AnswerFault fault,
+                     std::string_view detail);
     void recordEnd(CountsByReason& counts, dispatch::RejectReason reason, int status);
 
     std::size_t connectionQuotaShare(const std::string& service) const;
@@ -128,6 +132,7 @@
     std::unordered_map<dispatch::RequestId, OpenRequest> requests_;
     dispatch::RequestId lastId_ = 0;
     RequestEndCounts endCounts_;
+    AnswerFaultCounts answerFaults_;
     AccessCounts accessCounts_;
     std::deque<dispatch::Event> events_;
     bool processing_ = false;  // events that come meanwhile wait in events_
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -100,6 +100,22 @@
     EXPECT_FALSE(client->has("0\r\n\r\n"));
 }
 
+TEST_F(GatewayTest, CountsFaultsOfHostsAnswersByReason) {
+    host.onRequest = [](Peer& peer) {
+        peer.send("HTTP/1.1 OK 200\r\n\r\n");
+        peer.got.clear();
+    };
+    start();
+    const PeerPtr client = ask("/p/x");
+    ASSERT_TRUE(until(io, [&] { return client->has("HTTP/1.1 502"); }));
+    const PeerPtr reader = connectTo(io, gateway->readinessEndpoint());
+    reader->send("GET /metrics HTTP/1.1\r\nHost: g\r\n\r\n");
+    const std::string_view name = "beechpoint_gateway_answer_faults_total";
+    ASSERT_TRUE(until(io, [&] { return reader->has("beechpoint_gateway_host_surplus_total 0"); }));
+    EXPECT_TRUE(reader->has(fmt::format("{}{{reason=\"malformed_answer\"}} 1\n", name)));
+    EXPECT_TRUE(reader->has(fmt::format("{}{{reason=\"broken_answer\"}} 0\n", name)));
+}
+
 TEST_F(GatewayTest, ResumesResumableStreamAtAnotherHostInOneAnswer) {
     ScriptedHost second(io);
     addHost("i-2", second);
