Pass on only well-formed events of a stream, in the order of one run

Cause: everything up to a blank line was taken for an event, whatever its lines were, and events without an id passed. A host that breaks off inside a chunk, or sends a stream without a length, and garbage with a blank line behind it put that garbage into the body; the client got it. Class: bytes of a peer are believed because their framing holds, though their content was never checked.

Ruled out: the rest of a broken event joined with the next host's bytes (each attempt has its own reader; the tests show whole events of the second host); answers of other requests on a kept connection (X-Attempt-Id, random exchanges).

Change: EventReader checks each event as it comes, also before it is relayed: lines are comments or fields in UTF-8 without control characters, ids rise within one answer, and an event with data has one where others have. At the first that fails, the host's connection is closed and the attempt ends as malformed: a resumable stream goes on elsewhere after the last sound event, any other is cut visibly. A stream is begun with its first whole event, not with its first byte, and an overlong event ends its stream (it hung until the time-out). An id with a bare CR can no longer put a line into another host's request. The check for UTF-8 moves from backend to net, which both halves use.

Why it works: nothing reaches ClientAnswer but events that were read whole and checked; a cut stream is what the protocol has for a host that broke off.

No check of earlier tests changed but the name of the UTF-8 function.

--- a/src/backend/frame.hpp
+++ b/src/backend/frame.hpp
@@ -34,7 +34,6 @@
 
 // Of an R frame. A report that can't be read counts as none.
 std::optional<Result> readResult(std::string_view rest);
-bool isText(std::string_view bytes);                    // valid UTF-8: all that can be handed to a client
 std::optional<Load> readReport(std::string_view text);  // name=value pairs set apart by commas, or "-"
 std::string partId(const Request& request, int slice);
 void writeFrame(std::string& out, char letter, std::string_view rest);
--- a/src/backend/frames.cpp
+++ b/src/backend/frames.cpp
@@ -4,6 +4,8 @@
 #include <ranges>
 #include <set>
 
+#include "net/utf8.hpp"
+
 namespace beechpoint::backend {
 
 using asio::ip::tcp;
@@ -237,7 +239,7 @@
 bool FrameConnection::onResult(const Frame& frame) {
     const std::optional<Result> result = readResult(frame.rest);
     // A value that is no text can't be handed to a client: another try may bring one that can.
-    if (!result || !isText(result->value)) return false;
+    if (!result || !net::isUtf8(result->value)) return false;
     std::string part(result->id);
     const auto found = out_.find(part);
     const auto late = givenUp_.find(part);
--- a/src/gateway/answer_fault.hpp
+++ b/src/gateway/answer_fault.hpp
@@ -18,8 +18,9 @@
     malformedAnswer,    ///< the bytes form no answer
     foreignAnswer,      ///< the answer carries the id of another request
     truncatedEvent,     ///< the answer came to its proper end inside an event
+    unsoundEvent,       ///< the stream holds what is no event of the run (upstream::EventFault)
 };
-inline constexpr std::size_t kAnswerFaultCount = static_cast<std::size_t>(AnswerFault::truncatedEvent) + 1;
+inline constexpr std::size_t kAnswerFaultCount = static_cast<std::size_t>(AnswerFault::unsoundEvent) + 1;
 
 /// Name in the metrics (label `reason`) and in the log.
 [[nodiscard]] std::string_view nameOf(AnswerFault fault);
--- a/src/gateway/client_answer.cpp
+++ b/src/gateway/client_answer.cpp
@@ -23,9 +23,17 @@
 void ClientAnswer::relay(HostAttempt& attempt) {
     if (over()) return;
     if (state_ == State::pending && !begin(attempt)) return;
-    const std::string pending = std::move(attempt.pendingBody);
-    attempt.pendingBody.clear();
-    forward(attempt, pending);
+    const std::string pending = std::exchange(attempt.pendingBody, {});
+    forward(attempt, attempt.eventStream ? admitted(pending) : pending);
+}
+
+std::string ClientAnswer::admitted(std::string_view events) {
+    std::string passed;
+    upstream::EventSplitter splitter;
+    splitter.feed(events, [&](const upstream::StreamEvent& event) {
+        if (admit(event)) passed.append(event.bytes);
+    });
+    return passed;
 }
 
 // False where the answer could not be begun.
@@ -42,17 +50,8 @@
     return client_->beginStream(head.status, upstream::headerLines(head.headers), length);
 }
 
-void ClientAnswer::forward(HostAttempt& attempt, std::string_view bytes) {
+void ClientAnswer::forward(const HostAttempt& attempt, std::string_view bytes) {
     if (bytes.empty() || over()) return;
-    if (!attempt.eventStream) return write(attempt, bytes);
-    std::string events;
-    attempt.splitter.feed(bytes, [&](const upstream::StreamEvent& event) {
-        if (progress_.admit(event)) events.append(event.bytes);
-    });
-    if (!events.empty()) write(attempt, events);
-}
-
-void ClientAnswer::write(const HostAttempt& attempt, std::string_view bytes) {
     const std::size_t waiting = client_->writeSome(bytes);
     if (waiting <= kPauseReadingAbove) return;
     upstream_.pauseReading(attempt.handle);
--- a/src/gateway/client_answer.hpp
+++ b/src/gateway/client_answer.hpp
@@ -42,8 +42,10 @@
 
     /// From now on this attempt's answer is the client's: passes on its head, unless one has been, and its pending body.
     void relay(HostAttempt& attempt);
-    /// Passes on bytes of the relayed attempt; of an event stream complete events only, none twice.
-    void forward(HostAttempt& attempt, std::string_view bytes);
+    /// Whether an event of the relayed attempt is to be passed on: the client does not have it yet.
+    [[nodiscard]] bool admit(const upstream::StreamEvent& event) { return progress_.admit(event); }
+    /// Passes on bytes of the relayed attempt; of an event stream whole events that were admitted.
+    void forward(const HostAttempt& attempt, std::string_view bytes);
     /// The relayed answer has come to its proper end.
     void complete();
     /// Ends without one: by this status and error while nothing has been passed on, else visibly broken off.
@@ -55,7 +57,7 @@
     enum class State { pending, open, over };
 
     bool begin(const HostAttempt& attempt);
-    void write(const HostAttempt& attempt, std::string_view bytes);
+    std::string admitted(std::string_view events);
 
     std::shared_ptr<net::HttpConnection> client_;
     upstream::Upstream& upstream_;
--- a/src/gateway/host_attempt.hpp
+++ b/src/gateway/host_attempt.hpp
@@ -24,8 +24,8 @@
     bool eventStream = false;        ///< known once the head has come
     bool firstByteReported = false;  ///< to the dispatcher
     std::uint64_t bodyBytes = 0;     ///< received so far
-    std::string pendingBody;         ///< bytes of an answer that is not relayed yet
-    upstream::EventSplitter splitter;
+    std::string pendingBody;  ///< of an answer that is not relayed yet: bytes, or whole events of a stream
+    upstream::EventReader events;
     Millis warmupLeft = 0;  ///< as the host stated it
 };
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -189,6 +189,7 @@
     }
     HostAttempt& attempt = request->attempts[send.attempt];
     attempt.instanceId = send.instanceId;
+    attempt.events = upstream::EventReader(request->answer.lastEventId().has_value());
     if (send.resume) request->relayed.reset();
     attempt.handle = upstream_.send(address.value(), connectionQuotaShare(send.service),
                                     hostRequest(request->request, send, request->answer.lastEventId()),
@@ -316,7 +317,7 @@
     if (!request) return;
     HostAttempt& attempt = request->attempts.at(number);
     attempt.bodyBytes += bytes.size();
-    if (attempt.eventStream) reportRun(*request);
+    if (attempt.eventStream) return onEvents(id, number, bytes);
     reportFirstByte(id, number, attempt);
     if (request->relayed == number && request->answer.open())
         request->answer.forward(attempt, bytes);
@@ -325,11 +326,47 @@
     processEvents();
 }
 
+// The events before a fault are passed on first: they are the run's.
+void RequestExchange::onEvents(dispatch::RequestId id, int number, std::string_view bytes) {
+    const auto fault = readEvents(id, number, bytes);
+    processEvents();
+    const OpenRequest* const request = find(id);
+    if (!fault || !request || !request->attempts.contains(number)) return;
+    const HostAttempt& attempt = request->attempts.at(number);
+    if (attempt.state != HostAttempt::State::open) return;
+    upstream_.cancel(attempt.handle);
+    recordFault(*request, attempt, AnswerFault::unsoundEvent, upstream::nameOf(*fault));
+    endAttempt(id, number, Outcome::malformed, HostAttempt::State::ended);
+    processEvents();
+}
+
+std::optional<upstream::EventFault> RequestExchange::readEvents(dispatch::RequestId id, int number,
+                                                                std::string_view bytes) {
+    OpenRequest& request = requests_.at(id);
+    HostAttempt& attempt = request.attempts.at(number);
+    const bool relayed = request.relayed == number && request.answer.open();
+    std::string passed;
+    bool any = false;
+    const auto fault = attempt.events.feed(bytes, [&](const upstream::StreamEvent& event) {
+        any = true;
+        if (!relayed)
+            attempt.pendingBody.append(event.bytes);
+        else if (request.answer.admit(event))
+            passed.append(event.bytes);
+    });
+    if (any) {
+        reportRun(request);
+        reportFirstByte(id, number, attempt);
+    }
+    request.answer.forward(attempt, passed);
+    return fault;
+}
+
 void RequestExchange::onEnd(dispatch::RequestId id, int number) {
     OpenRequest* const request = find(id);
     if (!request) return;
     const HostAttempt& attempt = request->attempts.at(number);
-    const bool endsInsideEvent = attempt.eventStream && attempt.splitter.pending() > 0;
+    const bool endsInsideEvent = attempt.eventStream && attempt.events.pending() > 0;
     if (endsInsideEvent) {
         recordFault(*request, attempt, AnswerFault::truncatedEvent, "the answer ended inside an event");
         endAttempt(id, number, Outcome::incomplete, HostAttempt::State::ended);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -96,6 +96,9 @@
     upstream::Handlers handlersFor(dispatch::RequestId id, int number);
     void onHead(dispatch::RequestId id, int number, const upstream::AnswerHead& head);
     void onData(dispatch::RequestId id, int number, std::string_view bytes);
+    void onEvents(dispatch::RequestId id, int number, std::string_view bytes);
+    std::optional<upstream::EventFault> readEvents(dispatch::RequestId id, int number,
+                                                   std::string_view bytes);
     void onEnd(dispatch::RequestId id, int number);
     void onFailed(dispatch::RequestId id, int number, const upstream::Failure& failure);
     void endAttempt(dispatch::RequestId id, int number, dispatch::Outcome outcome, HostAttempt::State state);
--- a/src/upstream/event_stream.cpp
+++ b/src/upstream/event_stream.cpp
@@ -1,6 +1,10 @@
 #include "upstream/event_stream.hpp"
 
+#include <algorithm>
+#include <array>
+
 #include "net/framing.hpp"
+#include "net/utf8.hpp"
 
 namespace beechpoint::upstream {
 
@@ -26,6 +30,31 @@
     return line;
 }
 
+bool isLowerCaseName(std::string_view name) {
+    const auto isNameCharacter = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+    };
+    return !name.empty() && std::all_of(name.begin(), name.end(), isNameCharacter);
+}
+
+// Whether a field of that name may stand without a colon.
+bool mayLackValue(std::string_view name) {
+    constexpr std::array<std::string_view, 4> kNames = {"id", "data", "event", "retry"};
+    return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
+}
+
+bool isControlCharacter(char c) {
+    const auto code = static_cast<unsigned char>(c);
+    return (code < ' ' && c != '\t') || code == 0x7f;
+}
+
+bool isWellFormedLine(std::string_view line) {
+    if (std::any_of(line.begin(), line.end(), isControlCharacter) || !net::isUtf8(line)) return false;
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) return line.empty() || mayLackValue(line);
+    return colon == 0 || isLowerCaseName(line.substr(0, colon));
+}
+
 StreamEvent eventOf(std::string_view bytes) {
     StreamEvent event{bytes, std::nullopt, false};
     for (std::string_view rest = bytes; !rest.empty();) {
@@ -51,6 +80,12 @@
     return found;
 }
 
+bool StreamEvent::isWellFormed() const {
+    for (std::string_view rest = bytes; !rest.empty();)
+        if (!isWellFormedLine(takeLine(rest))) return false;
+    return true;
+}
+
 bool EventSplitter::feed(std::string_view bytes, const OnEvent& onEvent) {
     if (overlong_) return false;
     pending_ += bytes;
@@ -75,6 +110,47 @@
     overlong_ = false;
 }
 
+std::string_view nameOf(EventFault fault) {
+    switch (fault) {
+        case EventFault::overlong:
+            return "overlong";
+        case EventFault::malformed:
+            return "malformed";
+        case EventFault::missingId:
+            return "missing id";
+        case EventFault::outOfOrder:
+            return "id out of order";
+    }
+    return "unknown";
+}
+
+std::optional<EventFault> EventReader::feed(std::string_view bytes, const EventSplitter::OnEvent& onEvent) {
+    if (fault_) return fault_;
+    const bool inBounds = splitter_.feed(bytes, [&](const StreamEvent& event) {
+        if (fault_ || event.isEmpty()) return;
+        fault_ = check(event);
+        if (!fault_) onEvent(event);
+    });
+    if (!inBounds && !fault_) fault_ = EventFault::overlong;
+    return fault_;
+}
+
+std::optional<EventFault> EventReader::check(const StreamEvent& event) {
+    if (!event.isWellFormed()) return EventFault::malformed;
+    if (event.id && !event.id->empty()) return checkId(*event.id);
+    const bool idsExpected = requireIds_ || lastId_.has_value();
+    if (event.hasData && idsExpected) return EventFault::missingId;
+    return std::nullopt;
+}
+
+std::optional<EventFault> EventReader::checkId(std::string_view id) {
+    if (id.size() > kMaxId) return EventFault::malformed;
+    if (lastId_ && repeats(id, *lastId_)) return EventFault::outOfOrder;
+    if (lastId_ && net::decimalNumber(*lastId_) && !net::decimalNumber(id)) return EventFault::outOfOrder;
+    lastId_ = std::string(id);
+    return std::nullopt;
+}
+
 bool EventProgress::admit(const StreamEvent& event) {
     if (event.id && lastId_ && repeats(*event.id, *lastId_)) {
         ++repeated_;
--- a/src/upstream/event_stream.hpp
+++ b/src/upstream/event_stream.hpp
@@ -1,5 +1,5 @@
-/// Events of a text/event-stream (WHATWG HTML, 9.2), free of I/O. A gateway passes on complete events only, so that a stream that
-/// breaks off can be resumed after the last event that its client has.
+/// Events of a text/event-stream (WHATWG HTML, 9.2), free of I/O. A gateway passes on complete, well-formed events only, so that a
+/// stream that breaks off can be resumed after the last event that its client has, and a host's garbage reaches no client.
 #pragma once
 
 #include <cstddef>
@@ -17,6 +17,11 @@
     std::optional<std::string_view> id;  ///< of its last `id:` line, if any
     bool hasData = false;                ///< false: comments or other fields alone
 
+    /// Whether every line is a comment or a field: UTF-8 without control characters but tabs, a name in lower case, and a value
+    /// that only id, data, event and retry may lack. Stricter than the standard, whose readers skip lines that they do not know.
+    [[nodiscard]] bool isWellFormed() const;
+    /// A blank line that ends nothing.
+    [[nodiscard]] bool isEmpty() const { return bytes == "\n" || bytes == "\r\n"; }
     /// The value of the last line of that field; nothing where there is none.
     [[nodiscard]] std::optional<std::string_view> field(std::string_view name) const;
 };
@@ -41,6 +46,39 @@
     bool overlong_ = false;
 };
 
+enum class EventFault {
+    overlong,    ///< longer than EventSplitter::kMaxEvent
+    malformed,   ///< StreamEvent::isWellFormed() is false, or the id is longer than EventReader::kMaxId
+    missingId,   ///< an event with data lacks an id among events with ids
+    outOfOrder,  ///< an id is not above the one before it
+};
+[[nodiscard]] std::string_view nameOf(EventFault fault);
+
+/// Reads one answer of one host: splits it into events and checks each. After a fault nothing more is read, since nothing tells
+/// where the bytes of the run go on.
+class EventReader {
+public:
+    static constexpr std::size_t kMaxId = 256;  ///< bytes; the id goes into a header of another request
+
+    /// `requireIds`: also of the first event, since those before it came from another host.
+    explicit EventReader(bool requireIds = false) : requireIds_(requireIds) {}
+
+    /// Calls onEvent with each event that `bytes` completes and that is sound, but not with empty ones; slices hold during that
+    /// call. Nothing: more may follow.
+    std::optional<EventFault> feed(std::string_view bytes, const EventSplitter::OnEvent& onEvent);
+    /// Bytes of an incomplete event: a stream that ends with some was truncated.
+    [[nodiscard]] std::size_t pending() const { return splitter_.pending(); }
+
+private:
+    std::optional<EventFault> check(const StreamEvent& event);
+    std::optional<EventFault> checkId(std::string_view id);
+
+    EventSplitter splitter_;
+    bool requireIds_;
+    std::optional<std::string> lastId_;  // of this answer
+    std::optional<EventFault> fault_;
+};
+
 /// Which events of a stream, perhaps of several hosts one after the other, its client gets: none twice.
 class EventProgress {
 public:
--- a/tests/backend/frame_test.cpp
+++ b/tests/backend/frame_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "net/utf8.hpp"
+
 using namespace beechpoint;
 
 namespace {
@@ -29,10 +31,10 @@
 
 TEST(Frame, AcceptsOnlyValidUtf8AsText) {
     for (const char* text : {"", "abc", "\xc3\xa4", "\xe2\x82\xac", "\xf0\x9f\x9a\x9a", "\xf4\x8f\xbf\xbf"})
-        EXPECT_TRUE(backend::isText(text));
+        EXPECT_TRUE(net::isUtf8(text));
     for (const char* noise : {"\xff", "\x80", "\xc3", "\xc0\x80", "\xe0\x80\x80", "\xed\xa0\x80",
                               "\xf4\x90\x80\x80", "a\xe2\x82"})
-        EXPECT_FALSE(backend::isText(noise));
+        EXPECT_FALSE(net::isUtf8(noise));
 }
 
 TEST(Frame, WritesPartWithItsDeadlineRoundedDownToMilliseconds) {
--- a/tests/gateway/spoiled_stream_test.cpp
+++ b/tests/gateway/spoiled_stream_test.cpp
@@ -78,10 +78,71 @@
                        fromSecondEvent());
 }
 
+TEST_F(SpoiledStreamTest, GarbageInWholeChunkIsNoEvent) {
+    expectCutAfter(std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n") + chunk(kGarbage) +
+                       chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n",
+                   "id: 1\ndata: a\n\n");
+}
+
 TEST_F(SpoiledStreamTest, GarbageInUnframedStreamIsNoEvent) {
     expectCutAfter(std::string(kHead) + kUnframedHead + "id: 1\ndata: a\n\n" + kGarbage,
                    "id: 1\ndata: a\n\n");
 }
 
+TEST_F(SpoiledStreamTest, GarbageBeforeFirstEventOfResumableStreamIsNoEvent) {
+    expectResumedWhole(std::string(kHead) + kChunkedHead + "40\r\n" + kGarbage,
+                       std::string(kHead) + kChunkedHead + chunk(kWholeStream) + "0\r\n\r\n");
+}
+
+TEST_F(SpoiledStreamTest, GarbageInsideEventIsNotPassedOn) {
+    expectResumedWhole(
+        std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n") + "40\r\nid: 2\nda" + kGarbage,
+        fromSecondEvent());
+}
+
+TEST_F(SpoiledStreamTest, GarbageInsideDataOfEventIsNotPassedOn) {
+    expectResumedWhole(
+        std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n") + "40\r\nid: 2\ndata: b" + kGarbage,
+        fromSecondEvent());
+}
+
+TEST_F(SpoiledStreamTest, SecondAnswerInsideUnframedStreamIsNoEvent) {
+    expectCutAfter(std::string(kHead) + kUnframedHead + "id: 1\ndata: a\n\n" + kHead + kUnframedHead +
+                       "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+                   "id: 1\ndata: a\n\n");
+}
+
+TEST_F(SpoiledStreamTest, EventWithoutIdAmongEventsWithIdsIsNotPassedOn) {
+    expectCutAfter(std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n") + chunk("data: b\n\n") +
+                       chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n",
+                   "id: 1\ndata: a\n\n");
+}
+
+TEST_F(SpoiledStreamTest, IdThatGoesBackWithinOneAnswerCutsTheStream) {
+    expectCutAfter(std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n") +
+                       chunk("id: 2\ndata: b\n\n") + chunk("id: 1\ndata: a\n\n") +
+                       chunk("id: 3\ndata: other\n\n") + "0\r\n\r\n",
+                   "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+TEST_F(SpoiledStreamTest, CommentsAndFieldsOfOthersArePassedOn) {
+    const std::string events =
+        ": keep-alive\n\nversions: 4\r\nid: 1\r\ndata: \xC3\xA9\ta\r\n\r\nevent: x\nid: 2\ndata\ndata: b\n\n";
+    spoilFirstAnswer(std::string(kHead) + kChunkedHead + chunk(events) + "0\r\n\r\n", "");
+    start();
+    const PeerPtr client = askAndWait("/e/x");
+    EXPECT_TRUE(isComplete(*client));
+    EXPECT_EQ(bodyOf(*client), events);
+}
+
+TEST_F(SpoiledStreamTest, IdWithControlCharactersDoesNotReachAnotherHost) {
+    expectResumedWhole(std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n") +
+                           chunk("id: 2\rX-Other: 1\ndata: b\n\n"),
+                       fromSecondEvent());
+    ASSERT_EQ(requestBytes.size(), 2u);
+    EXPECT_NE(requestBytes[1].find("Last-Event-Id: 1\r\n"), std::string::npos);
+    EXPECT_EQ(requestBytes[1].find("X-Other"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace beechpoint::gateway
--- a/tests/upstream/event_stream_test.cpp
+++ b/tests/upstream/event_stream_test.cpp
@@ -1,4 +1,4 @@
-// Complete events from chunks of any size, and none passed on twice.
+// Complete and sound events from chunks of any size, and none passed on twice.
 #include "upstream/event_stream.hpp"
 
 #include <gtest/gtest.h>
@@ -70,6 +70,78 @@
     });
 }
 
+bool isWellFormed(const std::string& bytes) { return StreamEvent{bytes, std::nullopt, false}.isWellFormed(); }
+
+TEST(StreamEvent, LinesThatAreNoFieldsAreMalformed) {
+    for (const char* event :
+         {"id: 1\ndata: a\n\n", "id\ndata\nevent\nretry\n\n", ": any text, HTTP/1.1 200 OK\n\n",
+          "versions: 7\r\nx-trace_2:\r\n\r\n", "data: \xF0\x9F\x98\x80\ttab\n\n", "\n"})
+        EXPECT_TRUE(isWellFormed(event)) << event;
+    for (const char* event :
+         {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 OK 200\r\n\r\n", "X-Server-Seal: 1\r\n\r\n", "dat\n\n",
+          "id: 1\n\x16\x03\x01\r\n\r\n", "id: 1\ndata: \x16\x03\n\n", "id: 1\rdata: a\n\n", "data: \x7f\n\n",
+          "data: \xC3\n\n", "data: \xC0\x80\n\n", "data: \xED\xA0\x80\n\n", "data: \xF5\x80\x80\x80\n\n",
+          " data: a\n\n", "da ta: a\n\n"})
+        EXPECT_FALSE(isWellFormed(event)) << event;
+    EXPECT_FALSE(isWellFormed(std::string("data: \0\n\n", 9)));
+}
+
+// What a reader passes on, and the fault that ends it.
+struct Reading {
+    std::string passed;
+    std::optional<EventFault> fault;
+};
+
+Reading readAll(EventReader reader, const std::string& stream, std::size_t chunk) {
+    Reading reading;
+    for (std::size_t at = 0; at < stream.size(); at += chunk)
+        reading.fault = reader.feed(std::string_view(stream).substr(at, chunk),
+                                    [&](const StreamEvent& event) { reading.passed.append(event.bytes); });
+    return reading;
+}
+
+TEST(EventReader, PassesOnNothingFromTheFirstFaultOn) {
+    const std::string before = "id: 1\ndata: a\n\n: comment\n\nid: 2\ndata: b\n\n";
+    const std::string after = "id: 9\ndata: c\n\n";
+    const std::vector<std::pair<std::string, EventFault>> faults = {
+        {"\x16\x03\x01\r\n\r\n", EventFault::malformed},
+        {"id: " + std::string(EventReader::kMaxId + 1, '7') + "\ndata: c\n\n", EventFault::malformed},
+        {"data: c\n\n", EventFault::missingId},
+        {"id:\ndata: c\n\n", EventFault::missingId},
+        {"id: 2\ndata: c\n\n", EventFault::outOfOrder},
+        {"id: 1\ndata: c\n\n", EventFault::outOfOrder},
+        {"id: x\ndata: c\n\n", EventFault::outOfOrder}};
+    for (const auto& [event, fault] : faults)
+        for (std::size_t chunk = 1; chunk <= before.size() + event.size() + after.size(); ++chunk) {
+            const Reading reading = readAll(EventReader(), before + event + after, chunk);
+            EXPECT_EQ(reading.passed, before) << event << " in chunks of " << chunk;
+            EXPECT_EQ(reading.fault, fault) << event << " in chunks of " << chunk;
+        }
+}
+
+TEST(EventReader, EndsAtOverlongEvent) {
+    const std::string event = "data: " + std::string(EventSplitter::kMaxEvent, 'x');
+    EXPECT_EQ(readAll(EventReader(), event, event.size()).fault, EventFault::overlong);
+}
+
+TEST(EventReader, StreamWithoutIdsPasses) {
+    const std::string stream = "data: a\n\ndata: b\n\n";
+    const Reading reading = readAll(EventReader(), stream, 1);
+    EXPECT_EQ(reading.passed, stream);
+    EXPECT_EQ(reading.fault, std::nullopt);
+}
+
+TEST(EventReader, FirstEventNeedsIdWhereStreamIsResumed) {
+    EXPECT_EQ(readAll(EventReader(true), "data: a\n\n", 1).fault, EventFault::missingId);
+    EXPECT_EQ(readAll(EventReader(true), "id: 4\ndata: a\n\n", 1).fault, std::nullopt);
+}
+
+TEST(EventReader, BlankLinesBetweenEventsAreDropped) {
+    const Reading reading = readAll(EventReader(), "\n\r\nid: 1\ndata: a\n\n\n", 1);
+    EXPECT_EQ(reading.passed, "id: 1\ndata: a\n\n");
+    EXPECT_EQ(reading.fault, std::nullopt);
+}
+
 bool admit(EventProgress& progress, const std::string& bytes) {
     bool admitted = false;
     EventSplitter splitter;
