Let a host's Content-Type neither join bytes to a stream nor rewrite a body

A host that answered a resumed stream with a 2xx of another type was joined to the client's stream byte by byte; an answer on a route that is not streaming was split into events, and rewritten, where its type said so.

Change: a stream is resumed only by an event stream (AttemptHead::eventStream), and only answers to streaming routes with status 2xx, that type (in any case, with parameters) and no Content-Encoding are read as events.

Tried and dropped: to refuse any 2xx that is no event stream on a streaming route.

--- a/src/dispatch/attempt_results.cpp
+++ b/src/dispatch/attempt_results.cpp
@@ -18,7 +18,7 @@
     const bool success = isSuccess(head.status);
     const bool unsealed = success && !head.sealed;
     const bool failure = head.status >= 500 && request.idempotent();
-    const bool cannotResume = request.open && !success;
+    const bool cannotResume = request.open && !(success && head.eventStream);
     return unsealed || impliesNotRun(head.status) || failure || cannotResume;
 }
 
--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -61,6 +61,7 @@
     int status = 0;
     bool rejected = false;
     bool sealed = true;                      ///< has X-Server-Seal; a 2xx without it is not a success
+    bool eventStream = true;                 ///< the body is a stream of events; without it no open stream is resumed
     std::optional<std::uint64_t> bodyBytes;  ///< Content-Length, if present
 };
 
--- a/src/gateway/host_answer.cpp
+++ b/src/gateway/host_answer.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <string_view>
+
+#include "net/framing.hpp"
 
 namespace beechpoint::gateway {
 
@@ -9,6 +12,7 @@
 
 namespace {
 
+constexpr int kFirstSuccess = 200, kFirstRedirect = 300;
 constexpr int kMisdirectedRequest = 421;  // RFC 9110, 15.5.20: another host than X-Target-Instance names
 
 }  // namespace
@@ -22,8 +26,12 @@
 }
 
 bool isEventStream(const upstream::AnswerHead& head) {
+    constexpr std::string_view kEventStream = "text/event-stream";
     const std::string* const type = upstream::findHeader(head.headers, "Content-Type");
-    return type && type->starts_with("text/event-stream");
+    const bool success = head.status >= kFirstSuccess && head.status < kFirstRedirect;
+    if (!type || !success || upstream::findHeader(head.headers, "Content-Encoding")) return false;
+    const std::string_view essence = std::string_view(*type).substr(0, type->find_first_of("; \t"));
+    return net::sameName(essence, kEventStream);
 }
 
 Millis warmupLeft(const upstream::AnswerHead& head) {
--- a/src/gateway/host_answer.hpp
+++ b/src/gateway/host_answer.hpp
@@ -13,7 +13,7 @@
 /// Whether the host proved that the request has not run: status 421, or the header X-Not-Executed.
 [[nodiscard]] bool notExecuted(const upstream::AnswerHead& head);
 
-/// Whether the body is a stream of events (text/event-stream).
+/// Whether the answer is a success whose body is a stream of events (text/event-stream, without a coding).
 [[nodiscard]] bool isEventStream(const upstream::AnswerHead& head);
 
 /// The warm-up time that the host states as left (X-Warmup-Remaining); 0 where it states none.
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -75,7 +75,8 @@
                                R"({"error":"ending; not taken and not run; ask another gateway"})",
                                net::retryAfterHeader(kRetryElsewhere));
     ClientAnswer answer(client, upstream_, request.lastEventId);
-    requests_.emplace(id, OpenRequest{std::move(request), std::move(answer), {}, {}});
+    const bool streaming = event.type == dispatch::RequestType::streaming;
+    requests_.emplace(id, OpenRequest{std::move(request), std::move(answer), {}, streaming, {}});
     client->whenGone([this, id] { onClientLeft(id); });
     handle(std::move(event));
 }
@@ -287,7 +288,7 @@
     if (!request) return;
     HostAttempt& attempt = request->attempts.at(number);
     attempt.head = head;
-    attempt.eventStream = isEventStream(head);
+    attempt.eventStream = request->streaming && isEventStream(head);
     attempt.warmupLeft = warmupLeft(head);
     dispatch::AttemptHead event;
     event.id = id;
@@ -296,6 +297,7 @@
     event.rejected = notExecuted(head);
     if (!event.rejected && !attempt.eventStream) reportRun(*request);
     event.sealed = upstream::findHeader(head.headers, "X-Server-Seal") != nullptr;
+    event.eventStream = attempt.eventStream;
     event.bodyBytes = head.noBody ? std::optional<std::uint64_t>(0) : head.contentLength;
     handle(std::move(event));
 }
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -74,6 +74,7 @@
         ClientRequest request;
         ClientAnswer answer;
         std::map<int, HostAttempt> attempts;  // by number
+        bool streaming = false;               // by its route
         std::optional<int> relayed;           // the attempt whose answer is the client's
         bool runReported = false;             // to onRunStarted_
     };
--- a/tests/dispatch/requests_test.cpp
+++ b/tests/dispatch/requests_test.cpp
@@ -65,6 +65,26 @@
     EXPECT_EQ(actionsOf<Fail>(harness.ended(arrived.id, 0, Outcome::served)).size(), 1u);
 }
 
+TEST_F(RequestsTest, SuccessThatIsNoEventStreamDoesNotResumeStream) {
+    RequestArrived arrived = harness.request(RequestType::streaming);
+    arrived.resumable = true;
+    arrived.maxAttempts = 2;
+    harness.handle(arrived);
+    harness.head(arrived.id, 0);
+    harness.handle(AttemptFirstByte{arrived.id, 0});
+    ASSERT_EQ(actionsOf<Send>(harness.ended(arrived.id, 0, Outcome::incomplete, "1")).size(), 1u);
+    AttemptHead head;
+    head.id = arrived.id;
+    head.attempt = 1;
+    head.status = 200;
+    head.eventStream = false;
+    EXPECT_TRUE(actionsOf<Relay>(harness.handle(head)).empty());
+    EXPECT_TRUE(actionsOf<Relay>(harness.handle(AttemptFirstByte{arrived.id, 1})).empty());
+    const std::vector<Action> end = harness.ended(arrived.id, 1, Outcome::served);
+    EXPECT_TRUE(actionsOf<Relay>(end).empty());
+    EXPECT_EQ(actionsOf<AbortResponse>(end).size(), 1u);
+}
+
 TEST_F(RequestsTest, IdempotentRequestFailsOverToOtherHost) {
     const RequestArrived arrived = harness.request();
     const std::string first = actionsOf<Send>(harness.handle(arrived))[0].instanceId;
--- a/tests/gateway/spoiled_stream_test.cpp
+++ b/tests/gateway/spoiled_stream_test.cpp
@@ -135,6 +135,28 @@
     EXPECT_EQ(bodyOf(*client), events);
 }
 
+TEST_F(SpoiledStreamTest, AnswerThatIsNoEventStreamDoesNotContinueStream) {
+    addHost("i-2", second);
+    spoilFirstAnswer(std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n"),
+                     std::string(kHead) + "Content-Type: text/plain\r\nContent-Length: 9\r\n\r\nno stream");
+    start();
+    const PeerPtr client = askAndWait("/r/x");
+    EXPECT_FALSE(isComplete(*client));
+    EXPECT_EQ(bodyOf(*client), "id: 1\ndata: a\n\n");
+}
+
+TEST_F(SpoiledStreamTest, BodyOfOtherRouteIsNotReadAsEvents) {
+    const std::string body = "id: 2\ndata: b\n\nid: 1\ndata: a\n\nno event";
+    spoilFirstAnswer(std::string(kHead) + fmt::format("Content-Type: text/event-stream\r\nContent-Length: {}"
+                                                      "\r\n\r\n{}",
+                                                      body.size(), body),
+                     "");
+    start();
+    const PeerPtr client = ask("/p/x");
+    ASSERT_TRUE(until(io, [&] { return client->has("no event") || client->ended; }));
+    EXPECT_TRUE(client->got.ends_with(body)) << client->got;
+}
+
 TEST_F(SpoiledStreamTest, IdWithControlCharactersDoesNotReachAnotherHost) {
     expectResumedWhole(std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n") +
                            chunk("id: 2\rX-Other: 1\ndata: b\n\n"),
