--- a/src/gateway/client_answer.cpp
+++ b/src/gateway/client_answer.cpp
@@ -39,8 +39,9 @@
 // False where the answer could not be begun.
 bool ClientAnswer::begin(const HostAttempt& attempt) {
     const upstream::AnswerHead& head = attempt.head;
-    if (promisesNotExecuted(head.status) && !notExecuted(head)) {
-        // Without X-Not-Executed the host promises nothing: the status alone must not reach the client as a promise.
+    // Without X-Not-Executed the host promises nothing: the status alone must not reach the client as a promise.
+    const bool isFalsePromise = promisesNotExecuted(head.status) && !notExecuted(head);
+    if (isFalsePromise || attempt.overflowed) {
         state_ = State::over;
         client_->respond(502, kJson, R"({"error":"the host failed; the request may have run"})");
         return false;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -324,7 +324,7 @@
     if (request->relayed == number && request->answer.open())
         request->answer.forward(attempt, bytes);
     else if (!request->answer.over())
-        attempt.pendingBody.append(bytes);
+        attempt.keep(bytes);
     processEvents();
 }
 
@@ -352,7 +352,7 @@
     const auto fault = attempt.events.feed(bytes, [&](const upstream::StreamEvent& event) {
         any = true;
         if (!relayed)
-            attempt.pendingBody.append(event.bytes);
+            attempt.keep(event.bytes);
         else if (request.answer.admit(event))
             passed.append(event.bytes);
     });
--- a/tests/gateway/spoiled_stream_test.cpp
+++ b/tests/gateway/spoiled_stream_test.cpp
@@ -166,5 +166,16 @@
     EXPECT_EQ(requestBytes[1].find("X-Other"), std::string::npos);
 }
 
+TEST_F(SpoiledStreamTest, BodyOfAnswerThatIsNotRelayedIsKeptUpToItsBound) {
+    HostAttempt attempt;
+    const std::string part(HostAttempt::kMaxPendingBody / 2 + 1, 'x');
+    attempt.keep(part);
+    EXPECT_FALSE(attempt.overflowed);
+    attempt.keep(part);
+    attempt.keep("x");
+    EXPECT_TRUE(attempt.overflowed);
+    EXPECT_EQ(attempt.pendingBody.size(), part.size());
+}
+
 }  // namespace
 }  // namespace beechpoint::gateway
