Ignore a warm-up time that is not finite, not this instance's, or over an hour

X-Warmup-Remaining was read as any floating-point text: "inf" kept a host at its slow-start rate for good, "nan" reached the timers, digits followed by anything counted. A 421, or a health answer of another instance at that address, applied its time to the instance that was asked for.

Change: a finite number and nothing else, at most an hour, from the instance itself; else 0.

--- a/src/gateway/health_check_client.cpp
+++ b/src/gateway/health_check_client.cpp
@@ -15,7 +15,7 @@
     const std::string* const instance = upstream::findHeader(head.headers, "X-Instance-Id");
     result.answered = instance && *instance == result.instanceId;
     result.healthy = result.answered && head.status == 200;
-    result.warmupLeft = warmupLeft(head);
+    if (result.answered) result.warmupLeft = warmupLeft(head);
 }
 
 }  // namespace
--- a/src/gateway/host_answer.cpp
+++ b/src/gateway/host_answer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <string_view>
 
 #include "net/framing.hpp"
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr int kFirstSuccess = 200, kFirstRedirect = 300;
+constexpr Millis kMaxWarmup = 3'600'000;
 constexpr int kMisdirectedRequest = 421;  // RFC 9110, 15.5.20: another host than X-Target-Instance names
 
 }  // namespace
@@ -36,9 +38,12 @@
 
 Millis warmupLeft(const upstream::AnswerHead& head) {
     const std::string* const text = upstream::findHeader(head.headers, "X-Warmup-Remaining");
+    if (!text || head.status == kMisdirectedRequest) return 0;
+    const char* const end = text->data() + text->size();
     double left = 0;
-    if (text) std::from_chars(text->data(), text->data() + text->size(), left);
-    return std::max(left, 0.0);
+    const auto parsed = std::from_chars(text->data(), end, left);
+    if (parsed.ec != std::errc() || parsed.ptr != end || !std::isfinite(left)) return 0;
+    return std::clamp(left, 0.0, kMaxWarmup);
 }
 
 Outcome outcomeOf(const upstream::AnswerHead& head) {
--- a/src/gateway/host_answer.hpp
+++ b/src/gateway/host_answer.hpp
@@ -16,7 +16,8 @@
 /// Whether the answer is a success whose body is a stream of events (text/event-stream, without a coding).
 [[nodiscard]] bool isEventStream(const upstream::AnswerHead& head);
 
-/// The warm-up time that the host states as left (X-Warmup-Remaining); 0 where it states none.
+/// The warm-up time that the host states as left (X-Warmup-Remaining, ms), up to an hour; 0 where it states none, or no finite
+/// number, and in an answer 421, which another instance gives.
 [[nodiscard]] Millis warmupLeft(const upstream::AnswerHead& head);
 
 /// The outcome of an attempt whose answer came to its proper end.
