Refuse messages between the system's processes that hold an infinite or no number

Times and ages of poll replies, requests, peer updates and host lists came in as any double; a lease or an age of infinity or NaN would have been added to clocks and compared for ever.

Change: the codec takes such a field for a malformed message, as it does an enum's unknown number. Stored and sent forms are unchanged: no process writes such values.

--- a/src/control_messages/field_codec.hpp
+++ b/src/control_messages/field_codec.hpp
@@ -5,10 +5,13 @@
 /// beyond it makes the message malformed. For the codecs of this folder only: message_fields.hpp and replica_codec.cpp specialise.
 #pragma once
 
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
+#include <type_traits>
 #include <utility>
 
 #include "core/result.hpp"
@@ -56,6 +59,18 @@
     EnumBounds<T>::kLast;
 };
 
+/// False for a number, or an optional one, that is infinite or not a number: times and ages are added and compared, and such a value
+/// would last for ever.
+template <class T>
+bool isFinite(const T& field) {
+    if constexpr (std::is_floating_point_v<T>)
+        return std::isfinite(field);
+    else if constexpr (std::is_same_v<T, std::optional<double>>)
+        return !field || std::isfinite(*field);
+    else
+        return true;
+}
+
 /// The error for malformed bytes.
 /// @param location which part can't be read
 inline Error malformed(std::string location, std::string why) {
@@ -91,6 +106,7 @@
             std::uint32_t index = 0;
             const auto read = [&](auto& field) {
                 if (index < object.via.array.size) object.via.array.ptr[index].convert(field);
+                if (!beechpoint::control::isFinite(field)) throw msgpack::type_error();
                 index++;
             };
             std::apply([&read](auto&... field) { (read(field), ...); },
--- a/tests/control/codec_test.cpp
+++ b/tests/control/codec_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "control/durable_records.hpp"
 #include "control/replica_codec.hpp"
 #include "rpc/server.hpp"
@@ -214,6 +216,27 @@
     EXPECT_FALSE(decodePeerUpdate(openEnvelope(corrupt).value().body).has_value());
 }
 
+TEST(Codec, NumberThatIsNotFiniteMakesMessageMalformed) {
+    for (const double number :
+         {std::numeric_limits<double>::infinity(), -std::numeric_limits<double>::infinity(),
+          std::numeric_limits<double>::quiet_NaN()}) {
+        PollReply lease;
+        lease.leaseMs = number;
+        EXPECT_FALSE(decodePollReply(encode(lease))) << number;
+        PollReply age;
+        age.hostListAge = number;
+        EXPECT_FALSE(decodePollReply(encode(age))) << number;
+        PollReply hosts;
+        HostListSnapshot list = hostList();
+        list.hosts.front().warmupLeft = number;
+        hosts.packedHostList = packHostList(*toHostList(list, 0));
+        EXPECT_FALSE(decodePollReply(encode(hosts))) << number;
+        PollRequest request;
+        request.waitMs = number;
+        EXPECT_FALSE(decodePollRequest(openEnvelope(encode(request)).value().body)) << number;
+    }
+}
+
 TEST(Codec, ReturnsErrorWhenBytesAreNoMessage) {
     EXPECT_FALSE(openEnvelope("").has_value());
     EXPECT_FALSE(openEnvelope(std::string("\0x", 2)).has_value());
