Close the platform's connection where bytes came while no call was open

An answer of the platform carries no id, and the connection is kept: a surplus answer that came between two calls was read as the answer to the next one, an old host list as a new one.

Change: bytes that wait before a call is written end the connection; the call goes out on a new one.

A surplus answer that arrives after the next call has been written can't be told apart and is still believed.

--- a/src/host_discovery/platform_connection.cpp
+++ b/src/host_discovery/platform_connection.cpp
@@ -37,6 +37,8 @@
 void PlatformConnection::begin(std::string request, Millis timeout, OnAnswer onAnswer) {
     onAnswer_ = std::move(onAnswer);
     request_ = std::move(request);
+    // Bytes that came while no call was open belong to none: answers carry no id that would tell.
+    if (socket_.is_open() && hasUnreadBytes()) close();
     call_++;
     startTimer(timeout);
     if (socket_.is_open())
@@ -45,6 +47,11 @@
         connect();
 }
 
+bool PlatformConnection::hasUnreadBytes() const {
+    asio::error_code error;
+    return socket_.available(error) > 0 || error;
+}
+
 void PlatformConnection::cancel() {
     if (onAnswer_) close();
     onAnswer_ = nullptr;
--- a/src/host_discovery/platform_connection.hpp
+++ b/src/host_discovery/platform_connection.hpp
@@ -30,6 +30,7 @@
 
 private:
     void begin(std::string request, Millis timeout, OnAnswer onAnswer);
+    [[nodiscard]] bool hasUnreadBytes() const;
     void startTimer(Millis timeout);
     void connect();
     void write();
