Soak with hosts that spoil streams of events on open connections

Change: a resumable route whose stand-in hosts spoil every fifth stream while processes come and go: half an event and a reset, garbage, garbage inside an event, an event without id, one repeated, another answer's head. A client's body must be the run's events in order, whole or cut behind an event; a cut is allowed only where a host spoiled the stream. The checks have tests of their own.

--- a/tests/system/soak_checks.cpp
+++ b/tests/system/soak_checks.cpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <utility>
 
+#include "event_script.hpp"
 #include "system.hpp"
 
 namespace beechpoint::system_test {
@@ -17,6 +18,7 @@
 constexpr Millis kWindow = 1'000.0 * kUsageWindowS;
 constexpr double kUsageTolerance = 0.05;
 constexpr double kUsageSlack = 2;  // requests of a tenant that began to run at the very ends of the stretch
+constexpr const char* kEventsPath = "/events/";
 constexpr const char* kUsageSubject = "/usage-reports";
 
 using Bodies = std::map<std::uint64_t, std::string>;
@@ -60,11 +62,24 @@
 }
 
 bool isExpectedBody(const Attempt& attempt) {
+    if (attempt.status == 200 && attempt.path.starts_with(kEventsPath))
+        return isWholeStream(attempt.id, attempt.body);
     return attempt.status != 200 ||
            attempt.body == (attempt.path.starts_with("/stream/") ? kStreamedAnswer : kPlainAnswer);
 }
 
-void checkAnswer(const SoakRecord& record, const Attempt& attempt, bool wasRun, Findings& findings) {
+bool isCutOffAsDue(const Attempt& attempt) {
+    return attempt.whole || attempt.status != 200 || !attempt.path.starts_with(kEventsPath) ||
+           isCutStream(attempt.id, attempt.body);
+}
+
+// What became of a request at the hosts.
+struct AtHosts {
+    bool wasRun = false;
+    bool wasSpoiled = false;  // a gateway may then end the answer visibly
+};
+
+void checkAnswer(const SoakRecord& record, const Attempt& attempt, const AtHosts& hosts, Findings& findings) {
     const Period period{attempt.sentAt, attempt.endedAt};
     const std::string gateway = gatewayName(attempt);
     if (attempt.foreign) findings.push_back("the answer of another request: " + describe(attempt));
@@ -74,8 +89,11 @@
     if (attempt.status == 401 &&
         !record.keys.held(attempt.key, "", {oldestState(record, attempt, attempt.endedAt), attempt.endedAt}))
         findings.push_back("refused though the key is held: " + describe(attempt));
-    if (attempt.failure.empty()) return;
-    if (wasRun && !record.disruptions.any(gateway, Disruption::killed, period) &&
+    if (!isCutOffAsDue(attempt))
+        findings.push_back(
+            fmt::format("'{}' is a stream that no run made: {}", attempt.body, describe(attempt)));
+    if (attempt.failure.empty() || hosts.wasSpoiled) return;
+    if (hosts.wasRun && !record.disruptions.any(gateway, Disruption::killed, period) &&
         !record.disruptions.any(gateway, Disruption::stopped, period))
         findings.push_back("read and left without a whole answer: " + describe(attempt));
     else if (!record.disruptions.any(gateway, period))
@@ -153,10 +171,13 @@
 
 Findings checkAnswers(const SoakRecord& record) {
     Findings findings;
-    std::set<std::string> ran;
-    for (const HostRun& run : record.runs) ran.insert(run.id);
-    for (const Attempt& attempt : record.attempts)
-        checkAnswer(record, attempt, ran.contains(attempt.id), findings);
+    std::map<std::string, AtHosts> hosts;
+    for (const HostRun& run : record.runs) {
+        AtHosts& entry = hosts[run.id];
+        entry.wasRun = true;
+        entry.wasSpoiled = entry.wasSpoiled || run.spoiled;
+    }
+    for (const Attempt& attempt : record.attempts) checkAnswer(record, attempt, hosts[attempt.id], findings);
     return findings;
 }
 
--- a/tests/system/soak_checks_test.cpp
+++ b/tests/system/soak_checks_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "event_script.hpp"
 #include "soak_schedule.hpp"
 #include "system.hpp"
 
@@ -66,6 +67,42 @@
     EXPECT_EQ(checkRuns(record).size(), 1u);
 }
 
+// A stream of events, whole or cut behind its first two.
+SoakRecord recordOfStream(bool whole) {
+    SoakRecord record = soundRecord();
+    Attempt stream = attempt("e", "/events/x", kStart + 5'200);
+    stream.whole = whole;
+    stream.body.clear();
+    for (const std::string& event : eventsOf("e")) stream.body += event;
+    if (!whole) stream.body = eventsOf("e")[0] + eventsOf("e")[1];
+    if (!whole) stream.failure = "brokenAnswer";
+    record.attempts.push_back(stream);
+    record.runs.push_back(run("e", "/events/x", kStart + 5'205));
+    record.runs.back().spoiled = !whole;
+    return record;
+}
+
+TEST(SoakChecksTest, StreamOfSpoiledHostMayBeCutBehindAnEvent) {
+    EXPECT_EQ(checkAnswers(recordOfStream(true)), Findings{});
+    EXPECT_EQ(checkAnswers(recordOfStream(false)), Findings{});
+}
+
+TEST(SoakChecksTest, StreamCutThoughNoHostSpoiledItIsFound) {
+    SoakRecord record = recordOfStream(false);
+    record.runs.back().spoiled = false;
+    EXPECT_EQ(checkAnswers(record).size(), 1u);
+}
+
+TEST(SoakChecksTest, StreamThatNoRunMadeIsFound) {
+    for (const bool whole : {true, false})
+        for (const char* spoilt :
+             {"data: x\n\n", "\x16\x03\x01\r\n\r\n", "id: 1\ndata: e.1\n\n", "id: 7\n"}) {
+            SoakRecord record = recordOfStream(whole);
+            record.attempts.back().body += spoilt;
+            EXPECT_EQ(checkAnswers(record).size(), 1u) << whole << spoilt;
+        }
+}
+
 TEST(SoakChecksTest, ARunForAnotherTenantIsFound) {
     SoakRecord record = soundRecord();
     record.runs[0].tenant = "t1";
--- a/tests/system/soak_clients.cpp
+++ b/tests/system/soak_clients.cpp
@@ -21,7 +21,7 @@
 constexpr double kMoves =
     0.02;  // probability that a client goes to another gateway though its connection holds
 constexpr Millis kKeptUnused = 30'000;
-constexpr std::array<const char*, 4> kPaths{"/safe/", "/once/", "/stream/", "/open/"};
+constexpr std::array<const char*, 5> kPaths{"/safe/", "/once/", "/stream/", "/open/", "/events/"};
 
 upstream::UpstreamSettings keptConnections() {
     upstream::UpstreamSettings settings;
--- a/tests/system/soak_fixture.cpp
+++ b/tests/system/soak_fixture.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint64_t kSeriesGapMs = 300;
 constexpr std::size_t kFindingsShown = 10;
 constexpr PlatformTroubles kTroubles{.refused = 0.1, .lost = 0.1, .slow = 0.1};
+constexpr double kSpoiledStreams = 0.2;
 
 }  // namespace
 
@@ -213,6 +214,7 @@
 }
 
 void SoakTest::recordHealthyStretch() {
+    system_->surroundings().spoilStreams(0);
     const Millis settled = system_->clock().now() + kLease + kMemberSettle;
     system_->await([&] { return system_->clock().now() >= settled; }, kNever);
     record_.healthy.from = unixTime();
@@ -262,6 +264,7 @@
     }
     for (std::size_t key = 0; key < kKeys; ++key) settings.keys.push_back(keyName(key));
     system_->surroundings().trouble(kTroubles, seed);
+    system_->surroundings().spoilStreams(kSpoiledStreams);
     clients_.emplace(system_->clock(), settings);
 }
 
--- a/tests/system/soak_keys.hpp
+++ b/tests/system/soak_keys.hpp
@@ -35,11 +35,11 @@
 
     std::string whole(std::uint64_t revision) const {
         return fmt::format(
-            R"({{"revision":{},"routes":[{},{},{},{},{}],"services":[{{"name":"s1","max_connections":60}}],)"
+            R"({{"revision":{},"routes":[{},{},{},{},{},{}],"services":[{{"name":"s1","max_connections":60}}],)"
             R"("tenants":[{}]}})",
             revision, own(revision), route("safe", "idempotent", false),
             route("once", "non_idempotent", false), route("stream", "streaming", false),
-            route("open", "idempotent", true), tenants({0, 1, 2}));
+            route("open", "idempotent", true), resumable("events"), tenants({0, 1, 2}));
     }
     std::string patch(std::uint64_t revision, const std::set<std::size_t>& changed) const {
         return fmt::format(R"({{"revision":{},"upsert":{{"routes":[{}],"tenants":[{}]}}}})", revision,
@@ -54,6 +54,11 @@
             R"("backend":"s1","public":{}}})",
             name, path.empty() ? "/" + name + "/" : path, type, isPublic);
     }
+    static std::string resumable(const std::string& name) {
+        std::string text = route(name, "streaming", false);
+        text.insert(text.size() - 1, R"(,"resumable":true,"max_attempts":2)");
+        return text;
+    }
     static std::string own(std::uint64_t revision) {
         return route("r1", "idempotent", true, routePath(revision));
     }
--- a/tests/system/surroundings.cpp
+++ b/tests/system/surroundings.cpp
@@ -73,6 +73,10 @@
     });
 }
 
+void Surroundings::spoilStreams(double probability) {
+    background_.run([&] { spoiledStreams_ = probability; });
+}
+
 std::vector<DutyCall> Surroundings::dutyCalls() {
     return background_.run([this] { return dutyCalls_; });
 }
@@ -136,6 +140,8 @@
     if (run.path.starts_with("/once/")) {
         later(kWorkTime,
               [connection, headers] { connection->respond(200, "text/plain", kPlainAnswer, headers); });
+    } else if (run.path.starts_with("/events/")) {
+        streamEvents(runs_.back(), numberOf(message.header("last-event-id")), connection, headers);
     } else if (run.path.starts_with("/stream/")) {
         if (!connection->beginStream(200, headers + "Content-Type: text/plain\r\n", std::nullopt)) return;
         connection->writeSome("begin;");
@@ -149,4 +155,21 @@
     }
 }
 
+void Surroundings::streamEvents(HostRun& run, std::uint64_t after, const Connection& connection,
+                                const std::string& headers) {
+    run.spoiled = happens(spoiledStreams_);
+    std::uniform_int_distribution<std::size_t> spoils(1, kSpoils - 1);
+    const Spoil spoil = run.spoiled ? static_cast<Spoil>(spoils(random_)) : Spoil::none;
+    const EventScript script = scriptOf(run.id, after, spoil);
+    if (!connection->beginStream(200, headers + "Content-Type: text/event-stream\r\n", std::nullopt)) return;
+    std::chrono::milliseconds at{0};
+    for (const std::string& piece : script.pieces) {
+        later(at, [connection, piece] { connection->writeSome(piece); });
+        at += kEventTime;
+    }
+    later(at, [connection, reset = script.endsWithReset] {
+        reset ? connection->reset() : connection->endStream();
+    });
+}
+
 }  // namespace beechpoint::system_test
--- a/tests/system/surroundings.hpp
+++ b/tests/system/surroundings.hpp
@@ -4,6 +4,7 @@
 //   path of a request | what a host does
 //   /once/...         | works for kWorkTime, then answers
 //   /stream/...       | answers in pieces, kPieceTime apart
+//   /events/...       | answers in events, kEventTime apart, behind Last-Event-Id; by draw spoiled (event_script.hpp)
 //   any other         | answers at once
 #pragma once
 
@@ -19,12 +20,14 @@
 #include "background.hpp"
 #include "core/clock.hpp"
 #include "core/logger.hpp"
+#include "event_script.hpp"
 #include "net/server.hpp"
 
 namespace beechpoint::system_test {
 
 inline constexpr auto kWorkTime = std::chrono::milliseconds(30);
 inline constexpr auto kPieceTime = std::chrono::milliseconds(50);
+inline constexpr auto kEventTime = std::chrono::milliseconds(10);
 inline constexpr const char* kPlainAnswer = "done";
 inline constexpr const char* kStreamedAnswer = "begin;middle;end";
 // Every key of the tests contains this, so that a host can tell when one has come through.
@@ -48,6 +51,7 @@
     std::string tenant;  // X-Tenant-Name; empty: none
     std::string path;
     bool keySeen = false;  // an Authorization header, or a key in any header
+    bool spoiled = false;  // its answer was
 };
 
 // What befalls the duties' calls, each with a probability of its own.
@@ -65,6 +69,8 @@
     ~Surroundings();  // after the loop has stopped
 
     void trouble(const PlatformTroubles& troubles, std::uint64_t seed);
+    // The share of streams of events that are spoiled from now on.
+    void spoilStreams(double probability);
     std::vector<DutyCall> dutyCalls();
     std::vector<HostRun> runs();
 
@@ -73,6 +79,8 @@
     void onPlatformCall(const net::HttpMessage& message, const Connection& connection);
     void onDutyCall(const net::HttpMessage& message, const Connection& connection);
     void onHostRequest(const net::HttpMessage& message, const Connection& connection);
+    void streamEvents(HostRun& run, std::uint64_t after, const Connection& connection,
+                      const std::string& headers);
     void later(std::chrono::milliseconds after, std::function<void()> action);
     bool happens(double probability) { return std::bernoulli_distribution(probability)(random_); }
     Millis unixTime() const { return clock_.toUnix(clock_.now()); }
@@ -82,6 +90,7 @@
     Logger logger_;
     std::string list_;
     PlatformTroubles troubles_;
+    double spoiledStreams_ = 0;
     std::mt19937_64 random_;
     std::map<std::string, std::uint64_t> highestTokens_;
     std::vector<DutyCall> dutyCalls_;
