Simulate a lost disk as all other machines, gateways too, lose power

The simulation lost a disk beside the members' power, but not right after an acknowledgement, and gateways went on.

--- a/tests/simulation/episodes.cpp
+++ b/tests/simulation/episodes.cpp
@@ -54,8 +54,9 @@
         world.countFault(nameOf(episode));
         fault();
     };
-    const bool afterAcknowledgement =
-        episode == Episode::killAfterAcknowledgement || episode == Episode::diskLossAfterAcknowledgement;
+    const bool afterAcknowledgement = episode == Episode::killAfterAcknowledgement ||
+                                      episode == Episode::diskLossAfterAcknowledgement ||
+                                      episode == Episode::diskLossAsAllLosePower;
     const double moment = world.network().draw(0, 1);
     if (afterAcknowledgement || moment < 0.25)
         world.onNextAcknowledgement(once);
@@ -147,6 +148,24 @@
     world.network().runFor(1'500);
 }
 
+// All come back in any order; the one without its disk may be the first.
+void loseDiskAsAllLosePower(World& world) {
+    const std::size_t lost = victim(world);
+    const Members all = world.present();
+    injectFault(world, Episode::diskLossAsAllLosePower, [&world, all, lost] {
+        for (const std::size_t member : all)
+            member == lost ? world.eraseDisk(member) : world.losePower(member);
+        for (std::size_t gateway = 0; gateway < world.gateways(); ++gateway) world.stopGateway(gateway);
+    });
+    for (const std::size_t member : all)
+        world.network().at(world.now() + world.network().draw(50, 1'500),
+                           [&world, member] { world.start(member); });
+    for (std::size_t gateway = 0; gateway < world.gateways(); ++gateway)
+        world.network().at(world.now() + world.network().draw(50, 1'500),
+                           [&world, gateway] { world.restartGateway(gateway); });
+    world.network().runFor(1'500);
+}
+
 // Restarts the member, or suspends it, for a drawn time unless it is lost by then.
 void disturbForAWhile(World& world, std::size_t member,
                       const std::shared_ptr<std::optional<std::size_t>>& lost) {
@@ -342,6 +361,8 @@
             return stopAll(world);
         case Episode::diskLossOutsidePartition:
             return loseDiskOutsidePartition(world);
+        case Episode::diskLossAsAllLosePower:
+            return loseDiskAsAllLosePower(world);
         case Episode::overlapThenLoss:
             return overlapThenLose(world);
     }
@@ -364,6 +385,7 @@
                                                                "loss during recovery",
                                                                "loss of all at once",
                                                                "disk loss outside a partition",
+                                                               "disk loss as all lose power",
                                                                "loss after restarts that overlap"};
     return kNames.at(static_cast<std::size_t>(episode));
 }
--- a/tests/simulation/episodes.hpp
+++ b/tests/simulation/episodes.hpp
@@ -23,9 +23,10 @@
     lossDuringRecovery,  // a second member stops as the view changes after the first loss
     allAtOnce,
     diskLossOutsidePartition,  // a minority misses changes; another member loses its disk, the rest are without power, and the partition heals
+    diskLossAsAllLosePower,  // right after an acknowledgement one member loses its disk, and all other machines, gateways too, lose power
     overlapThenLoss,  // restarts and suspensions that overlap, then the loss of one member while others may still be on their way back
 };
-inline constexpr std::size_t kEpisodes = 15;
+inline constexpr std::size_t kEpisodes = 16;
 std::string nameOf(Episode episode);
 
 /// Plays the episodes with the operators at work; stops at the first failure of the world.
--- a/tests/simulation/simulation_test.cpp
+++ b/tests/simulation/simulation_test.cpp
@@ -125,6 +125,10 @@
          {Episode::lossDuringRecovery, Episode::allAtOnce, Episode::diskLoss, Episode::replacePlanned}, 6, 5);
 }
 
+TEST(Simulation, KeepsWhatWasAcknowledgedWhenDiskIsLostAsAllLosePower) {
+    play("a disk lost as all lose power", {Episode::diskLossAsAllLosePower}, 4, 8);
+}
+
 TEST(Simulation, AcknowledgesAfterRestartsThatOverlapAndLossOfOneMember) {
     play("a loss after restarts that overlap", {Episode::overlapThenLoss}, 3, 7);
 }
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -184,6 +184,16 @@
 
 // ---- Gateways and operators
 
+void World::stopGateway(std::size_t index) {
+    Gateway& gateway = gateways_[index];
+    if (!gateway.process) return;
+    gateway.process->end();
+    // As for a member: the process may be the one that is running now.
+    network_.at(now(), [process = std::move(gateway.process)] {});
+    gateway.process = nullptr;
+    gateway.shown = {};
+}
+
 void World::restartGateway(std::size_t index) {
     Gateway& gateway = gateways_[index];
     if (gateway.process) gateway.process->end();
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -80,6 +80,7 @@
     std::size_t gateways() const { return gateways_.size(); }
     Machine gatewayMachine(std::size_t gateway) const { return kFirstGateway + gateway; }
     void restartGateway(std::size_t gateway);
+    void stopGateway(std::size_t gateway);  // it keeps nothing
     void startOperators();
     void stopOperators();
     bool operatorsIdle() const;
