--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -60,8 +60,8 @@
     int attempt = 0;
     int status = 0;
     bool rejected = false;
-    bool sealed = true;                      ///< has X-Server-Seal; a 2xx without it is not a success
-    bool eventStream = true;                 ///< the body is a stream of events; without it no open stream is resumed
+    bool sealed = true;       ///< has X-Server-Seal; a 2xx without it is not a success
+    bool eventStream = true;  ///< the body is a stream of events; without it no open stream is resumed
     std::optional<std::uint64_t> bodyBytes;  ///< Content-Length, if present
 };
 
