--- a/tests/system/addresses.cpp
+++ b/tests/system/addresses.cpp
@@ -43,4 +43,10 @@
     return {asio::ip::make_address(ip), port};
 }
 
+Tcp::endpoint endpointOf(const std::string& address) {
+    const auto colon = address.rfind(':');
+    return endpointOf(address.substr(0, colon),
+                      static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
+}
+
 }  // namespace beechpoint::system_test
--- a/tests/system/addresses.hpp
+++ b/tests/system/addresses.hpp
@@ -41,5 +41,6 @@
 
 std::string addressText(const std::string& ip, std::uint16_t port);
 asio::ip::tcp::endpoint endpointOf(const std::string& ip, std::uint16_t port);
+asio::ip::tcp::endpoint endpointOf(const std::string& address);  // IP:PORT
 
 }  // namespace beechpoint::system_test
--- a/tests/system/soak_fixture.cpp
+++ b/tests/system/soak_fixture.cpp
@@ -7,6 +7,9 @@
 #include <cstdlib>
 #include <thread>
 
+#include "crowd_play.hpp"
+#include "process_figures.hpp"
+
 namespace beechpoint::system_test {
 namespace {
 
@@ -21,6 +24,11 @@
 constexpr std::size_t kFindingsShown = 10;
 constexpr PlatformTroubles kTroubles{.refused = 0.1, .lost = 0.1, .slow = 0.1};
 constexpr double kSpoiledStreams = 0.2;
+#ifdef __SANITIZE_ADDRESS__
+constexpr std::size_t kSanitizerBytes = 200 * kMegabyte;  // of an idle process that a sanitizer watches
+#else
+constexpr std::size_t kSanitizerBytes = 0;
+#endif
 
 }  // namespace
 
@@ -98,6 +106,7 @@
 }
 
 void SoakTest::kill(Disturbed& process, Millis length) {
+    if (checksMemory_) checkMemory(process);
     record_.disruptions.begin(process.name, Disruption::killed, unixTime());
     if (process.isMember)
         system_->killMember(process.number);
@@ -311,6 +320,50 @@
 void SoakTest::soakInSeries(std::uint64_t seed) {
     const System::Shape shape = shapeOf(seed % 3 == 0 ? 5 : 3, 2 + seed % 3);
     ASSERT_NO_FATAL_FAILURE(beginSoak(seed, shape));
+    playSeries(seed, shape);
+    endSoak();
+}
+
+void SoakTest::soakBesideCrowds(std::uint64_t seed) {
+    limitSanitizerReserve();
+    System::Shape shape = shapeOf(3, 2 + seed % 3);
+    shape.gatewayDirectories = true;
+    ASSERT_NO_FATAL_FAILURE(beginSoak(seed, shape));
+    checksMemory_ = true;
+    CrowdRounds crowds(listeners(), seed);
+    playSeries(seed, shape);
+    report("soak", "crowds", static_cast<double>(crowds.end()));
+    for (const Disturbed& process : processes_) checkMemory(process);
+    endSoak();
+}
+
+std::vector<CrowdListener> SoakTest::listeners() const {
+    using Kind = CrowdListener::Kind;
+    std::vector<CrowdListener> all;
+    for (const Disturbed& process : processes_) {
+        const std::string ip =
+            process.isMember ? system_->memberIp(process.number) : system_->gatewayIp(process.number);
+        const Kind kind = process.isMember ? Kind::control : Kind::front;
+        all.push_back({kind, endpointOf(ip, process.isMember ? Ports::kControl : Ports::kFront)});
+        all.push_back({Kind::other, endpointOf(ip, Ports::kDirectory)});
+        all.push_back({Kind::other, endpointOf(ip, Ports::kReadiness)});
+    }
+    return all;
+}
+
+// The kernel's own peak since the process's start: one look at the end of each life is enough.
+void SoakTest::checkMemory(const Disturbed& process) {
+    const auto figures = figuresOf(process.isMember ? system_->memberProcess(process.number)
+                                                    : system_->gatewayProcess(process.number));
+    if (!figures) return;
+    const auto limit = static_cast<std::size_t>(system_->shape().memoryMb) * kMegabyte;
+    EXPECT_LE(figures->peakResidentBytes / kMegabyte, (limit + kSanitizerBytes) / kMegabyte)
+        << process.name << ", MB of memory";
+    report("soak", "peak of a process's memory, MB",
+           static_cast<double>(figures->peakResidentBytes / kMegabyte));
+}
+
+void SoakTest::playSeries(std::uint64_t seed, const System::Shape& shape) {
     const auto events = drawSeries(seed, shape.members, shape.gateways, disturbedFor());
     SCOPED_TRACE("schedule:" + describe(events));
     std::atomic<bool> ends = false;
@@ -323,7 +376,6 @@
     changes.join();
     evacuations.join();
     EXPECT_TRUE(healed) << "a process did not end";
-    endSoak();
 }
 
 // Changes follow each other without a pause, a series at a time.
@@ -387,6 +439,7 @@
     record_ = {};
     unclear_.clear();
     revision_ = 0;
+    checksMemory_ = false;
 }
 
 void SoakTest::playSeeds(const std::string& test, const std::function<void(std::uint64_t)>& play) {
--- a/tests/system/soak_fixture.hpp
+++ b/tests/system/soak_fixture.hpp
@@ -18,6 +18,7 @@
 #include <string>
 #include <vector>
 
+#include "crowd_rounds.hpp"
 #include "fixture.hpp"
 #include "soak_checks.hpp"
 #include "soak_clients.hpp"
@@ -49,6 +50,12 @@
     // Series of events that overlap, two operators whose orders overlap, and in the end a member that is lost for good.
     void soakInSeries(std::uint64_t seed);
 
+    // As soakInSeries, beside crowds of clients that do not behave; each process keeps to its memory.
+    void soakBesideCrowds(std::uint64_t seed);
+
+    void playSeries(std::uint64_t seed, const System::Shape& shape);
+    std::vector<CrowdListener> listeners() const;
+    void checkMemory(const Disturbed& process);
     void beginSoak(std::uint64_t seed, const System::Shape& shape);
     void endSoak();
     static System::Shape shapeOf(std::size_t members, std::size_t gateways);
@@ -101,6 +108,7 @@
     SoakRecord record_;
     std::optional<SoakClients> clients_;
     std::string unclear_;
+    bool checksMemory_ = false;  // of each process, at its end
 };
 
 }  // namespace beechpoint::system_test
--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -12,5 +12,9 @@
     playSeeds("Series*", [this](std::uint64_t seed) { soakInSeries(seed); });
 }
 
+TEST_F(SoakTest, CrowdsThatDoNotBehaveBesideSeriesOfEvents) {
+    playSeeds("Crowds*", [this](std::uint64_t seed) { soakBesideCrowds(seed); });
+}
+
 }  // namespace
 }  // namespace beechpoint::system_test
--- a/tests/system/surroundings.cpp
+++ b/tests/system/surroundings.cpp
@@ -59,6 +59,9 @@
                 [this](const net::HttpMessage& message, const Connection& connection) {
                     onHostRequest(message, connection);
                 }));
+            net::HttpLimits limits;
+            limits.body = kMostBody;
+            hosts_.back()->limits(limits);
             hosts_.back()->listen(host);
         }
     });
@@ -142,6 +145,9 @@
               [connection, headers] { connection->respond(200, "text/plain", kPlainAnswer, headers); });
     } else if (run.path.starts_with("/events/")) {
         streamEvents(runs_.back(), numberOf(message.header("last-event-id")), connection, headers);
+    } else if (run.path.starts_with("/large/")) {
+        if (connection->beginStream(200, headers + "Content-Type: text/plain\r\n", std::nullopt))
+            streamLarge(kLargeAnswer, connection);
     } else if (run.path.starts_with("/stream/")) {
         if (!connection->beginStream(200, headers + "Content-Type: text/plain\r\n", std::nullopt)) return;
         connection->writeSome("begin;");
@@ -155,6 +161,12 @@
     }
 }
 
+void Surroundings::streamLarge(std::size_t left, const Connection& connection) {
+    if (left == 0) return connection->endStream();
+    connection->writeSome(std::string(kLargePiece, 'x'));
+    connection->whenDrained([left, connection] { streamLarge(left - kLargePiece, connection); });
+}
+
 void Surroundings::streamEvents(HostRun& run, std::uint64_t after, const Connection& connection,
                                 const std::string& headers) {
     run.spoiled = happens(spoiledStreams_);
--- a/tests/system/surroundings.hpp
+++ b/tests/system/surroundings.hpp
@@ -4,6 +4,7 @@
 //   path of a request | what a host does
 //   /once/...         | works for kWorkTime, then answers
 //   /stream/...       | answers in pieces, kPieceTime apart
+//   /large/...        | answers kLargeAnswer bytes in pieces, as they are taken
 //   /events/...       | answers in events, kEventTime apart, behind Last-Event-Id; by draw spoiled (event_script.hpp)
 //   any other         | answers at once
 #pragma once
@@ -28,6 +29,9 @@
 inline constexpr auto kWorkTime = std::chrono::milliseconds(30);
 inline constexpr auto kPieceTime = std::chrono::milliseconds(50);
 inline constexpr auto kEventTime = std::chrono::milliseconds(10);
+inline constexpr std::size_t kLargePiece = 64 * 1024;         // bytes
+inline constexpr std::size_t kLargeAnswer = 8 * 1024 * 1024;  // bytes
+inline constexpr std::size_t kMostBody = 8 * 1024 * 1024;     // that a host takes, in bytes
 inline constexpr const char* kPlainAnswer = "done";
 inline constexpr const char* kStreamedAnswer = "begin;middle;end";
 // Every key of the tests contains this, so that a host can tell when one has come through.
@@ -81,6 +85,7 @@
     void onHostRequest(const net::HttpMessage& message, const Connection& connection);
     void streamEvents(HostRun& run, std::uint64_t after, const Connection& connection,
                       const std::string& headers);
+    static void streamLarge(std::size_t left, const Connection& connection);
     void later(std::chrono::milliseconds after, std::function<void()> action);
     bool happens(double probability) { return std::bernoulli_distribution(probability)(random_); }
     Millis unixTime() const { return clock_.toUnix(clock_.now()); }
--- a/tests/system/system.cpp
+++ b/tests/system/system.cpp
@@ -19,7 +19,6 @@
 
 constexpr auto kLookEvery = std::chrono::milliseconds(20);
 constexpr Millis kStatusMost = 1'000;
-constexpr int kOpenFiles = 1024;
 constexpr std::size_t kZones = 5;
 constexpr std::size_t kLogBytes = 64'000;  // of each process
 
@@ -105,6 +104,10 @@
         node, ip, Ports::kInternal, Ports::kInternal, listText(seedAddresses));
 }
 
+std::string System::limits() const {
+    return fmt::format("[limits]\nmemory_mb = {}\nmax_open_files = {}\n", shape_.memoryMb, shape_.openFiles);
+}
+
 std::string System::dutyBounds() const {
     if (!shape_.duties) return {};
     return fmt::format(
@@ -130,19 +133,23 @@
         "[timing_bounds]\n{8}[cloud_api]\naddress = \"{6}:{7}\"\nrate_per_s = 20\n{9}",
         ip, Ports::kControl, Ports::kDirectory, Ports::kReadiness, shape_.machinesToLose, shape_.zonesToLose,
         addresses_.platform(), Ports::kPlatform, dutyBounds(), dutySettings());
+    text += limits();
     launch(members_[member], node, "control", text);
 }
 
 void System::startGateway(std::size_t gateway, const Members& seeds) {
     const std::string node = gatewayNode(gateway), ip = addresses_.gateway(gateway);
+    const std::string directory =
+        shape_.gatewayDirectories ? fmt::format("directory = \"{}:{}\"\n", ip, Ports::kDirectory) : "";
     std::string text = commonSettings(node, ip, seeds);
     text += fmt::format(
         "node_role = \"gateway\"\nmachine_class = \"edge\"\nserved_roles = [\"edge\"]\nzone = \"z1\"\n"
-        "[listen_addresses]\nfront = \"{0}:{1}\"\nreadiness = \"{0}:{2}\"\n"
+        "[listen_addresses]\nfront = \"{0}:{1}\"\nreadiness = \"{0}:{2}\"\n{8}"
         "[fault_tolerance]\nmachines = {3}\n[timing_bounds]\nretry_budget_slack = 50\n{6}"
         "[cloud_api]\naddress = \"{4}:{5}\"\nrate_per_s = 20\n{7}",
         ip, Ports::kFront, Ports::kReadiness, shape_.machinesToLose, addresses_.platform(), Ports::kPlatform,
-        dutyBounds(), dutySettings());
+        dutyBounds(), dutySettings(), directory);
+    text += limits();
     launch(gateways_[gateway], node, "gateway", text);
 }
 
@@ -150,7 +157,8 @@
                     const std::string& settings) {
     const fs::path path = fileOf(node, "toml");
     std::ofstream(path) << settings;
-    process.launch(program_, {role, "--settings", path.string()}, fileOf(node, "log").string(), kOpenFiles);
+    process.launch(program_, {role, "--settings", path.string()}, fileOf(node, "log").string(),
+                   shape_.openFiles);
     owners_.add(node, process.pid());
 }
 
@@ -323,6 +331,12 @@
         R"({{"revision":{},"routes":[{{"name":"r1","hostname":"system.example","path_prefix":"{}",)"
         R"("type":"idempotent","timeout_ms":2000,"backend":"s1"}},)"
         R"({{"name":"steady","hostname":"system.example","path_prefix":"/steady/",)"
+        R"("type":"idempotent","timeout_ms":2000,"backend":"s1"}},)"
+        R"({{"name":"work","hostname":"system.example","path_prefix":"/once/",)"
+        R"("type":"idempotent","timeout_ms":2000,"backend":"s1"}},)"
+        R"({{"name":"long","hostname":"system.example","path_prefix":"/large/",)"
+        R"("type":"idempotent","timeout_ms":20000,"backend":"s1"}},)"
+        R"({{"name":"stream","hostname":"system.example","path_prefix":"/stream/",)"
         R"("type":"idempotent","timeout_ms":2000,"backend":"s1"}}],)"
         R"("services":[{{"name":"s1","max_connections":10}}]}})",
         revision, routePath(revision, author));
--- a/tests/system/system.hpp
+++ b/tests/system/system.hpp
@@ -38,8 +38,11 @@
         std::size_t gateways = 2;
         int machinesToLose = 1;
         int zonesToLose = 1;
-        std::size_t hosts = 1;  // each in a zone of its own, z1 first
-        bool duties = false;    // usage reports, in windows of kUsageWindow
+        std::size_t hosts = 1;            // each in a zone of its own, z1 first
+        bool duties = false;              // usage reports, in windows of kUsageWindow
+        std::int64_t memoryMb = 256;      // limits of each process
+        int openFiles = 1024;             // the kernel holds it to them, too
+        bool gatewayDirectories = false;  // gateways answer GET /resolve at Ports::kDirectory
     };
 
     explicit System(Shape shape);
@@ -66,6 +69,8 @@
     bool gatewayHandlesSignals(std::size_t gateway) const;
     void wipe(std::size_t member);  // its disk; not while it runs
     bool runs(std::size_t member) const { return members_[member].runs(); }
+    pid_t memberProcess(std::size_t member) const { return members_[member].pid(); }
+    pid_t gatewayProcess(std::size_t gateway) const { return gateways_[gateway].pid(); }
 
     // Waits by asking again and again, with an end.
     bool await(const std::function<bool()>& condition, Millis most = kConditionMost);
@@ -90,6 +95,9 @@
     std::vector<std::string> gatewayMetrics() const;  // addresses
     // Where clients reach a gateway.
     std::string frontAddress(std::size_t gateway) const;
+    // Past the relays.
+    std::string memberIp(std::size_t member) const { return addresses_.member(member); }
+    std::string gatewayIp(std::size_t gateway) const { return addresses_.gateway(gateway); }
     // The members of the view in the order of the chain, as this member knows it.
     Members chainAt(std::size_t member) const;
 
@@ -104,6 +112,7 @@
 private:
     std::filesystem::path fileOf(const std::string& node, const char* ending) const;
     std::string commonSettings(const std::string& node, const std::string& ip, const Members& seeds) const;
+    std::string limits() const;
     std::string dutyBounds() const;
     std::string dutySettings() const;
     void launch(emulator::RealProcess& process, const std::string& node, const char* role,
