Divide a process's descriptors among all of its listeners

Callers: with the directory's and the front's places taken, a gateway or control member had no descriptor left for hosts, gateways and new callers. Cause: only the front kept to max_open_files; the directory (256 and 1,024 connections), readiness and control's API came on top, and the gatherer's query API on top of its front. Change: all listeners of a process share what is left after the reserve; the defaults of 4,096 files are as before for control (128, 1,024, 16), 1,798 in place of 1,934 for a gateway's front; the query API has a third of the gatherer's client sockets, where it is on.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -57,7 +57,7 @@
           directory_(
               clock, [this] { return gateways_.liveGateways(); }, directoryTtlSecondsOf(settings_)),
           memberRequests_(logger, driver_, gateways_, duties_),
-          listeners_(io, clock, logger, httpHandler()),
+          listeners_(io, clock, logger, settings_.limits, httpHandler()),
           tick_(io) {}
 
     Result<void> start() {
--- a/src/control/http_listeners.cpp
+++ b/src/control/http_listeners.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <exception>
@@ -15,8 +16,28 @@
 constexpr std::size_t kMaxOperatorConnections = 128;
 constexpr std::size_t kMaxDirectoryConnections = 1024;
 constexpr std::size_t kMaxReadinessConnections = 16;
+constexpr std::size_t kReservedDescriptors =
+    232;  // 200 are the platform's; listeners, store, other processes
+// At most one in so many descriptors. The rest is for gateways and other members.
+constexpr std::size_t kOperatorPart = 4, kDirectoryPart = 3;
 constexpr Millis kMaxBodyPause = 2000;  // between two pieces of a request's body
 
+struct ConnectionLimits {
+    std::size_t operators = 0;
+    std::size_t directory = 0;
+    std::size_t readiness = 0;
+};
+
+ConnectionLimits connectionLimits(const settings::ResourceLimits& limits) {
+    const auto open = static_cast<std::size_t>(std::max<std::int64_t>(limits.maxOpenFiles, 0));
+    const std::size_t free = std::max(open, 2 * kReservedDescriptors) - kReservedDescriptors;
+    ConnectionLimits most;
+    most.operators = std::min(kMaxOperatorConnections, free / kOperatorPart);
+    most.directory = std::min(kMaxDirectoryConnections, free / kDirectoryPart);
+    most.readiness = kMaxReadinessConnections;
+    return most;
+}
+
 net::HttpLimits operatorLimits() {
     net::HttpLimits limits;
     limits.body = kMaxOperatorBody;
@@ -35,10 +56,10 @@
 }  // namespace
 
 HttpListeners::HttpListeners(asio::io_context& io, const Clock& clock, Logger& logger,
-                             const net::HttpServer::Handler& handler)
-    : operators_(io, clock, logger, kMaxOperatorConnections, handler),
-      directoryClients_(io, clock, logger, kMaxDirectoryConnections, handler),
-      readinessChecks_(io, clock, logger, kMaxReadinessConnections, handler) {
+                             const settings::ResourceLimits& limits, const net::HttpServer::Handler& handler)
+    : operators_(io, clock, logger, connectionLimits(limits).operators, handler),
+      directoryClients_(io, clock, logger, connectionLimits(limits).directory, handler),
+      readinessChecks_(io, clock, logger, connectionLimits(limits).readiness, handler) {
     operators_.limits(operatorLimits());
 }
 
--- a/src/control/http_listeners.hpp
+++ b/src/control/http_listeners.hpp
@@ -19,7 +19,7 @@
 public:
     /// All references must outlive it.
     HttpListeners(asio::io_context& io, const Clock& clock, Logger& logger,
-                  const net::HttpServer::Handler& handler);
+                  const settings::ResourceLimits& limits, const net::HttpServer::Handler& handler);
 
     /// Listens on each configured address; servers that already listen, after a partly failed start, are left unchanged.
     /// Errors: invalid (an address is not IP:PORT), unavailable (it can't be listened on; retry).
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,8 +21,6 @@
 constexpr Millis kFleetMemory = 20'000;        // the number of gateways last reported counts so long
 constexpr Millis kIdleWhileDraining = 500;     // a client's connection is closed after being idle so long
 constexpr Millis kClientBodyTimeout = 10'000;  // between bytes of a body
-constexpr std::size_t kReadinessClients = 16;
-constexpr std::size_t kDirectoryClients = 256;
 // What a client may send before a configuration is known: a request must not be called too large by a bound that nobody set.
 constexpr std::size_t kHeadUnconfigured = 64 * 1024;
 constexpr std::size_t kBodyUnconfigured = 4 * 1024 * 1024;
@@ -50,16 +48,17 @@
           }),
       directory_(
           clock, [this] { return knownGateways(); }, directoryTtlSeconds(settings_)),
-      front_(io, clock, log, maxClientConnections(settings_),
+      listenerLimits_(listenerLimits(settings_)),
+      front_(io, clock, log, listenerLimits_.front,
              [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
                  exchange_.accept(message, client);
              }),
-      readiness_(io, clock, log, kReadinessClients,
+      readiness_(io, clock, log, listenerLimits_.readiness,
                  [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
                      answerReadiness(message, client);
                  }),
       directoryServer_(
-          io, clock, log, kDirectoryClients,
+          io, clock, log, listenerLimits_.directory,
           [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
               directory_.handle(message, client);
           }),
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -91,6 +91,7 @@
     ControlLink control_;
     host_discovery::Poller platform_;  // runs only while control is unreachable
     directory::DirectoryService directory_;
+    ListenerLimits listenerLimits_;
     net::HttpServer front_, readiness_, directoryServer_;
     asio::steady_timer timer_;
     std::vector<leases::Gateway> gateways_;  // of control's last reply that had them
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -15,6 +15,9 @@
 constexpr Millis kMillisPerSecond = 1000;
 constexpr Millis kPlatformPollPeriod = 2500;  // a gateway that polls the platform itself does so slowly
 constexpr double kMaxDirectoryTtlS = 2;
+constexpr std::size_t kMaxReadinessConnections = 16;
+constexpr std::size_t kMaxDirectoryConnections = 256;
+constexpr std::size_t kDirectoryPart = 8;          // at most one in so many descriptors
 constexpr std::size_t kReservedDescriptors = 232;  // 200 are the platform's; listeners, control, platform
 
 }  // namespace
@@ -70,10 +73,15 @@
     return addresses;
 }
 
-std::size_t maxClientConnections(const settings::ProcessSettings& settings) {
+ListenerLimits listenerLimits(const settings::ProcessSettings& settings) {
     const auto open = static_cast<std::size_t>(std::max<std::int64_t>(settings.limits.maxOpenFiles, 0));
-    if (open <= 2 * kReservedDescriptors) return kReservedDescriptors / 2;
-    return (open - kReservedDescriptors) / 2;
+    const std::size_t free = std::max(open, 2 * kReservedDescriptors) - kReservedDescriptors;
+    ListenerLimits limits;
+    limits.readiness = kMaxReadinessConnections;
+    limits.directory = std::min(kMaxDirectoryConnections, free / kDirectoryPart);
+    const std::size_t others = limits.total();
+    limits.front = (free - others) / 2;
+    return limits;
 }
 
 Millis usageWindow(const settings::ProcessSettings& settings) {
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -34,8 +34,16 @@
 /// Where the seed nodes listen for gateways (IP:PORT): the first internal port. Seeds that can't be read are left out.
 [[nodiscard]] std::vector<std::string> controlAddresses(const settings::ProcessSettings& settings);
 
-/// How many client connections fit into the limit of open files, with as many to hosts beside them.
-[[nodiscard]] std::size_t maxClientConnections(const settings::ProcessSettings& settings);
+/// The most connections of each listener. Together, with as many to hosts as to clients of the front, they fit into the limits of open
+/// files.
+struct ListenerLimits {
+    std::size_t front = 0;
+    std::size_t readiness = 0;
+    std::size_t directory = 0;
+
+    [[nodiscard]] std::size_t total() const { return front + readiness + directory; }
+};
+[[nodiscard]] ListenerLimits listenerLimits(const settings::ProcessSettings& settings);
 
 /// Length of a window of usage reports in milliseconds; 0: usage is not reported.
 [[nodiscard]] Millis usageWindow(const settings::ProcessSettings& settings);
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -20,6 +20,7 @@
 constexpr Millis kToAnswer = 150;        // for what is left then to be read
 constexpr std::size_t kOwnSockets = 24;  // files, signals, discovery, timers
 constexpr std::size_t kMostHostSockets = 400;
+constexpr std::size_t kMinClientSockets = 16;
 
 std::size_t hostSockets(std::size_t sockets) { return std::min(sockets / 2, kMostHostSockets); }
 
@@ -40,13 +41,18 @@
     return backend::SearchConnection::maker(std::move(indexes));
 }
 
-// Descriptors left for clients once the track hosts have theirs.
+// Connections left for clients once the track hosts have theirs.
 std::size_t clientSockets(const Config& config) {
     const std::size_t operatorPlaces = config.operatorEndpoint ? admin::OperatorEndpoint::kPlaces + 1 : 0;
     const std::size_t taken = hostSockets(config.sockets) + kOwnSockets + operatorPlaces;
-    return std::max<std::size_t>(16, config.sockets - std::min(config.sockets, taken));
+    const std::size_t bySockets = config.sockets - std::min(config.sockets, taken);
+    return std::max(kMinClientSockets, bySockets);
 }
 
+// A third of them is the query API's where that is served.
+std::size_t searchSockets(const Config& config) { return config.search ? clientSockets(config) / 3 : 0; }
+std::size_t platformSockets(const Config& config) { return clientSockets(config) - searchSockets(config); }
+
 admin::LifecycleTimes lifecycleTimes(const Config& config) {
     admin::LifecycleTimes times;
     Millis longest = 0;
@@ -77,7 +83,7 @@
       lifecycle_(lifecycleTimes(config)),
       platform_(exchange_, clock, counters, [this] { return lifecycle_.up(overlap_.successor()); }),
       server_(
-          io, clock, log, clientSockets(config),
+          io, clock, log, platformSockets(config),
           [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
               platform_.handle(message, connection);
           }),
@@ -106,7 +112,7 @@
         exchange_, clock, counters,
         frontend::SearchSettings{config.search->classOfIndex, config.settings.shards}, config.seed);
     searchServer_ = std::make_unique<net::HttpServer>(
-        io, clock, log, clientSockets(config) / 2,
+        io, clock, log, searchSockets(config),
         [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
             search_->handle(message, connection);
         });
@@ -179,8 +185,8 @@
               field("others", overlap_.others()), field("share", fmt::format("{:.2f}", share)));
     exchange_.share(share);
     hosts_.limit(part(hostSockets(config_.sockets)));
-    server_.limit(part(clientSockets(config_)));
-    if (searchServer_) searchServer_->limit(part(clientSockets(config_) / 2));
+    server_.limit(part(platformSockets(config_)));
+    if (searchServer_) searchServer_->limit(part(searchSockets(config_)));
 }
 
 void Gatherer::lifecycleChanged() {
