Drop the framing of chunked bodies in the lenient reader, and their trailers

Cause: the strict reader moves chunks together and gives the room of their size lines back, the lenient one (gatherer's fronts, directory, readiness) kept every byte until the message was whole, and took trailers as headers. Trailers are dropped, as the strict reader does.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -70,6 +70,7 @@
 }
 
 int HttpReader::onHeader(bool value, const char* at, std::size_t size) {
+    if (headDone_) return 0;  // a trailer: dropped
     if (!value && (headers_.empty() || lastWasValue_)) headers_.emplace_back();
     lastWasValue_ = value;
     if (headers_.empty()) return -1;
@@ -101,6 +102,10 @@
     if (handOn_ && headDone_) {  // nothing of it is needed any more
         buffer_.consume(parsed_);
         parsed_ = 0;
+    } else if (body_.size > 0) {  // nor of the framing behind the body's bytes
+        const std::size_t bodyEnd = body_.at + body_.size;
+        buffer_.cut(bodyEnd, parsed_ - bodyEnd);
+        parsed_ = bodyEnd;
     }
     return State::more;
 }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -80,6 +80,29 @@
     EXPECT_EQ(reader.message().target, "/2");
 }
 
+// Chunks of a byte each take six bytes on the wire: what they frame is kept, and nothing of their framing or of the trailers.
+TEST(HttpReader, KeepsNoMoreOfABodyInChunksThanItsBytes) {
+    constexpr std::size_t kBody = 10'000;
+    net::Buffer buffer;
+    net::HttpReader reader(net::HttpReader::Kind::request, buffer);
+    const std::string head = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    appendBytes(buffer, head);
+    ASSERT_EQ(reader.parse(), State::more);
+    for (std::size_t byte = 0; byte < kBody; ++byte) {
+        appendBytes(buffer, "1;extension\r\nb\r\n");
+        ASSERT_EQ(reader.parse(), State::more);
+    }
+    constexpr std::size_t kOneChunk = 32;
+    EXPECT_LE(buffer.size(), head.size() + kBody + kOneChunk);
+    appendBytes(buffer, "0\r\nX-Trailer: t\r\n\r\nGET /next HTTP/1.1\r\n\r\n");
+    ASSERT_EQ(reader.parse(), State::complete);
+    EXPECT_EQ(reader.message().body, std::string(kBody, 'b'));
+    EXPECT_TRUE(reader.message().header("X-Trailer").empty());
+    reader.next();
+    ASSERT_EQ(reader.parse(), State::complete);
+    EXPECT_EQ(reader.message().target, "/next");
+}
+
 // A read is under way into the space of prepare() while the message before it is consumed.
 TEST(Buffer, KeepsPreparedSpaceWhenEarlierBytesAreConsumed) {
     net::Buffer buffer;
