Keep all client connections of a process to one memory budget

Callers: ordinary ones got no answer, since the process was ended: many clients with bodies of legal size, each stopping short of its end, took 448 MB at a front and 770 MB at control's API where memory_mb is 256. Cause: each body is bounded, their sum was not, nor what came ahead of an answer, nor what waited for slow readers, nor unread bytes in the sockets. Ruled out: a smaller bound for each body (a single legal one must be served), fewer connections (the sum still grows with max_body_bytes). It counts buffers with their growth, queued answers and the bytes of requests in hand, over all listeners of a process. Where a growing one does not fit, those that have held most for longest are freed: a partial request is refused with 503 (gatherer 429) and Retry-After, it has not run; bytes sent ahead are dropped; an answer nobody reads is closed. A request takes at most half of what others in hand leave. Budget 3/8 of memory_mb; receive buffers 1/4 of it for all connections. Places are freed of clients that have not read a streamed answer for 2 s before newcomers wait. Why it works: nothing grows without the budget's word, and what it frees is what it counts.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -99,6 +99,8 @@
         config.seed = readSeed(text(json, "seed"));
         if (json.contains("limits") && json["limits"].contains("sockets"))
             config.sockets = json["limits"]["sockets"].get<std::size_t>();
+        if (json.contains("limits") && json["limits"].contains("memory_mb"))
+            config.memoryMb = json["limits"]["memory_mb"].get<std::int64_t>();
         config.known = discovery::readListing(need(json, "known"), clock);
         config.known.list.kind = coordinator::ListKind::remembered;
         readSettings(json, config);
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -26,6 +26,7 @@
     asio::ip::tcp::endpoint discovery;
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;
+    std::int64_t memoryMb = 256;
     discovery::Listing known;  // may be out of date
     coordinator::Settings settings;
     backend::ConnectionLimits connections;
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -165,6 +165,9 @@
         gateways_.describe(status);
         status.duties = duties_.status();
         status.committedWrites = operatorApi_.committedWrites();
+        status.clientMemory = listeners_.memory().state().used();
+        status.clientMemoryLimit = listeners_.memory().state().limit();
+        status.overload = listeners_.memory().counts();
         if (driver_.replica()) describeReplica(*driver_.replica(), clock_.now(), status);
         return status;
     }
--- a/src/control/http_listeners.cpp
+++ b/src/control/http_listeners.cpp
@@ -26,6 +26,8 @@
     std::size_t operators = 0;
     std::size_t directory = 0;
     std::size_t readiness = 0;
+
+    [[nodiscard]] std::size_t total() const { return operators + directory + readiness; }
 };
 
 ConnectionLimits connectionLimits(const settings::ResourceLimits& limits) {
@@ -35,6 +37,8 @@
     most.operators = std::min(kMaxOperatorConnections, free / kOperatorPart);
     most.directory = std::min(kMaxDirectoryConnections, free / kDirectoryPart);
     most.readiness = kMaxReadinessConnections;
+    const std::size_t byMemory = net::ConnectionMemory::of(limits.memoryMb).mostConnections();
+    if (most.total() > byMemory) most.directory -= std::min(most.directory - 1, most.total() - byMemory);
     return most;
 }
 
@@ -57,10 +61,14 @@
 
 HttpListeners::HttpListeners(asio::io_context& io, const Clock& clock, Logger& logger,
                              const settings::ResourceLimits& limits, const net::HttpServer::Handler& handler)
-    : operators_(io, clock, logger, connectionLimits(limits).operators, handler),
+    : memory_(net::ConnectionMemory::of(limits.memoryMb).heldBytes),
+      operators_(io, clock, logger, connectionLimits(limits).operators, handler),
       directoryClients_(io, clock, logger, connectionLimits(limits).directory, handler),
       readinessChecks_(io, clock, logger, connectionLimits(limits).readiness, handler) {
     operators_.limits(operatorLimits());
+    const int receiveBuffer =
+        net::ConnectionMemory::of(limits.memoryMb).receiveBuffer(connectionLimits(limits).total());
+    for (net::HttpServer* const server : servers()) server->memory(memory_, receiveBuffer);
 }
 
 Result<void> HttpListeners::listen(const settings::ProcessSettings& settings) {
--- a/src/control/http_listeners.hpp
+++ b/src/control/http_listeners.hpp
@@ -30,11 +30,14 @@
     [[nodiscard]] bool closeIdleConnections();
     /// Closes all connections at once.
     void closeAll();
+    /// The memory that the connections of all three hold.
+    [[nodiscard]] const net::ConnectionBudget& memory() const { return memory_; }
 
 private:
     Result<void> listenOn(net::HttpServer& server, const std::string& address, const char* location);
     std::array<net::HttpServer*, 3> servers() { return {&operators_, &directoryClients_, &readinessChecks_}; }
 
+    net::ConnectionBudget memory_;
     net::HttpServer operators_;
     net::HttpServer directoryClients_;
     net::HttpServer readinessChecks_;
--- a/src/control/status.cpp
+++ b/src/control/status.cpp
@@ -154,6 +154,12 @@
                number(status.pendingLongPolls));
     text.counter("beechpoint_control_writes_taken_total", "Operators' writes that this process committed.",
                  number(status.committedWrites));
+    text.gauge("beechpoint_control_client_memory_bytes",
+               "Bytes that HTTP connections and their requests hold.", number(status.clientMemory));
+    text.gauge("beechpoint_control_client_memory_limit_bytes", "The most of these.",
+               number(status.clientMemoryLimit));
+    text.counters("beechpoint_control_overload_total", "What was refused or closed to keep to that limit.",
+                  "action", net::overloadFigures(status.overload));
     writeDutyMetrics(text, status.duties);
     return text.text();
 }
--- a/src/control/status.hpp
+++ b/src/control/status.hpp
@@ -14,6 +14,7 @@
 #include "core/clock.hpp"
 #include "core/replicated_table.hpp"
 #include "leases/lease_table.hpp"
+#include "net/connection_budget.hpp"
 #include "replica/view.hpp"
 
 namespace beechpoint::replica {
@@ -48,6 +49,10 @@
     std::size_t pendingLongPolls = 0;
     std::uint64_t committedWrites = 0;  ///< operators' writes that this process committed
     std::vector<DutyStatus> duties;
+    std::size_t clientMemory =
+        0;  ///< bytes that the connections of all HTTP listeners hold; of the metrics only, as the rest
+    std::size_t clientMemoryLimit = 0;  ///< the most of these
+    net::OverloadCounts overload;
 };
 
 /// Fills in the replica's state at `now`: view, position, revision, evacuated zones, and whether it is fresh and writable.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -49,6 +49,7 @@
       directory_(
           clock, [this] { return knownGateways(); }, directoryTtlSeconds(settings_)),
       listenerLimits_(listenerLimits(settings_)),
+      memory_(net::ConnectionMemory::of(settings_.limits.memoryMb).heldBytes),
       front_(io, clock, log, listenerLimits_.front,
              [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& client) {
                  exchange_.accept(message, client);
@@ -65,6 +66,7 @@
       timer_(io),
       drain_(drainSettings(settings_)) {
     configureFront();
+    boundMemory();
     if (sharesLoad_) exchange_.onLoadReport([this](const auto& changed) { load_.ownLoad(changed); });
     exchange_.onRunStarted([this](const std::string& tenant) { usage_.onRunStarted(tenant); });
     exchange_.setTableIsCurrent([this] { return clock_.now() - control_.heardAt() < kControlTimeout; });
@@ -81,6 +83,13 @@
     front_.limits(limits);
 }
 
+void Gateway::boundMemory() {
+    const auto memory = net::ConnectionMemory::of(settings_.limits.memoryMb);
+    const int receiveBuffer = memory.receiveBuffer(listenerLimits_.total());
+    for (net::HttpServer* const server : {&front_, &readiness_, &directoryServer_})
+        server->memory(memory_, receiveBuffer);
+}
+
 void Gateway::start() {
     startedAt_ = clock_.now();
     front_.listen(listenEndpoint(settings_.listenAddresses.front, "front"));
@@ -134,6 +143,9 @@
     figures.revision = table->revision();
     figures.unreadable = table->unreadableCount();
     if (const auto& tenants = table->tenants()) figures.tenants = tenants->size();
+    figures.clientMemory = memory_.state().used();
+    figures.clientMemoryLimit = memory_.state().limit();
+    figures.overload = memory_.counts();
     figures.hostConnections = exchange_.upstreamConnections();
     figures.hostCounts = exchange_.upstreamCounts();
     return metricsPage(figures);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -57,6 +57,7 @@
 
 private:
     void configureFront();
+    void boundMemory();
     void answerReadiness(const net::HttpMessage& message,
                          const std::shared_ptr<net::HttpConnection>& client) const;
     std::string metrics() const;
@@ -92,6 +93,7 @@
     host_discovery::Poller platform_;  // runs only while control is unreachable
     directory::DirectoryService directory_;
     ListenerLimits listenerLimits_;
+    net::ConnectionBudget memory_;  // of all clients
     net::HttpServer front_, readiness_, directoryServer_;
     asio::steady_timer timer_;
     std::vector<leases::Gateway> gateways_;  // of control's last reply that had them
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -44,6 +44,15 @@
                  figure(figures.routedRequests));
 }
 
+void writeMemory(MetricsText& text, const GatewayFigures& figures) {
+    text.gauge("beechpoint_gateway_client_memory_bytes", "Bytes that clients' connections and requests hold.",
+               figure(figures.clientMemory));
+    text.gauge("beechpoint_gateway_client_memory_limit_bytes", "The most of these.",
+               figure(figures.clientMemoryLimit));
+    text.counters("beechpoint_gateway_overload_total", "What was refused or closed to keep to that limit.",
+                  "action", net::overloadFigures(figures.overload));
+}
+
 std::vector<LabelledFigure> byReason(const CountsByReason& counts) {
     std::vector<LabelledFigure> figures;
     for (std::size_t reason = 0; reason < counts.size(); ++reason)
@@ -119,6 +128,7 @@
     MetricsText text;
     writeState(text, figures);
     writeRequests(text, figures);
+    writeMemory(text, figures);
     writeEnds(text, figures.endCounts);
     writeAccess(text, figures);
     writeAnswerFaults(text, figures.answerFaults);
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -10,6 +10,7 @@
 #include "core/replicated_table.hpp"
 #include "gateway/answer_fault.hpp"
 #include "gateway/request_end_counts.hpp"
+#include "net/connection_budget.hpp"
 #include "upstream/upstream.hpp"
 
 namespace beechpoint::gateway {
@@ -27,6 +28,9 @@
     std::uint32_t liveGateways = 0;    ///< 0: not known
     std::optional<HostList> hostList;  ///< nothing: none known yet
     std::size_t clientConnections = 0;
+    std::size_t clientMemory = 0;       ///< bytes that clients' connections and requests hold
+    std::size_t clientMemoryLimit = 0;  ///< of these
+    net::OverloadCounts overload;
     std::size_t openRequests = 0;
     std::size_t openAttempts = 0;
     std::uint64_t routedRequests = 0;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -6,6 +6,7 @@
 #include <stdexcept>
 
 #include "backend/pool.hpp"
+#include "net/connection_budget.hpp"
 #include "upstream/upstream.hpp"
 
 namespace beechpoint::gateway {
@@ -80,7 +81,8 @@
     limits.readiness = kMaxReadinessConnections;
     limits.directory = std::min(kMaxDirectoryConnections, free / kDirectoryPart);
     const std::size_t others = limits.total();
-    limits.front = (free - others) / 2;
+    const std::size_t byMemory = net::ConnectionMemory::of(settings.limits.memoryMb).mostConnections();
+    limits.front = std::min((free - others) / 2, std::max(byMemory, 2 * others) - others);
     return limits;
 }
 
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -35,7 +35,7 @@
 [[nodiscard]] std::vector<std::string> controlAddresses(const settings::ProcessSettings& settings);
 
 /// The most connections of each listener. Together, with as many to hosts as to clients of the front, they fit into the limits of open
-/// files.
+/// files and of memory.
 struct ListenerLimits {
     std::size_t front = 0;
     std::size_t readiness = 0;
--- a/src/gatherer.cpp
+++ b/src/gatherer.cpp
@@ -41,18 +41,26 @@
     return backend::SearchConnection::maker(std::move(indexes));
 }
 
-// Connections left for clients once the track hosts have theirs.
+// Connections left for clients once the track hosts have theirs, by the limits of sockets and of memory.
 std::size_t clientSockets(const Config& config) {
     const std::size_t operatorPlaces = config.operatorEndpoint ? admin::OperatorEndpoint::kPlaces + 1 : 0;
     const std::size_t taken = hostSockets(config.sockets) + kOwnSockets + operatorPlaces;
     const std::size_t bySockets = config.sockets - std::min(config.sockets, taken);
-    return std::max(kMinClientSockets, bySockets);
+    const std::size_t byMemory = net::ConnectionMemory::of(config.memoryMb).mostConnections();
+    return std::max<std::size_t>(kMinClientSockets, std::min(bySockets, byMemory));
 }
 
 // A third of them is the query API's where that is served.
 std::size_t searchSockets(const Config& config) { return config.search ? clientSockets(config) / 3 : 0; }
 std::size_t platformSockets(const Config& config) { return clientSockets(config) - searchSockets(config); }
 
+// The fronts refuse with 429.
+net::HttpLimits frontLimits() {
+    net::HttpLimits limits;
+    limits.overloadStatus = 429;
+    return limits;
+}
+
 admin::LifecycleTimes lifecycleTimes(const Config& config) {
     admin::LifecycleTimes times;
     Millis longest = 0;
@@ -82,6 +90,7 @@
       hosts_(io, clock, counters, log, exchange_, hostLimits(config), hostMaker(config)),
       lifecycle_(lifecycleTimes(config)),
       platform_(exchange_, clock, counters, [this] { return lifecycle_.up(overlap_.successor()); }),
+      memory_(net::ConnectionMemory::of(config.memoryMb).heldBytes),
       server_(
           io, clock, log, platformSockets(config),
           [this](const net::HttpMessage& message, const std::shared_ptr<net::HttpConnection>& connection) {
@@ -119,7 +128,18 @@
     searchServer_->onFarAhead([this] { counters_.add(Counter::clientsFarAhead); });
 }
 
+void Gatherer::boundMemory() {
+    const int receiveBuffer =
+        net::ConnectionMemory::of(config_.memoryMb).receiveBuffer(clientSockets(config_));
+    for (net::HttpServer* const server : {&server_, searchServer_.get()}) {
+        if (!server) continue;
+        server->limits(frontLimits());
+        server->memory(memory_, receiveBuffer);
+    }
+}
+
 void Gatherer::start() {
+    boundMemory();
     exchange_.list(bans_.overlay(config_.known.list));
     if (banFile_) banFile_->start();  // nothing is sent yet
     watch_.start();
--- a/src/gatherer.hpp
+++ b/src/gatherer.hpp
@@ -55,6 +55,7 @@
     void shareLimits();
     void closeSome();
     void finish();
+    void boundMemory();
     std::size_t connections() const;
 
     const Config& config_;
@@ -67,6 +68,7 @@
     admin::Lifecycle lifecycle_;
     admin::Overlap overlap_;
     frontend::Platform platform_;
+    net::ConnectionBudget memory_;  // of all clients
     net::HttpServer server_;
     std::unique_ptr<frontend::OpenSearch> search_;  // off on the platform
     std::unique_ptr<net::HttpServer> searchServer_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -20,10 +20,14 @@
 // A client may send ahead while its request is in hand. More than this is read and thrown away: it can't fill the memory, and its
 // end, which lies behind, is seen.
 constexpr std::size_t kHeadsAhead = 2;
-constexpr std::size_t kSmallMessage = 16 * 1024;  // a strict connection reads in larger steps from there on
-constexpr std::size_t kKeptOutput = 64 * 1024;    // bytes already sent that may stay before those that wait
-constexpr Millis kLinger = 500;                   // for the client's end after the last answer
-constexpr Millis kLingerBroken = 3000;            // while it still sends what was refused
+constexpr std::size_t kSmallMessage = 16 * 1024;    // a strict connection reads in larger steps from there on
+constexpr std::size_t kKeptOutput = 64 * 1024;      // bytes already sent that may stay before those that wait
+constexpr std::size_t kChunkFraming = 32;           // bytes at most round a chunk
+constexpr std::size_t kConnectionBytes = 4 * 1024;  // of a connection without any buffer
+constexpr std::size_t kSmallAnswer = 4 * 1024;      // is sent whatever the memory
+constexpr Millis kOverloadRetryAfter = 1000;
+constexpr Millis kLinger = 500;         // for the client's end after the last answer
+constexpr Millis kLingerBroken = 3000;  // while it still sends what was refused
 
 }  // namespace
 
@@ -33,11 +37,13 @@
       reader_(HttpReader::Kind::request, buffer_),
       strict_(server.limits_.strict),
       since_(server.clock_.now()),
-      receivedAt_(since_) {
+      receivedAt_(since_),
+      account_(server.budget_->open(*this)) {
     asio::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);  // a read that finds nothing after all must not hold up the loop
     if (strict_) reader_.strict();
+    recordMemory();
 }
 
 // Waits for bytes without a buffer for them: hundreds of idle connections must not hold one each.
@@ -60,24 +66,41 @@
                             field("bytes", mostAhead()));
         if (server_.farAhead_) server_.farAhead_();
     }
-    if (state_ == State::lingering || farAhead_) {  // thrown away
-        // MSG_TRUNC: the system drops the bytes without copying them, so that 60 MB cost next to nothing.
-        static std::array<char, 256 * 1024> sink;
-        socket_.receive(asio::buffer(sink), MSG_TRUNC, error);
-    } else {
-        const std::size_t got = socket_.read_some(buffer_.prepare(readRoom()), error);
-        if (!error) {
-            receivedAt_ = server_.clock_.now();
-            buffer_.commit(got);
-            if (state_ == State::reading) parse();
-        }
-    }
+    if (state_ == State::lingering || farAhead_)
+        discardSome(error);
+    else if (!readSome(error))
+        return read();
     if (state_ == State::closed) return;
     if (error && error != asio::error::would_block) return onEnd();
     if (state_ == State::reading) buffer_.release();
+    recordMemory();
     read();
 }
 
+void HttpConnection::discardSome(asio::error_code& error) {
+    // MSG_TRUNC: the system drops the bytes without copying them, so that 60 MB cost next to nothing.
+    static std::array<char, 256 * 1024> sink;
+    socket_.receive(asio::buffer(sink), MSG_TRUNC, error);
+}
+
+// False: there was no memory for more, and the connection has been told so.
+bool HttpConnection::readSome(asio::error_code& error) {
+    const std::size_t room = readRoom(), most = mostAhead() + kReadSize;
+    const std::size_t capacity = buffer_.capacityFor(room, most);
+    // While it grows, the old bytes stay beside the new ones.
+    if (capacity > buffer_.capacity() && !reserve(capacity)) {
+        state_ == State::reading ? refuseOverloaded() : dropAhead();
+        return false;
+    }
+    const std::size_t got = socket_.read_some(buffer_.prepare(room, most), error);
+    if (error) return true;
+    receivedAt_ = server_.clock_.now();
+    buffer_.commit(got);
+    recordMemory();
+    if (state_ == State::reading) parse();
+    return true;
+}
+
 std::size_t HttpConnection::mostAhead() const {
     return server_.limits_.body + kHeadsAhead * server_.limits_.head;
 }
@@ -119,10 +142,21 @@
     noBody_ = strict_ && message.method == "HEAD";
     oldClient_ = message.minorVersion == 0;
     const auto self = shared_from_this();
-    server_.handler_(message, self);
-    if (!strict_ || state_ == State::closed) return;
+    inHandler_ = true;
+    recordMemory();
+    // Whoever handles it keeps a copy for as long as the answer takes.
+    const std::size_t size = reader_.messageSize();
+    if (server_.budget_->admit(account_, size, server_.clock_.now())) {
+        pinned_ = size;
+        server_.handler_(message, self);
+    } else {
+        refuseOverloaded();
+    }
+    inHandler_ = false;
+    if (state_ == State::closed) return;
     reader_.next();  // a large body must not stay for as long as its answer takes
     buffer_.release();
+    recordMemory();
 }
 
 void HttpConnection::sayContinue() {
@@ -153,6 +187,7 @@
     if (state_ != State::handling) return;  // the client has gone
     handedOver_ = std::move(handedOver);
     gone_ = nullptr;
+    if (!reserveAnswer(body.size())) return;
     decideKeepAlive();
     if (keepAlive_)
         out_ = response(status, type, body, keepAlive_, connectionLines().append(extra));
@@ -161,9 +196,18 @@
     if (noBody_) out_.resize(out_.size() - body.size());
     state_ = State::writing;
     since_ = server_.clock_.now();
+    releaseRequest();
     write();
 }
 
+// An answer that there is no memory for is not sent: its connection ends without one.
+bool HttpConnection::reserveAnswer(std::size_t size) {
+    if (size <= kSmallAnswer || reserve(size)) return true;
+    ++server_.budget_->counts().closedAnswers;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->reset(); });
+    return false;
+}
+
 void HttpConnection::write() {
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this()](asio::error_code error, std::size_t) {
@@ -183,6 +227,7 @@
     reader_.next();
     std::string().swap(out_);
     buffer_.release();
+    releaseRequest();
     server_.connections_.splice(server_.connections_.end(), server_.connections_, place_);
     parse();  // what the client sent ahead
     read();
@@ -226,11 +271,18 @@
         failStream();
         return queued();
     }
+    const std::size_t size = out_.size() + bytes.size() + kChunkFraming;
+    if (size > out_.capacity() && !reserve(std::max(size, 2 * out_.capacity()))) {
+        ++server_.budget_->counts().closedAnswers;
+        failStream();
+        return queued();
+    }
     if (lengthLeft_) *lengthLeft_ -= bytes.size();
     if (chunked_) out_ += fmt::format("{:x}\r\n", bytes.size());
     out_ += bytes;
     if (chunked_) out_ += "\r\n";
     sendStream();
+    recordMemory();
     if (queued() > server_.limits_.streamQueue) failStream();
     return queued();
 }
@@ -282,7 +334,9 @@
     if (error) return failStream();
     out_.clear();
     outSent_ = 0;
+    queuedSince_ = 0;
     if (out_.capacity() > kKeptOutput) std::string().swap(out_);
+    recordMemory();
     if (streamEnd_ == StreamEnd::open) {
         if (drained_) std::exchange(drained_, nullptr)();
         return;
@@ -296,6 +350,7 @@
         outSent_ = 0;
     }
     waitsWritable_ = true;
+    if (queuedSince_ == 0) queuedSince_ = server_.clock_.now();
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code error) {
         self->waitsWritable_ = false;
         if (self->state_ != State::streaming) return;
@@ -316,6 +371,7 @@
     streamEnd_ = StreamEnd::broken;
     std::string().swap(out_);
     outSent_ = 0;
+    recordMemory();
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->reset(); });
 }
 
@@ -334,11 +390,75 @@
     std::string().swap(out_);
     buffer_.consume(buffer_.size());
     buffer_.release();
+    releaseRequest();
     asio::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     read();
 }
 
+// ---- memory
+
+bool HttpConnection::reserve(std::size_t more) {
+    return server_.budget_->grow(account_, more, server_.clock_.now());
+}
+
+void HttpConnection::releaseRequest() {
+    pinned_ = 0;
+    recordMemory();
+}
+
+void HttpConnection::recordMemory() {
+    if (state_ == State::closed) return;
+    MemoryBudget::Holding holding;
+    holding.bytes = kConnectionBytes + buffer_.capacity() + out_.capacity();
+    holding.pinned = pinned_;
+    holding.since = since_;
+    if (inHandler_) {
+        holding.use = MemoryUse::inUse;
+    } else if (state_ == State::reading) {
+        holding.use = MemoryUse::partialRequest;
+        if (partialSince_ > 0) holding.since = partialSince_;
+    } else {
+        const bool mostlyAhead = buffer_.capacity() > out_.capacity();
+        holding.use = mostlyAhead ? MemoryUse::requestAhead : MemoryUse::queuedAnswer;
+    }
+    server_.budget_->hold(account_, holding);
+}
+
+void HttpConnection::freeMemory() {
+    if (state_ == State::reading) return refuseOverloaded();
+    if (buffer_.capacity() > out_.capacity()) return dropAhead();
+    ++server_.budget_->counts().closedAnswers;
+    if (state_ == State::streaming) return failStream();
+    reset();
+}
+
+// The request has not been passed on, whether it has come whole or not.
+void HttpConnection::refuseOverloaded() {
+    ++server_.budget_->counts().refusedRequests;
+    server_.log_.seldom("overloaded", "a request was refused with {}: no memory for it",
+                        field("status", server_.limits_.overloadStatus));
+    if (!inHandler_) {
+        buffer_.consume(buffer_.size());
+        buffer_.release();
+    }
+    state_ = State::handling;
+    keepAlive_ = noBody_ = false;
+    farAhead_ = broken_ = true;
+    partialSince_ = 0;
+    respond(server_.limits_.overloadStatus, "text/plain",
+            "overloaded: not taken and not run; try again later\n", retryAfterHeader(kOverloadRetryAfter));
+}
+
+// What was sent ahead is not answered: the connection ends behind the answer in hand.
+void HttpConnection::dropAhead() {
+    ++server_.budget_->counts().droppedAhead;
+    farAhead_ = broken_ = true;
+    buffer_.consume(buffer_.size());
+    buffer_.release();
+    recordMemory();
+}
+
 bool HttpConnection::unread() const {
     asio::error_code error;
     return socket_.available(error) > 0 && !error;
@@ -395,6 +515,7 @@
     const auto self = shared_from_this();
     socket_.close(ignored);
     server_.connections_.erase(place_);
+    server_.budget_->close(account_);
     if (asked_) --server_.askers_;
     handedOver_ = drained_ = nullptr;
     if (gone_) std::exchange(gone_, nullptr)();
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -16,6 +16,7 @@
 constexpr auto kAcceptPause = std::chrono::milliseconds(10);
 constexpr Millis kJustCame = 50;
 constexpr Millis kIdleShort = 2000;  // from then on an idle connection may go at any time
+constexpr int kSlowReader = 8;
 constexpr int kNeverClosed = 9;
 
 }  // namespace
@@ -38,8 +39,11 @@
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     if (shared) acceptor_.set_option(ReusePort(true));
+    asio::error_code ignored;
+    if (receiveBuffer_ > 0)  // connections inherit it
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(receiveBuffer_), ignored);
     acceptor_.bind(at);
-    acceptor_.listen();
+    acceptor_.listen(receiveBuffer_ > 0 ? kMaxBacklog : asio::socket_base::max_listen_connections);
     acceptor_.non_blocking(true);
     accepting_ = true;
     accept();
@@ -79,12 +83,14 @@
 
 // Closes the connection that is missed least: one that has its answer, one that never asked, half a message,
 // one between requests; of each kind the oldest, and what came just now last, since its request may be on its
-// way. Never is one closed whose request has come.
+// way; at last one whose client has not taken all of a streamed answer for long. Never is another closed whose request has come.
 bool HttpServer::makeRoom() {
     using State = HttpConnection::State;
     const Millis now = clock_.now();
     const auto rank = [now](const HttpConnection& c) {
         if (c.state_ == State::lingering) return 0;
+        const bool readsSlowly = c.queuedSince_ > 0 && now - c.queuedSince_ > kIdleShort;
+        if (c.state_ == State::streaming && readsSlowly) return kSlowReader;
         if (c.state_ != State::reading) return kNeverClosed;
         if (c.asked_ && c.idle()) return now - c.since_ > kIdleShort ? 3 : 4;
         return (c.idle() ? 1 : 2) + (now - c.since_ > kJustCame ? 0 : 4);
@@ -92,7 +98,8 @@
     std::shared_ptr<HttpConnection> least;
     for (const auto& c : connections_) {
         const int r = rank(*c);
-        if (r < kNeverClosed && (!least || r < rank(*least)) && (r == 0 || !c->unread())) least = c;
+        const bool mayClose = r == 0 || r == kSlowReader || !c->unread();
+        if (r < kNeverClosed && (!least || r < rank(*least)) && mayClose) least = c;
     }
     if (least) least->close();
     return least != nullptr;
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -15,6 +15,7 @@
 
 #include "core/logger.hpp"
 #include "net/buffer.hpp"
+#include "net/connection_budget.hpp"
 #include "net/http.hpp"
 
 namespace beechpoint::net {
@@ -38,9 +39,10 @@
     // HEAD is answered without a body, and a request that came behind the one in hand is served before
     // its connection is closed.
     bool strict = false;
+    int overloadStatus = 503;  // of what the process has no memory for; it has not run
 };
 
-class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>, private ConnectionBudget::Owner {
 public:
     HttpConnection(HttpServer& server, asio::ip::tcp::socket socket);
     void start() { read(); }
@@ -95,6 +97,15 @@
     void linger();
     void takeMessage(const HttpMessage& message);
     void sayContinue();
+    bool readSome(asio::error_code& error);
+    void discardSome(asio::error_code& error);
+    bool reserve(std::size_t more);
+    void recordMemory();
+    void freeMemory() override;
+    void refuseOverloaded();
+    void dropAhead();
+    bool reserveAnswer(std::size_t size);
+    void releaseRequest();
     void decideKeepAlive();
     std::string connectionLines() const;
     std::string streamHead(int status, std::string_view headers,
@@ -137,11 +148,18 @@
     Millis since_ = 0;         // of the state it is in; until a whole message has come, of its connecting
     Millis partialSince_ = 0;  // of the first byte of a message that is not whole; 0: none
     Millis receivedAt_ = 0, begunAt_ = 0;
+    Millis queuedSince_ = 0;  // since when bytes of a streamed answer have waited for the client; 0: none do
+    ConnectionBudget::AccountId account_;
+    std::size_t pinned_ = 0;  // bytes of the request in hand, as counted by the budget
+    bool inHandler_ = false;  // the request's slices are in use
     std::list<std::shared_ptr<HttpConnection>>::iterator place_;
 };
 
 class HttpServer {
 public:
+    // Connections that wait to be accepted, at most, where their memory is bounded.
+    static constexpr int kMaxBacklog = 256;
+
     // Handles a request: answers now or later by respond(). The message's slices hold during the call only.
     using Handler = std::function<void(const HttpMessage&, const std::shared_ptr<HttpConnection>&)>;
 
@@ -164,6 +182,12 @@
     void closeAll();
     // The most connections from now on; idle ones beyond that go.
     void limit(std::size_t most);
+    // Whose memory the connections take, and the size of their sockets' receive buffers (0: the system's default). Before listen().
+    // Without it, their memory is not bounded.
+    void memory(ConnectionBudget& budget, int receiveBuffer) {
+        budget_ = &budget;
+        receiveBuffer_ = receiveBuffer;
+    }
     std::size_t connections() const { return connections_.size(); }
     // Called for each client that sent more ahead than is kept.
     void onFarAhead(std::function<void()> then) { farAhead_ = std::move(then); }
@@ -188,6 +212,9 @@
     std::size_t max_;
     Handler handler_;
     HttpLimits limits_;
+    ConnectionBudget unbounded_;
+    ConnectionBudget* budget_ = &unbounded_;
+    int receiveBuffer_ = 0;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer timer_, timerAccept_;
     std::size_t askers_ = 0;  // connections on which a whole message has come
