Count what header lines take beside the buffer, and give it back

Cause: a line of four bytes takes 32 once read and 128 in a request in hand and its attempt; a connection kept the room of its largest head for as long as it lasted, none of it was counted. Also, a kept connection's idle time counted as time for which it holds memory, so that its next request was freed before others. Change: header lines count (in hand: 128 bytes each), their room is given back behind each message; a partial request that came to hold too much is refused; idle time is not counted.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t kKeptOutput = 64 * 1024;      // bytes already sent that may stay before those that wait
 constexpr std::size_t kChunkFraming = 32;           // bytes at most round a chunk
 constexpr std::size_t kConnectionBytes = 4 * 1024;  // of a connection without any buffer
+constexpr std::size_t kHeaderBytes = 128;           // of a header line of a request in hand and of an attempt
 constexpr std::size_t kSmallAnswer = 4 * 1024;      // is sent whatever the memory
 constexpr Millis kOverloadRetryAfter = 1000;
 constexpr Millis kLinger = 500;         // for the client's end after the last answer
@@ -97,7 +98,10 @@
     receivedAt_ = server_.clock_.now();
     buffer_.commit(got);
     recordMemory();
-    if (state_ == State::reading) parse();
+    if (state_ != State::reading) return true;
+    parse();
+    // Header lines take room beside the buffer.
+    if (state_ == State::reading && !reserve(0)) refuseOverloaded();
     return true;
 }
 
@@ -145,7 +149,7 @@
     inHandler_ = true;
     recordMemory();
     // Whoever handles it keeps a copy for as long as the answer takes.
-    const std::size_t size = reader_.messageSize();
+    const std::size_t size = reader_.messageSize() + message.headers.size() * kHeaderBytes;
     if (server_.budget_->admit(account_, size, server_.clock_.now())) {
         pinned_ = size;
         server_.handler_(message, self);
@@ -399,6 +403,7 @@
 // ---- memory
 
 bool HttpConnection::reserve(std::size_t more) {
+    recordMemory();
     return server_.budget_->grow(account_, more, server_.clock_.now());
 }
 
@@ -410,14 +415,14 @@
 void HttpConnection::recordMemory() {
     if (state_ == State::closed) return;
     MemoryBudget::Holding holding;
-    holding.bytes = kConnectionBytes + buffer_.capacity() + out_.capacity();
+    holding.bytes = kConnectionBytes + buffer_.capacity() + out_.capacity() + reader_.headerMemory();
     holding.pinned = pinned_;
     holding.since = since_;
     if (inHandler_) {
         holding.use = MemoryUse::inUse;
     } else if (state_ == State::reading) {
         holding.use = MemoryUse::partialRequest;
-        if (partialSince_ > 0) holding.since = partialSince_;
+        holding.since = partialSince_ > 0 ? partialSince_ : server_.clock_.now();  // not of its idle time
     } else {
         const bool mostlyAhead = buffer_.capacity() > out_.capacity();
         holding.use = mostlyAhead ? MemoryUse::requestAhead : MemoryUse::queuedAnswer;
@@ -439,6 +444,7 @@
     server_.log_.seldom("overloaded", "a request was refused with {}: no memory for it",
                         field("status", server_.limits_.overloadStatus));
     if (!inHandler_) {
+        reader_.next();
         buffer_.consume(buffer_.size());
         buffer_.release();
     }
--- a/src/net/connection_budget.cpp
+++ b/src/net/connection_budget.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr std::size_t kMegabyte = 1024 * 1024;
+constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 constexpr double kHeldShare = 0.375;   // of a process's memory
 constexpr double kUnreadShare = 0.25;  // of a process's memory
-constexpr std::size_t kMinReceiveBuffer = 16 * 1024;
-constexpr std::size_t kMaxReceiveBuffer = 128 * 1024;
+constexpr std::size_t kMinReceiveBuffer = std::size_t{16} * 1024;
+constexpr std::size_t kMaxReceiveBuffer = std::size_t{128} * 1024;
 constexpr std::size_t kKernelFactor = 2;  // the kernel doubles SO_RCVBUF (socket(7))
 
 }  // namespace
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -6,6 +6,12 @@
 
 namespace beechpoint::net {
 
+namespace {
+
+constexpr std::size_t kKeptHeaders = 64;  // whose room stays for the next message
+
+}  // namespace
+
 std::string_view HttpMessage::header(std::string_view name) const {
     for (const auto& [key, value] : headers)
         if (sameName(key, name)) return value;
@@ -205,6 +211,7 @@
     headDone_ = complete_ = tooLarge_ = lastWasValue_ = keepAlive_ = false;
     target_ = body_ = {};
     headers_.clear();
+    if (headers_.capacity() > kKeptHeaders) headers_.shrink_to_fit();
     expectsContinue_ = false;
     http_parser_init(&parser_, kind_ == Kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_.data = this;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -63,6 +63,8 @@
     // Bytes of the message in hand, where it is complete: what lies behind them belongs to the next one.
     std::size_t messageSize() const { return complete_ ? parsed_ : 0; }
     bool inHead() const { return !headDone_; }
+    // Bytes that the header lines of the message in hand take beside the buffer.
+    std::size_t headerMemory() const { return headers_.capacity() * sizeof(decltype(headers_)::value_type); }
     // In a body whose client waits for "100 Continue" and has sent nothing of it yet. Strict reading only.
     bool awaitsContinue() const;
     int status() const { return headDone_ ? static_cast<int>(parser_.status_code) : 0; }
--- a/src/net/memory_budget.cpp
+++ b/src/net/memory_budget.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr Millis kMinHeldTime = 100;               // so that what has just come is compared by its bytes
-constexpr std::size_t kMinFreedBytes = 16 * 1024;  // freeing less is not worth a connection
-constexpr std::size_t kRoomShare = 16;             // one part in so many is freed beyond what is needed
+constexpr Millis kMinHeldTime = 100;  // so that what has just come is compared by its bytes
+constexpr std::size_t kMinFreedBytes = std::size_t{16} * 1024;  // freeing less is not worth a connection
+constexpr std::size_t kRoomShare = 16;  // one part in so many is freed beyond what is needed
 
 }  // namespace
 
@@ -49,7 +49,7 @@
 
 MemoryBudget::Decision MemoryBudget::grow(AccountId id, std::size_t more, Millis now) const {
     Decision decision;
-    if (limit_ - std::min(used_, limit_) >= more) return decision;
+    if (used_ <= limit_ && limit_ - used_ >= more) return decision;
     const auto isCheaper = [](const Candidate& left, const Candidate& right) {
         return left.cost < right.cost || (left.cost == right.cost && left.id < right.id);
     };
--- a/src/net/memory_budget.hpp
+++ b/src/net/memory_budget.hpp
@@ -55,7 +55,7 @@
     /// What the account holds from now on.
     void hold(AccountId id, const Holding& holding);
 
-    /// Whether the account may hold `more` bytes beside all that it has now.
+    /// Whether the account may hold `more` bytes beside all that it has now. Others are freed, too, where more is held than the limit allows.
     [[nodiscard]] Decision grow(AccountId id, std::size_t more, Millis now) const;
     /// Whether a request that pins `bytes` may be taken in hand by the account. Nothing is freed for it that `grow` would not free.
     [[nodiscard]] Decision admit(AccountId id, std::size_t bytes, Millis now) const;
--- a/tests/system/crowd_scripts.cpp
+++ b/tests/system/crowd_scripts.cpp
@@ -70,6 +70,15 @@
     return {begin, {}, 0, std::string(kUnfinishedHead - begin.size(), 'h')};
 }
 
+CrowdScript manyShortLines(const std::string& head) {
+    CrowdScript script;
+    script.begin = head + "Content-Length: 0\r\n";
+    script.repeated = "a:\r\n";
+    script.times = kUnfinishedHead / script.repeated.size();
+    script.end = "\r\n";
+    return script;
+}
+
 CrowdScript longChunkLines(const std::string& head, std::size_t size) {
     CrowdScript script;
     script.begin = chunked(head);
--- a/tests/system/crowd_scripts.hpp
+++ b/tests/system/crowd_scripts.hpp
@@ -29,6 +29,8 @@
 CrowdScript chunkedShortOfEnd(const std::string& head, std::size_t size, std::size_t chunk);
 // A head of 15,000 bytes without its end.
 CrowdScript unfinishedHead();
+// A whole request with header lines of four bytes, 15,000 bytes of them.
+CrowdScript manyShortLines(const std::string& head);
 // A chunked body of `size` bytes, of which nearly all are extensions in the chunks' size lines.
 CrowdScript longChunkLines(const std::string& head, std::size_t size);
 // A chunked body whose trailer section has `size` bytes and no end.
--- a/tests/system/crowd_test.cpp
+++ b/tests/system/crowd_test.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr std::int64_t kMemoryMb = 256;
+constexpr std::int64_t kLittleMemoryMb = 80;
 constexpr int kOpenFiles = 600;
 constexpr std::size_t kReservedDescriptors = 200;  // of max_open_files; the platform's
 constexpr std::size_t kMostBody = 4 * kMegabyte;   // max_body_bytes of a configuration that states none
@@ -30,13 +31,16 @@
 
 class CrowdTest : public SystemTest {
 protected:
-    void SetUp() override {
+    void SetUp() override { beginWith(kMemoryMb); }
+
+    void beginWith(std::int64_t memoryMb) {
+        memoryMb_ = memoryMb;
         limitSanitizerReserve();
         System::Shape shape;
         shape.members = 1;
         shape.gateways = 1;
         shape.machinesToLose = shape.zonesToLose = 0;
-        shape.memoryMb = kMemoryMb;
+        shape.memoryMb = memoryMb_;
         shape.openFiles = kOpenFiles;
         shape.gatewayDirectories = true;
         begin(shape);
@@ -49,10 +53,11 @@
         return {system_->memberProcess(0), system_->memberIp(0), port};
     }
 
-    static void play(const CrowdTarget& target, const std::vector<CrowdScript>& scripts,
-                     const std::function<bool()>& ordinaryCall) {
-        constexpr CrowdBounds kBounds{kMemoryMb * kMegabyte, kOpenFiles - kReservedDescriptors};
-        playCrowd(target, kBounds, scripts, ordinaryCall);
+    void play(const CrowdTarget& target, const std::vector<CrowdScript>& scripts,
+              const std::function<bool()>& ordinaryCall) const {
+        const CrowdBounds bounds{static_cast<std::size_t>(memoryMb_) * kMegabyte,
+                                 kOpenFiles - kReservedDescriptors};
+        playCrowd(target, bounds, scripts, ordinaryCall);
     }
 
     void playAtFront(const std::vector<CrowdScript>& scripts) {
@@ -72,8 +77,21 @@
         const Outcome outcome = operator_->read({0});
         return outcome.taken() && revisionOf(outcome.reply.body) == revision_;
     }
+
+private:
+    std::int64_t memoryMb_ = 0;
 };
 
+// In little memory, so that what header lines take shows with few clients.
+class HeaderCrowdTest : public CrowdTest {
+protected:
+    void SetUp() override { beginWith(kLittleMemoryMb); }
+};
+
+TEST_F(HeaderCrowdTest, FrontTakesWholeHeadsOfManyShortLines) {
+    playAtFront(copies(kFrontClients, manyShortLines(frontHead("/once/x"))));
+}
+
 // ---- the gateway's front
 
 TEST_F(CrowdTest, FrontTakesLargeBodiesThatStopShort) {
--- a/tests/upstream/overload_test.cpp
+++ b/tests/upstream/overload_test.cpp
@@ -70,6 +70,34 @@
     ASSERT_TRUE(until(io, [&] { return peers.back()->has("done"); }));
 }
 
+// The time for which a connection has been idle does not count against its next request.
+TEST_F(Overload, AKeptConnectionIsAsGoodAsANewOne) {
+    net::HttpLimits patient = limits();
+    patient.idle = 1'000'000;
+    server->limits(patient);
+    PeerPtr kept;
+    receive(kGet, &kept)->respond(200, "text/plain", "first");
+    ASSERT_TRUE(until(io, [&] { return kept->has("first"); }));
+    pass(500'000);
+    for (int client = 0; client < 12; ++client) stopShort();
+    constexpr std::size_t kSmallBody = 20'000;
+    kept->send(announced(kSmallBody) + std::string(kSmallBody, 'x'));
+    ASSERT_TRUE(until(io, [&] { return received.size() == 2 || kept->has(" 503 "); }));
+    EXPECT_EQ(received.size(), 2U) << kept->got;
+}
+
+// Lines of four bytes take many times their size once they are read.
+TEST_F(Overload, HeaderLinesCountWithWhatTheyTake) {
+    std::string head = kPost;
+    for (int line = 0; line < 3000; ++line) head += "a:\r\n";
+    const std::size_t before = budget.state().used();
+    receive(head + "\r\n");
+    EXPECT_GT(budget.state().pinned(), 20 * head.size());
+    received.back().connection->respond(200, "text/plain", "done");
+    ASSERT_TRUE(until(io, [&] { return peers.back()->has("done"); }));
+    EXPECT_LT(budget.state().used(), before + 2 * head.size());
+}
+
 TEST_F(Overload, RequestsInHandLeaveRoomForSmallOnes) {
     for (int client = 0; client < 12; ++client) ask(announced(kBody) + std::string(kBody, 'x'));
     ASSERT_TRUE(until(io, [&] { return received.size() + budget.counts().refusedRequests >= 12; }));
