Read a head in steps, so that one over its limit is refused as before

Ruled out: steps for bodies too; with them Server.AnswersTimeOutWhenARequestsRestNeverEnds did not end (not traced why; it sends more than a step each turn).

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -93,7 +93,10 @@
         state_ == State::reading ? refuseOverloaded() : dropAhead();
         return false;
     }
-    const std::size_t got = socket_.read_some(buffer_.prepare(room, most), error);
+    const asio::mutable_buffer space = buffer_.prepare(room, most);
+    // In steps while the head is not whole: the reader sees between two of them whether it is too large.
+    const std::size_t step = reader_.inHead() ? room : space.size();
+    const std::size_t got = socket_.read_some(asio::buffer(space, step), error);
     if (error) return true;
     receivedAt_ = server_.clock_.now();
     buffer_.commit(got);
