Log and count answers of hosts that end with their connection alone

Change: upstream says of a head that its body ends with the connection; the gateway logs host, request, bytes and events passed on, and counts begun streams, streams without an event and other answers. The fixture of streams whose hosts are scripted byte for byte is a header of its own now. Measured: EarlyEndTest (3 tests here) and SpoiledStreamTest pass, sanitized.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -138,6 +138,7 @@
     figures.routedRequests = exchange_.routedRequests();
     figures.endCounts = exchange_.endCounts();
     figures.answerFaults = exchange_.answerFaults();
+    figures.closeDelimitedEnds = exchange_.closeDelimitedEnds();
     figures.accessCounts = exchange_.accessCounts();
     const auto table = table_.current();
     figures.revision = table->revision();
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -107,6 +107,14 @@
                   "reason", figures);
 }
 
+void writeCloseDelimitedEnds(MetricsText& text, const CloseDelimitedEnds& ends) {
+    text.counters("beechpoint_gateway_close_delimited_answers_total",
+                  "Answers of hosts without a length that ended with their connection.", "answer",
+                  {{"eventless_stream", figure(ends.eventlessStreams)},
+                   {"begun_stream", figure(ends.begunStreams)},
+                   {"other", figure(ends.otherAnswers)}});
+}
+
 void writeHostConnections(MetricsText& text, const GatewayFigures& figures) {
     const upstream::UpstreamCounts& counts = figures.hostCounts;
     text.gauge("beechpoint_gateway_host_connections", "Open connections to hosts.",
@@ -132,6 +140,7 @@
     writeEnds(text, figures.endCounts);
     writeAccess(text, figures);
     writeAnswerFaults(text, figures.answerFaults);
+    writeCloseDelimitedEnds(text, figures.closeDelimitedEnds);
     writeHostConnections(text, figures);
     return text.text();
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -9,6 +9,7 @@
 #include "core/clock.hpp"
 #include "core/replicated_table.hpp"
 #include "gateway/answer_fault.hpp"
+#include "gateway/close_delimited_ends.hpp"
 #include "gateway/request_end_counts.hpp"
 #include "net/connection_budget.hpp"
 #include "upstream/upstream.hpp"
@@ -36,6 +37,7 @@
     std::uint64_t routedRequests = 0;
     RequestEndCounts endCounts;
     AnswerFaultCounts answerFaults;
+    CloseDelimitedEnds closeDelimitedEnds;
     AccessCounts accessCounts;
     std::uint64_t revision = 0;          ///< of the configuration in force
     std::size_t unreadable = 0;          ///< values of it that were left out
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -368,6 +368,7 @@
     OpenRequest* const request = find(id);
     if (!request) return;
     const HostAttempt& attempt = request->attempts.at(number);
+    if (attempt.head.closeDelimited) recordCloseDelimitedEnd(*request, attempt);
     const bool endsInsideEvent = attempt.eventStream && attempt.events.pending() > 0;
     if (endsInsideEvent) {
         recordFault(*request, attempt, AnswerFault::truncatedEvent, "the answer ended inside an event");
@@ -398,6 +399,20 @@
                 field("events", request.answer.eventsPassed()), field("detail", detail));
 }
 
+void RequestExchange::recordCloseDelimitedEnd(const OpenRequest& request, const HostAttempt& attempt) {
+    if (!attempt.eventStream)
+        ++closeDelimitedEnds_.otherAnswers;
+    else if (attempt.firstByteReported)
+        ++closeDelimitedEnds_.begunStreams;
+    else
+        ++closeDelimitedEnds_.eventlessStreams;
+    log_.seldom(
+        "close_delimited_end",
+        "host {} ended its answer to {} with the connection alone after {} bytes and {} events passed on",
+        field("instance", attempt.instanceId), field("attempt_id", request.request.attemptId),
+        field("bytes", attempt.bodyBytes), field("events", request.answer.eventsPassed()));
+}
+
 void RequestExchange::endAttempt(dispatch::RequestId id, int number, Outcome outcome,
                                  HostAttempt::State state) {
     OpenRequest* const request = find(id);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -22,6 +22,7 @@
 #include "gateway/answer_fault.hpp"
 #include "gateway/client_answer.hpp"
 #include "gateway/client_request.hpp"
+#include "gateway/close_delimited_ends.hpp"
 #include "gateway/health_check_client.hpp"
 #include "gateway/host_attempt.hpp"
 #include "gateway/request_end_counts.hpp"
@@ -65,6 +66,7 @@
     [[nodiscard]] std::uint64_t routedRequests() const { return lastId_; }
     [[nodiscard]] const RequestEndCounts& endCounts() const { return endCounts_; }
     [[nodiscard]] const AnswerFaultCounts& answerFaults() const { return answerFaults_; }
+    [[nodiscard]] const CloseDelimitedEnds& closeDelimitedEnds() const { return closeDelimitedEnds_; }
     [[nodiscard]] const upstream::UpstreamCounts& upstreamCounts() const { return upstream_.counts(); }
     [[nodiscard]] const AccessCounts& accessCounts() const { return accessCounts_; }
     [[nodiscard]] std::size_t upstreamConnections() const { return upstream_.connections(); }
@@ -114,6 +116,7 @@
                             net::HttpConnection& client);
     void recordFault(const OpenRequest& request, const HostAttempt& attempt, AnswerFault fault,
                      std::string_view detail);
+    void recordCloseDelimitedEnd(const OpenRequest& request, const HostAttempt& attempt);
     void recordEnd(CountsByReason& counts, dispatch::RejectReason reason, int status);
 
     std::size_t connectionQuotaShare(const std::string& service) const;
@@ -137,6 +140,7 @@
     dispatch::RequestId lastId_ = 0;
     RequestEndCounts endCounts_;
     AnswerFaultCounts answerFaults_;
+    CloseDelimitedEnds closeDelimitedEnds_;
     AccessCounts accessCounts_;
     std::deque<dispatch::Event> events_;
     bool processing_ = false;  // events that come meanwhile wait in events_
--- a/src/upstream/answer_head_reader.cpp
+++ b/src/upstream/answer_head_reader.cpp
@@ -68,6 +68,7 @@
     if (head.count("Content-Length") == 1)
         answer.contentLength = net::decimalNumber(head.header("Content-Length"));
     answer.noBody = framing.kind == net::BodyFraming::Kind::none;
+    answer.closeDelimited = framing.kind == net::BodyFraming::Kind::toEnd;
     answer.hostCloses = !head.keepAlive();
     return answer;
 }
--- a/src/upstream/upstream.hpp
+++ b/src/upstream/upstream.hpp
@@ -50,7 +50,9 @@
     Headers headers;  ///< end to end only
     /// Of the body to come; nothing: chunked or to the end of the connection.
     std::optional<std::uint64_t> contentLength;
-    bool noBody = false;      ///< HEAD, 204, 304 (contentLength may still be that of a HEAD answer)
+    bool noBody = false;  ///< HEAD, 204, 304 (contentLength may still be that of a HEAD answer)
+    /// The body ends where the connection does (RFC 9112, 6.3): a host that is killed closes it just so.
+    bool closeDelimited = false;
     bool reused = false;      ///< came on a connection that was used before
     bool hostCloses = false;  ///< Connection: close
     Millis connectTime = 0;   ///< what the dial took; 0 where reused
--- /dev/null
+++ b/tests/gateway/early_end_test.cpp
@@ -0,0 +1,53 @@
+// Hosts on loopback whose connections end ahead of their streams, as the kernel closes those of a process that was killed.
+#include "host_stream_fixture.hpp"
+
+namespace beechpoint::gateway {
+namespace {
+
+constexpr const char* kFirstEvent = "id: 1\ndata: a\n\n";
+
+class EarlyEndTest : public HostStreamTest {
+protected:
+    static std::string unframed(const std::string& events) {
+        return std::string(kHead) + kUnframedHead + events;
+    }
+    static std::string chunkedStream(const std::string& events) {
+        return std::string(kHead) + kChunkedHead + chunk(events) + "0\r\n\r\n";
+    }
+};
+
+TEST_F(EarlyEndTest, StreamOfStatedLengthIsComplete) {
+    const std::string events = kWholeStream;
+    answerFirstWith(std::string(kHead) + fmt::format("Content-Type: text/event-stream\r\nContent-Length: {}"
+                                                     "\r\n\r\n{}",
+                                                     events.size(), events),
+                    "");
+    start();
+    const PeerPtr client = askAndWait("/e/x");
+    EXPECT_TRUE(isComplete(*client));
+    EXPECT_EQ(bodyOf(*client), events);
+}
+
+// Such hosts end each answer so, and nothing in it tells its end from a cut.
+TEST_F(EarlyEndTest, OtherAnswerThatEndsWithItsConnectionIsPassedOn) {
+    answerFirstWith(std::string(kHead) + "Content-Type: text/plain\r\n\r\nall of it", "");
+    start();
+    const PeerPtr client = askAndWait("/p/x");
+    EXPECT_TRUE(isComplete(*client));
+    EXPECT_EQ(bodyOf(*client), "all of it");
+}
+
+TEST_F(EarlyEndTest, AnswersThatEndWithTheirConnectionAreCounted) {
+    answerFirstWith(unframed(kFirstEvent), "");
+    start();
+    askAndWait("/e/x");
+    const PeerPtr reader = connectTo(io, gateway->readinessEndpoint());
+    reader->send("GET /metrics HTTP/1.1\r\nHost: g\r\n\r\n");
+    ASSERT_TRUE(until(io, [&] { return reader->has("beechpoint_gateway_host_surplus_total 0"); }));
+    const std::string_view name = "beechpoint_gateway_close_delimited_answers_total";
+    EXPECT_TRUE(reader->has(fmt::format("{}{{answer=\"begun_stream\"}} 1\n", name)));
+    EXPECT_TRUE(reader->has(fmt::format("{}{{answer=\"other\"}} 0\n", name)));
+}
+
+}  // namespace
+}  // namespace beechpoint::gateway
--- a/tests/gateway/spoiled_stream_test.cpp
+++ b/tests/gateway/spoiled_stream_test.cpp
@@ -1,72 +1,13 @@
 // Hosts on loopback that spoil a stream after it has begun: what is no event of the run must not reach the client.
-#include "gateway_fixture.hpp"
+#include "host_stream_fixture.hpp"
 
 namespace beechpoint::gateway {
 namespace {
 
-constexpr const char* kChunkedHead = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-constexpr const char* kUnframedHead = "Content-Type: text/event-stream\r\n\r\n";
 // A TLS record's first bytes with a blank line behind them, as hosts in trouble sent it.
 const std::string kGarbage("\x16\x03\x01\x00*\x02\x00\x00\r\n\r\n", 12);
-constexpr const char* kWholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
-
-std::string chunk(const std::string& bytes) { return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes); }
-
-class SpoiledStreamTest : public GatewayTest {
-protected:
-    // The first request is answered with these bytes, and the connection is closed; `later` answers all that follow.
-    void spoilFirstAnswer(const std::string& first, const std::string& later) {
-        host.onRequest = second.onRequest = [this, first, later](Peer& peer) {
-            requestBytes.push_back(peer.got);
-            peer.got.clear();
-            const bool isFirst = requestBytes.size() == 1;
-            peer.send(isFirst ? first : later);
-            if (isFirst) peer.close();
-        };
-    }
-    // The events that the client got: the body without its chunked coding.
-    static std::string bodyOf(const Peer& client) {
-        const std::size_t begin = client.got.find("\r\n\r\n");
-        if (begin == std::string::npos) return "";
-        net::BodyDecoder decoder(net::BodyFraming{net::BodyFraming::Kind::chunked, 0});
-        std::string body;
-        std::size_t used = 0;
-        decoder.feed(std::string_view(client.got).substr(begin + 4), used,
-                     [&body](std::string_view bytes) { body += bytes; });
-        return body;
-    }
-    static bool isComplete(const Peer& client) { return client.got.ends_with("0\r\n\r\n"); }
-
-    PeerPtr askAndWait(const std::string& path) {
-        PeerPtr client = ask(path);
-        EXPECT_TRUE(until(io, [&] { return client->ended || isComplete(*client); }));
-        return client;
-    }
-    // A stream that can't be resumed ends visibly cut after these events.
-    void expectCutAfter(const std::string& answer, const std::string& events) {
-        spoilFirstAnswer(answer, "");
-        start();
-        const PeerPtr client = askAndWait("/e/x");
-        EXPECT_FALSE(isComplete(*client));
-        EXPECT_EQ(bodyOf(*client), events);
-    }
-    // A resumable stream goes on at the other host: the client gets each event once, and nothing else.
-    void expectResumedWhole(const std::string& answer, const std::string& later) {
-        addHost("i-2", second);
-        spoilFirstAnswer(answer, later);
-        start();
-        const PeerPtr client = askAndWait("/r/x");
-        EXPECT_TRUE(isComplete(*client));
-        EXPECT_EQ(bodyOf(*client), kWholeStream);
-    }
-    static std::string fromSecondEvent() {
-        return std::string(kHead) + kChunkedHead + chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") +
-               "0\r\n\r\n";
-    }
-
-    ScriptedHost second{io};
-    std::vector<std::string> requestBytes;
-};
+
+class SpoiledStreamTest : public HostStreamTest {};
 
 TEST_F(SpoiledStreamTest, GarbageInsideChunkIsNoEvent) {
     expectCutAfter(std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n") + "40\r\n" + kGarbage,
@@ -128,7 +69,7 @@
 TEST_F(SpoiledStreamTest, CommentsAndFieldsOfOthersArePassedOn) {
     const std::string events =
         ": keep-alive\n\nversions: 4\r\nid: 1\r\ndata: \xC3\xA9\ta\r\n\r\nevent: x\nid: 2\ndata\ndata: b\n\n";
-    spoilFirstAnswer(std::string(kHead) + kChunkedHead + chunk(events) + "0\r\n\r\n", "");
+    answerFirstWith(std::string(kHead) + kChunkedHead + chunk(events) + "0\r\n\r\n", "");
     start();
     const PeerPtr client = askAndWait("/e/x");
     EXPECT_TRUE(isComplete(*client));
@@ -137,8 +78,8 @@
 
 TEST_F(SpoiledStreamTest, AnswerThatIsNoEventStreamDoesNotContinueStream) {
     addHost("i-2", second);
-    spoilFirstAnswer(std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n"),
-                     std::string(kHead) + "Content-Type: text/plain\r\nContent-Length: 9\r\n\r\nno stream");
+    answerFirstWith(std::string(kHead) + kChunkedHead + chunk("id: 1\ndata: a\n\n"),
+                    std::string(kHead) + "Content-Type: text/plain\r\nContent-Length: 9\r\n\r\nno stream");
     start();
     const PeerPtr client = askAndWait("/r/x");
     EXPECT_FALSE(isComplete(*client));
@@ -147,10 +88,10 @@
 
 TEST_F(SpoiledStreamTest, BodyOfOtherRouteIsNotReadAsEvents) {
     const std::string body = "id: 2\ndata: b\n\nid: 1\ndata: a\n\nno event";
-    spoilFirstAnswer(std::string(kHead) + fmt::format("Content-Type: text/event-stream\r\nContent-Length: {}"
-                                                      "\r\n\r\n{}",
-                                                      body.size(), body),
-                     "");
+    answerFirstWith(std::string(kHead) + fmt::format("Content-Type: text/event-stream\r\nContent-Length: {}"
+                                                     "\r\n\r\n{}",
+                                                     body.size(), body),
+                    "");
     start();
     const PeerPtr client = ask("/p/x");
     ASSERT_TRUE(until(io, [&] { return client->has("no event") || client->ended; }));
