--- a/tests/gateway/early_end_test.cpp
+++ b/tests/gateway/early_end_test.cpp
@@ -16,6 +16,18 @@
     }
 };
 
+TEST_F(EarlyEndTest, StreamThatEndsWithItsHostsConnectionDoesNotLookComplete) {
+    expectCutAfter(unframed(kFirstEvent), kFirstEvent);
+}
+
+TEST_F(EarlyEndTest, StreamWithoutAnyEventIsNoAnswer) {
+    answerFirstWith(unframed(""), "");
+    start();
+    const PeerPtr client = ask("/e/x");
+    ASSERT_TRUE(until(io, [&] { return client->has("\r\n\r\n"); }));
+    EXPECT_TRUE(client->has("HTTP/1.1 502 ")) << client->got;
+}
+
 TEST_F(EarlyEndTest, StreamOfStatedLengthIsComplete) {
     const std::string events = kWholeStream;
     answerFirstWith(std::string(kHead) + fmt::format("Content-Type: text/event-stream\r\nContent-Length: {}"
