Take no stream for complete that ends with its host's connection alone

Callers saw: a stream that looked complete and lacked its last pieces, or had none at all (200, complete, empty), on routes that may be resumed and on others. Cause: a success without a length and without chunks was complete at each clean close. The kernel closes the connections of a killed process just so where nothing is unread, so the close is no evidence. Ruled out: believing the close while the host still answers, since a host may also break off by itself. Change: on streaming routes such an attempt ends as incomplete. A resumable stream goes on at another host behind the last event passed on; any other is cut visibly; one without an event is answered 502.

--- a/src/gateway/answer_fault.cpp
+++ b/src/gateway/answer_fault.cpp
@@ -14,6 +14,8 @@
             return "foreign_answer";
         case AnswerFault::truncatedEvent:
             return "truncated_event";
+        case AnswerFault::closedStream:
+            return "closed_stream";
         case AnswerFault::unsoundEvent:
             return "unsound_event";
     }
--- a/src/gateway/answer_fault.hpp
+++ b/src/gateway/answer_fault.hpp
@@ -18,6 +18,7 @@
     malformedAnswer,    ///< the bytes form no answer
     foreignAnswer,      ///< the answer carries the id of another request
     truncatedEvent,     ///< the answer came to its proper end inside an event
+    closedStream,       ///< a stream ended with its connection, as that of a host which was killed does
     unsoundEvent,       ///< the stream holds what is no event of the run (upstream::EventFault)
 };
 inline constexpr std::size_t kAnswerFaultCount = static_cast<std::size_t>(AnswerFault::unsoundEvent) + 1;
--- a/src/gateway/host_answer.cpp
+++ b/src/gateway/host_answer.cpp
@@ -27,11 +27,14 @@
     return head.status == kMisdirectedRequest || upstream::findHeader(head.headers, "X-Not-Executed");
 }
 
+bool isSuccess(const upstream::AnswerHead& head) {
+    return head.status >= kFirstSuccess && head.status < kFirstRedirect;
+}
+
 bool isEventStream(const upstream::AnswerHead& head) {
     constexpr std::string_view kEventStream = "text/event-stream";
     const std::string* const type = upstream::findHeader(head.headers, "Content-Type");
-    const bool success = head.status >= kFirstSuccess && head.status < kFirstRedirect;
-    if (!type || !success || upstream::findHeader(head.headers, "Content-Encoding")) return false;
+    if (!type || !isSuccess(head) || upstream::findHeader(head.headers, "Content-Encoding")) return false;
     const std::string_view essence = std::string_view(*type).substr(0, type->find_first_of("; \t"));
     return net::sameName(essence, kEventStream);
 }
--- a/src/gateway/host_answer.hpp
+++ b/src/gateway/host_answer.hpp
@@ -13,6 +13,9 @@
 /// Whether the host proved that the request has not run: status 421, or the header X-Not-Executed.
 [[nodiscard]] bool notExecuted(const upstream::AnswerHead& head);
 
+/// Whether the status is a 2xx.
+[[nodiscard]] bool isSuccess(const upstream::AnswerHead& head);
+
 /// Whether the answer is a success whose body is a stream of events (text/event-stream, without a coding).
 [[nodiscard]] bool isEventStream(const upstream::AnswerHead& head);
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -369,9 +369,8 @@
     if (!request) return;
     const HostAttempt& attempt = request->attempts.at(number);
     if (attempt.head.closeDelimited) recordCloseDelimitedEnd(*request, attempt);
-    const bool endsInsideEvent = attempt.eventStream && attempt.events.pending() > 0;
-    if (endsInsideEvent) {
-        recordFault(*request, attempt, AnswerFault::truncatedEvent, "the answer ended inside an event");
+    if (const auto fault = endFaultOf(*request, attempt)) {
+        recordFault(*request, attempt, *fault, "the answer ended");
         endAttempt(id, number, Outcome::incomplete, HostAttempt::State::ended);
     } else {
         endAttempt(id, number, outcomeOf(attempt.head), HostAttempt::State::complete);
@@ -379,6 +378,15 @@
     processEvents();
 }
 
+// Why an answer that has ended is not whole all the same.
+std::optional<AnswerFault> RequestExchange::endFaultOf(const OpenRequest& request,
+                                                       const HostAttempt& attempt) {
+    if (attempt.eventStream && attempt.events.pending() > 0) return AnswerFault::truncatedEvent;
+    const bool endsByClose = attempt.head.closeDelimited && isSuccess(attempt.head);
+    if (request.streaming && endsByClose) return AnswerFault::closedStream;
+    return std::nullopt;
+}
+
 void RequestExchange::onFailed(dispatch::RequestId id, int number, const upstream::Failure& failure) {
     const OpenRequest* const request = find(id);
     if (!request) return;
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -116,6 +116,7 @@
                             net::HttpConnection& client);
     void recordFault(const OpenRequest& request, const HostAttempt& attempt, AnswerFault fault,
                      std::string_view detail);
+    static std::optional<AnswerFault> endFaultOf(const OpenRequest& request, const HostAttempt& attempt);
     void recordCloseDelimitedEnd(const OpenRequest& request, const HostAttempt& attempt);
     void recordEnd(CountsByReason& counts, dispatch::RejectReason reason, int status);
 
--- a/tests/gateway/early_end_test.cpp
+++ b/tests/gateway/early_end_test.cpp
@@ -20,6 +20,12 @@
     expectCutAfter(unframed(kFirstEvent), kFirstEvent);
 }
 
+TEST_F(EarlyEndTest, ResumableStreamGoesOnElsewhereWhereItsHostsConnectionEnds) {
+    expectResumedWhole(unframed(kFirstEvent), fromSecondEvent());
+    ASSERT_EQ(requestBytes.size(), 2u);
+    EXPECT_NE(requestBytes[1].find("Last-Event-Id: 1\r\n"), std::string::npos);
+}
+
 TEST_F(EarlyEndTest, StreamWithoutAnyEventIsNoAnswer) {
     answerFirstWith(unframed(""), "");
     start();
@@ -28,6 +34,22 @@
     EXPECT_TRUE(client->has("HTTP/1.1 502 ")) << client->got;
 }
 
+TEST_F(EarlyEndTest, ResumableStreamWithoutAnyEventIsAskedForElsewhere) {
+    expectResumedWhole(unframed(""), chunkedStream(kWholeStream));
+}
+
+TEST_F(EarlyEndTest, StreamThatAClientResumesGoesOnBehindTheLastEventPassedOn) {
+    addHost("i-2", second);
+    answerFirstWith(unframed("id: 2\ndata: b\n\n"), chunkedStream("id: 3\ndata: c\n\n"));
+    start();
+    const PeerPtr client = ask("/r/x", "a1", "Last-Event-Id: 1\r\n");
+    ASSERT_TRUE(until(io, [&] { return client->ended || isComplete(*client); }));
+    EXPECT_TRUE(isComplete(*client));
+    EXPECT_EQ(bodyOf(*client), "id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    ASSERT_EQ(requestBytes.size(), 2u);
+    EXPECT_NE(requestBytes[1].find("Last-Event-Id: 2\r\n"), std::string::npos);
+}
+
 TEST_F(EarlyEndTest, StreamOfStatedLengthIsComplete) {
     const std::string events = kWholeStream;
     answerFirstWith(std::string(kHead) + fmt::format("Content-Type: text/event-stream\r\nContent-Length: {}"
