Soak with clients that count each form of disorder, and numbers that may not go back

Change: SoakTest.Streams*: six hosts frame answers in each way of HTTP/1.1, break off by FIN or reset, fall silent, ignore Last-Event-Id, are killed and come back; 14 clients on kept connections read slowly, leave, and come back with Last-Event-Id at another gateway. Each piece names its number, key and run. Beside it revisions from all members and positions of all gateways are read; processes have 96 MB.

--- a/tests/system/gateway_watch.cpp
+++ b/tests/system/gateway_watch.cpp
@@ -10,14 +10,13 @@
 constexpr auto kLookEvery = std::chrono::milliseconds(100);
 constexpr Millis kLookMost = 1'000;
 
-// The value of a figure without labels; -1: it is not there.
+}  // namespace
+
 double figureIn(const std::string& metrics, const std::string& name) {
     const auto at = metrics.find("\n" + name + " ");
     return at == std::string::npos ? -1 : std::strtod(metrics.c_str() + at + name.size() + 2, nullptr);
 }
 
-}  // namespace
-
 GatewayWatch::GatewayWatch(const System& system) : timer_(io_) {
     for (const std::string& address : system.gatewayMetrics()) places_[address] = {0, 0};
     thread_ = std::thread([this] {
--- a/tests/system/gateway_watch.hpp
+++ b/tests/system/gateway_watch.hpp
@@ -13,6 +13,9 @@
 
 namespace beechpoint::system_test {
 
+// The value of a figure without labels on a page of metrics; -1: it is not there.
+double figureIn(const std::string& metrics, const std::string& name);
+
 class GatewayWatch {
 public:
     // The gateways must go on running until it ends.
--- a/tests/system/soak_fixture.cpp
+++ b/tests/system/soak_fixture.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t kFindingsShown = 10;
 constexpr PlatformTroubles kTroubles{.refused = 0.1, .lost = 0.1, .slow = 0.1};
 constexpr double kSpoiledStreams = 0.2;
+constexpr std::size_t kStreamHosts = 6;
+constexpr std::int64_t kStreamMemoryMb = 96;  // little, so that slow readers meet the bound
 #ifdef __SANITIZE_ADDRESS__
 constexpr std::size_t kSanitizerBytes = 200 * kMegabyte;  // of an idle process that a sanitizer watches
 #else
@@ -100,11 +102,17 @@
     if (process.isMember)
         system_->startMember(process.number);
     else
-        system_->startGateway(process.number);
+        startGateway(process.number);
     process.state = Disturbed::State::running;
     endDisruption(process);
 }
 
+void SoakTest::startGateway(std::size_t gateway) {
+    if (numbers_) numbers_->gatewayStarts(gateway);
+    system_->startGateway(gateway);
+    if (numbers_) numbers_->gatewayStarts(gateway);
+}
+
 void SoakTest::kill(Disturbed& process, Millis length) {
     if (checksMemory_) checkMemory(process);
     record_.disruptions.begin(process.name, Disruption::killed, unixTime());
@@ -337,6 +345,97 @@
     endSoak();
 }
 
+void SoakTest::startStreamHosts(std::uint64_t seed) {
+    hostLoop_.emplace();
+    hostLoop_->run([&] {
+        for (std::size_t host = 0; host < kStreamHosts; ++host) {
+            streamHosts_.push_back(std::make_unique<StreamHost>(hostLoop_->io(), system_->streamHost(host),
+                                                                streamHostName(host), StreamHost::Habits{},
+                                                                seed * 100 + host));
+            streamHosts_.back()->start();
+        }
+    });
+}
+
+// One host after the other is killed and comes back; now and then all at once.
+void SoakTest::killStreamHosts(std::uint64_t seed, const std::atomic<bool>& ends) {
+    constexpr std::uint64_t kLongestPauseMs = 900, kLongestHostDownMs = 500, kAllOneIn = 6;
+    std::mt19937_64 random(seed + 2);
+    while (!ends) {
+        const std::size_t victim = random() % streamHosts_.size();
+        const bool all = random() % kAllOneIn == 0;
+        const auto each = [&](void (StreamHost::*act)()) {
+            hostLoop_->run([&] {
+                for (std::size_t host = 0; host < streamHosts_.size(); ++host)
+                    if (all || host == victim) ((*streamHosts_[host]).*act)();
+            });
+        };
+        each(&StreamHost::kill);
+        const auto down = static_cast<Millis>(random() % kLongestHostDownMs);
+        system_->await([&] { return ends.load(); }, down);
+        each(&StreamHost::start);
+        const auto pause = static_cast<Millis>(random() % kLongestPauseMs);
+        system_->await([&] { return ends.load(); }, pause);
+    }
+}
+
+void SoakTest::checkStreams(const std::vector<StreamAttempt>& attempts) {
+    const StreamDisorder disorder = findDisorder(attempts);
+    std::size_t complete = 0, retries = 0, slow = 0;
+    for (const StreamAttempt& attempt : attempts) {
+        complete += attempt.end == StreamEnd::complete && attempt.status == 200 ? 1 : 0;
+        retries += attempt.isRetry ? 1 : 0;
+        slow += attempt.isSlow ? 1 : 0;
+    }
+    const auto count = [](const char* what, std::size_t value) {
+        report("streams", what, static_cast<double>(value));
+    };
+    count("attempts", attempts.size());
+    count("complete", complete);
+    count("retries with Last-Event-Id or from the start", retries);
+    count("read slowly", slow);
+    count("pieces missed", disorder.missed);
+    count("pieces twice", disorder.twice);
+    count("of two runs", disorder.joinedRuns);
+    count("complete before the last piece", disorder.earlyEnds);
+    count("strange events or invisible ends", disorder.strange);
+    EXPECT_GT(complete, 0u);
+    EXPECT_GT(retries, 0u);
+    expectNone("streams", disorder.findings);
+}
+
+void SoakTest::checkNumbers() {
+    const NumberWatch::Seen seen = numbers_->end();
+    report("streams", "revisions read", static_cast<double>(seen.revisions));
+    report("streams", "positions read", static_cast<double>(seen.positions));
+    EXPECT_GT(seen.revisions, 0u);
+    EXPECT_GT(seen.positions, 0u);
+    expectNone("numbers", seen.findings);
+}
+
+void SoakTest::soakStreams(std::uint64_t seed) {
+    System::Shape shape = shapeOf(3, 3);
+    shape.streamHosts = kStreamHosts;
+    shape.memoryMb = kStreamMemoryMb;
+    ASSERT_NO_FATAL_FAILURE(beginSoak(seed, shape));
+    startStreamHosts(seed);
+    numbers_.emplace(*system_);
+    StreamClients::Settings settings{{}, parameter("BEECHPOINT_SOAK_STREAMS", 14), seed};
+    for (std::size_t gateway = 0; gateway < shape.gateways; ++gateway)
+        settings.fronts.push_back(system_->frontAddress(gateway));
+    streamClients_.emplace(system_->clock(), settings);
+    std::atomic<bool> ends = false;
+    std::thread kills([&] { killStreamHosts(seed, ends); });
+    playSeries(seed, shape);
+    ends = true;
+    kills.join();
+    checkStreams(streamClients_->end());
+    checkNumbers();
+    endSoak();
+    hostLoop_->stop();
+    streamHosts_.clear();
+}
+
 std::vector<CrowdListener> SoakTest::listeners() const {
     using Kind = CrowdListener::Kind;
     std::vector<CrowdListener> all;
@@ -432,6 +531,11 @@
 }
 
 void SoakTest::reset() {
+    streamClients_.reset();
+    numbers_.reset();
+    if (hostLoop_) hostLoop_->stop();
+    streamHosts_.clear();
+    hostLoop_.reset();
     operator_.reset();
     system_.reset();
     processes_.clear();
--- a/tests/system/soak_fixture.hpp
+++ b/tests/system/soak_fixture.hpp
@@ -7,12 +7,14 @@
 //   BEECHPOINT_SOAK_MEMBERS   3 to 9 (default: 3; in series also 5, by the seed)
 //   BEECHPOINT_SOAK_GATEWAYS  2 to 40 (default: 2 to 4, by the seed)
 //   BEECHPOINT_SOAK_CLIENTS   default 8
+//   BEECHPOINT_SOAK_STREAMS   clients of streams, default 14
 #pragma once
 
 #include <array>
 #include <atomic>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -20,11 +22,14 @@
 
 #include "crowd_rounds.hpp"
 #include "fixture.hpp"
+#include "number_watch.hpp"
 #include "soak_checks.hpp"
 #include "soak_clients.hpp"
 #include "soak_history.hpp"
 #include "soak_keys.hpp"
 #include "soak_schedule.hpp"
+#include "stream_clients.hpp"
+#include "stream_host.hpp"
 
 namespace beechpoint::system_test {
 
@@ -50,10 +55,16 @@
     // Series of events that overlap, two operators whose orders overlap, and in the end a member that is lost for good.
     void soakInSeries(std::uint64_t seed);
 
+    // As soakInSeries, with clients of streams whose hosts break off, are killed and come back; each stream and each number is in order.
+    void soakStreams(std::uint64_t seed);
     // As soakInSeries, beside crowds of clients that do not behave; each process keeps to its memory.
     void soakBesideCrowds(std::uint64_t seed);
 
     void playSeries(std::uint64_t seed, const System::Shape& shape);
+    void startStreamHosts(std::uint64_t seed);
+    void killStreamHosts(std::uint64_t seed, const std::atomic<bool>& ends);
+    void checkStreams(const std::vector<StreamAttempt>& attempts);
+    void checkNumbers();
     std::vector<CrowdListener> listeners() const;
     void checkMemory(const Disturbed& process);
     void beginSoak(std::uint64_t seed, const System::Shape& shape);
@@ -87,6 +98,7 @@
     void signal(const Disturbed& process, int number);
     void kill(Disturbed& process, Millis length);
     void start(Disturbed& process);
+    void startGateway(std::size_t gateway);
     std::optional<int> endOf(const Disturbed& process, Millis most) {
         return process.isMember ? system_->awaitEnd(process.number, most)
                                 : system_->awaitGatewayEnd(process.number, most);
@@ -107,6 +119,10 @@
     TenantKeys tenants_;
     SoakRecord record_;
     std::optional<SoakClients> clients_;
+    std::vector<std::unique_ptr<StreamHost>> streamHosts_;
+    std::optional<Background> hostLoop_;
+    std::optional<StreamClients> streamClients_;
+    std::optional<NumberWatch> numbers_;
     std::string unclear_;
     bool checksMemory_ = false;  // of each process, at its end
 };
--- a/tests/system/soak_keys.hpp
+++ b/tests/system/soak_keys.hpp
@@ -35,11 +35,12 @@
 
     std::string whole(std::uint64_t revision) const {
         return fmt::format(
-            R"({{"revision":{},"routes":[{},{},{},{},{},{}],"services":[{{"name":"s1","max_connections":60}}],)"
-            R"("tenants":[{}]}})",
+            R"({{"revision":{},"routes":[{},{},{},{},{},{},{}],"services":[{{"name":"s1","max_connections":60}},)"
+            R"({{"name":"s2","max_connections":200}}],"tenants":[{}]}})",
             revision, own(revision), route("safe", "idempotent", false),
             route("once", "non_idempotent", false), route("stream", "streaming", false),
-            route("open", "idempotent", true), resumable("events"), tenants({0, 1, 2}));
+            route("open", "idempotent", true), resumable(route("events", "streaming", false)), pieceRoutes(),
+            tenants({0, 1, 2}));
     }
     std::string patch(std::uint64_t revision, const std::set<std::size_t>& changed) const {
         return fmt::format(R"({{"revision":{},"upsert":{{"routes":[{}],"tenants":[{}]}}}})", revision,
@@ -54,11 +55,20 @@
             R"("backend":"s1","public":{}}})",
             name, path.empty() ? "/" + name + "/" : path, type, isPublic);
     }
-    static std::string resumable(const std::string& name) {
-        std::string text = route(name, "streaming", false);
+    static std::string resumable(std::string text) {
         text.insert(text.size() - 1, R"(,"resumable":true,"max_attempts":2)");
         return text;
     }
+    // Routes of the service s2, whose hosts stream_host.hpp has.
+    static std::string pieceRoutes() {
+        const auto pieceRoute = [](const std::string& name) {
+            return fmt::format(
+                R"({{"name":"{0}","hostname":"system.example","path_prefix":"/{0}/","type":"streaming",)"
+                R"("timeout_ms":4000,"backend":"s2","public":true}})",
+                name);
+        };
+        return fmt::format("{},{}", resumable(pieceRoute("resumable")), pieceRoute("parts"));
+    }
     static std::string own(std::uint64_t revision) {
         return route("r1", "idempotent", true, routePath(revision));
     }
--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -12,6 +12,10 @@
     playSeeds("Series*", [this](std::uint64_t seed) { soakInSeries(seed); });
 }
 
+TEST_F(SoakTest, StreamsAndNumbersStayInOrderBesideSeriesOfEvents) {
+    playSeeds("Streams*", [this](std::uint64_t seed) { soakStreams(seed); });
+}
+
 TEST_F(SoakTest, CrowdsThatDoNotBehaveBesideSeriesOfEvents) {
     playSeeds("Crowds*", [this](std::uint64_t seed) { soakBesideCrowds(seed); });
 }
--- a/tests/system/surroundings.cpp
+++ b/tests/system/surroundings.cpp
@@ -12,14 +12,24 @@
 
 constexpr std::size_t kCallers = 256;
 
-std::string listOf(const std::vector<asio::ip::tcp::endpoint>& hosts) {
-    std::string instances;
+constexpr std::size_t kZones = 3;
+
+std::string entryOf(const std::string& instance, const char* service, const asio::ip::tcp::endpoint& at,
+                    std::size_t zone) {
+    return fmt::format(
+        R"({{"instance_id":"{}","backend":"{}","address":"{}:{}","zone":"z{}","revision":"v1",)"
+        R"("capacity":64,"state":"serving","warmup_left_ms":0}})",
+        instance, service, at.address().to_string(), at.port(), zone);
+}
+
+std::string listOf(const std::vector<asio::ip::tcp::endpoint>& hosts,
+                   const std::vector<asio::ip::tcp::endpoint>& streamHosts) {
+    std::vector<std::string> entries;
     for (std::size_t host = 0; host < hosts.size(); ++host)
-        instances += fmt::format(
-            R"({}{{"instance_id":"i-{}","backend":"s1","address":"{}:{}","zone":"z{}","revision":"v1",)"
-            R"("capacity":64,"state":"serving","warmup_left_ms":0}})",
-            host == 0 ? "" : ",", host + 1, hosts[host].address().to_string(), hosts[host].port(), host + 1);
-    return fmt::format(R"({{"instances":[{}],"next_page_token":null}})", instances);
+        entries.push_back(entryOf(fmt::format("i-{}", host + 1), "s1", hosts[host], host + 1));
+    for (std::size_t host = 0; host < streamHosts.size(); ++host)
+        entries.push_back(entryOf(streamHostName(host), "s2", streamHosts[host], host % kZones + 1));
+    return fmt::format(R"({{"instances":[{}],"next_page_token":null}})", fmt::join(entries, ","));
 }
 
 bool showsKey(const net::HttpMessage& message) {
@@ -43,9 +53,12 @@
 
 }  // namespace
 
+std::string streamHostName(std::size_t host) { return fmt::format("s-{}", host + 1); }
+
 Surroundings::Surroundings(Background& background, const asio::ip::tcp::endpoint& platform,
-                           const std::vector<asio::ip::tcp::endpoint>& hosts)
-    : background_(background), logger_(clock_, logging::Format::json, -1), list_(listOf(hosts)) {
+                           const std::vector<asio::ip::tcp::endpoint>& hosts,
+                           const std::vector<asio::ip::tcp::endpoint>& streamHosts)
+    : background_(background), logger_(clock_, logging::Format::json, -1), list_(listOf(hosts, streamHosts)) {
     background.run([&] {
         platform_ = std::make_unique<net::HttpServer>(
             background.io(), clock_, logger_, kCallers,
--- a/tests/system/surroundings.hpp
+++ b/tests/system/surroundings.hpp
@@ -66,10 +66,15 @@
     static constexpr auto kSlowTime = std::chrono::milliseconds(800);
 };
 
+// The instance id of a host of streams (stream_host.hpp).
+std::string streamHostName(std::size_t host);
+
 class Surroundings {
 public:
+    // `streamHosts` are listed, as hosts of the service s2, and served by others.
     Surroundings(Background& background, const asio::ip::tcp::endpoint& platform,
-                 const std::vector<asio::ip::tcp::endpoint>& hosts);
+                 const std::vector<asio::ip::tcp::endpoint>& hosts,
+                 const std::vector<asio::ip::tcp::endpoint>& streamHosts = {});
     ~Surroundings();  // after the loop has stopped
 
     void trouble(const PlatformTroubles& troubles, std::uint64_t seed);
--- a/tests/system/system.cpp
+++ b/tests/system/system.cpp
@@ -46,9 +46,11 @@
     return text.size() > kLogBytes ? text.substr(text.size() - kLogBytes) : text;
 }
 
-std::vector<asio::ip::tcp::endpoint> hostEndpoints(const Addresses& addresses, std::size_t hosts) {
+// Hosts of streams have the addresses behind those of the others.
+std::vector<asio::ip::tcp::endpoint> hostEndpoints(const Addresses& addresses, std::size_t first,
+                                                   std::size_t hosts) {
     std::vector<asio::ip::tcp::endpoint> endpoints;
-    for (std::size_t host = 0; host < hosts; ++host)
+    for (std::size_t host = first; host < first + hosts; ++host)
         endpoints.push_back(endpointOf(addresses.host(host), Ports::kHost));
     return endpoints;
 }
@@ -73,7 +75,8 @@
       relay_(background_,
              [this](const auto& caller, const auto& called) { return owners_.ownerOf(caller, called); }),
       surroundings_(background_, endpointOf(addresses_.platform(), Ports::kPlatform),
-                    hostEndpoints(addresses_, shape.hosts)),
+                    hostEndpoints(addresses_, 0, shape.hosts),
+                    hostEndpoints(addresses_, shape.hosts, shape.streamHosts)),
       program_(program()) {
     for (std::size_t member = 0; member < kMostMembers; ++member)
         for (const std::uint16_t port : {Ports::kInternal, Ports::kControl})
@@ -273,6 +276,10 @@
     return addressText(addresses_.member(member), Ports::kInternal);
 }
 
+asio::ip::tcp::endpoint System::streamHost(std::size_t host) const {
+    return endpointOf(addresses_.host(shape_.hosts + host), Ports::kHost);
+}
+
 std::string System::frontAddress(std::size_t gateway) const {
     return addressText(addresses_.gateway(gateway), Ports::kFront);
 }
--- a/tests/system/system.hpp
+++ b/tests/system/system.hpp
@@ -39,6 +39,7 @@
         int machinesToLose = 1;
         int zonesToLose = 1;
         std::size_t hosts = 1;            // each in a zone of its own, z1 first
+        std::size_t streamHosts = 0;      // of the service s2, listed only: the test serves them
         bool duties = false;              // usage reports, in windows of kUsageWindow
         std::int64_t memoryMb = 256;      // limits of each process
         int openFiles = 1024;             // the kernel holds it to them, too
@@ -98,6 +99,7 @@
     // Past the relays.
     std::string memberIp(std::size_t member) const { return addresses_.member(member); }
     std::string gatewayIp(std::size_t gateway) const { return addresses_.gateway(gateway); }
+    asio::ip::tcp::endpoint streamHost(std::size_t host) const;
     // The members of the view in the order of the chain, as this member knows it.
     Members chainAt(std::size_t member) const;
 
