Continue at another host only streams of events of which each has an id

Callers saw (own soak): on a resumable route a 404 or plain text that its host broke off went on with another host's events in its body, sealed; a stream whose events had no ids began anew, each piece twice. Cause: a relayed answer was resumed wherever its route allowed it, whatever the answer was. Change: the gateway tells the dispatcher with an attempt's end whether what was relayed can be continued, as of the moment in which that end is handled; what can't is broken off.

--- a/src/dispatch/attempt_results.cpp
+++ b/src/dispatch/attempt_results.cpp
@@ -81,15 +81,15 @@
     }
     const bool relayed = request.relayed == ended.attempt;
     if (!relayed && request.relayed >= 0) return;  // another attempt's answer is being relayed
-    if (relayed && !resumesAfter(request)) return;
+    if (relayed && !resumesAfter(request, ended.continuable)) return;
     failover_.retry(request, attempt.host);
 }
 
 // The relayed answer ended early. True: the request resumes at another host. False: it was given up and
 // erased.
-bool AttemptResults::resumesAfter(Request& request) {
+bool AttemptResults::resumesAfter(Request& request, bool continuable) {
     request.relayed = kNoAttempt;
-    if (!request.resumable()) {
+    if (!request.resumable() || !continuable) {
         completion_.giveUp(request, RejectReason::mayRunTwice);
         return false;
     }
--- a/src/dispatch/attempt_results.hpp
+++ b/src/dispatch/attempt_results.hpp
@@ -25,7 +25,7 @@
 
 private:
     void conclude(Request& request, const AttemptEnded& ended);
-    bool resumesAfter(Request& request);
+    bool resumesAfter(Request& request, bool continuable);
 
     DispatchState& state_;
     RequestTable& requests_;
--- a/src/dispatch/messages.hpp
+++ b/src/dispatch/messages.hpp
@@ -93,6 +93,8 @@
     Outcome outcome = Outcome::served;
     std::string lastEventId;  ///< of a stream: the last event relayed completely; empty: none
     Millis warmupLeft = 0;    ///< X-Warmup-Remaining, if the answer had it
+    /// Of a relayed answer: another host may go on behind what the client has, without a piece twice or of another kind.
+    bool continuable = true;
 };
 
 struct ClientDisconnected {
--- a/src/gateway/client_answer.cpp
+++ b/src/gateway/client_answer.cpp
@@ -47,6 +47,7 @@
         return false;
     }
     state_ = State::open;
+    isEventStream_ = attempt.eventStream;
     const auto length = attempt.eventStream ? std::nullopt : head.contentLength;
     return client_->beginStream(head.status, upstream::headerLines(head.headers), length);
 }
--- a/src/gateway/client_answer.hpp
+++ b/src/gateway/client_answer.hpp
@@ -37,6 +37,9 @@
     /// The last event that the client has; nothing: none with an id.
     [[nodiscard]] const std::optional<std::string>& lastEventId() const { return progress_.lastId(); }
 
+    /// Whether another host may go on behind what was passed on: a stream of events, and none with data lacked an id.
+    [[nodiscard]] bool continuable() const { return isEventStream_ && !progress_.hasUnnumberedData(); }
+
     /// Events passed on so far, of all attempts.
     [[nodiscard]] std::size_t eventsPassed() const { return progress_.admitted(); }
 
@@ -62,6 +65,7 @@
     std::shared_ptr<net::HttpConnection> client_;
     upstream::Upstream& upstream_;
     upstream::EventProgress progress_;
+    bool isEventStream_ = false;  // of the answer whose head was passed on
     State state_ = State::pending;
 };
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -121,8 +121,9 @@
     processing_ = true;
     std::vector<dispatch::Action> actions;
     while (!events_.empty()) {
-        const dispatch::Event event = std::move(events_.front());
+        dispatch::Event event = std::move(events_.front());
         events_.pop_front();
+        if (auto* const ended = std::get_if<dispatch::AttemptEnded>(&event)) addProgress(*ended);
         actions.clear();
         dispatcher_.handle(clock_.now(), event, actions);
         for (const dispatch::Action& action : actions) carryOut(action);
@@ -132,6 +133,14 @@
     processing_ = false;
 }
 
+// Only now: events ahead of this one may have had more of the answer relayed.
+void RequestExchange::addProgress(dispatch::AttemptEnded& ended) {
+    const OpenRequest* const request = find(ended.id);
+    if (!request) return;
+    ended.lastEventId = request->answer.lastEventId().value_or("");
+    ended.continuable = request->answer.continuable();
+}
+
 // The dispatcher may relay an attempt's answer in the same batch of actions in which it hears of its end.
 void RequestExchange::onAttemptEndHandled(const dispatch::AttemptEnded& ended) {
     OpenRequest* const request = find(ended.id);
@@ -432,7 +441,6 @@
     event.id = id;
     event.attempt = number;
     event.outcome = outcome;
-    event.lastEventId = request->answer.lastEventId().value_or("");
     event.warmupLeft = attempt.warmupLeft;
     events_.push_back(std::move(event));
 }
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -82,6 +82,7 @@
     };
 
     void processEvents();
+    void addProgress(dispatch::AttemptEnded& ended);
     void onAttemptEndHandled(const dispatch::AttemptEnded& ended);
 
     void carryOut(const dispatch::Action& action);
--- a/src/upstream/event_stream.cpp
+++ b/src/upstream/event_stream.cpp
@@ -152,11 +152,13 @@
 }
 
 bool EventProgress::admit(const StreamEvent& event) {
-    if (event.id && lastId_ && repeats(*event.id, *lastId_)) {
+    const bool hasId = event.id && !event.id->empty();
+    if (hasId && lastId_ && repeats(*event.id, *lastId_)) {
         ++repeated_;
         return false;
     }
-    if (event.id) lastId_ = std::string(*event.id);
+    if (hasId) lastId_ = std::string(*event.id);
+    if (!hasId && event.hasData) hasUnnumberedData_ = true;
     ++admitted_;
     return true;
 }
--- a/src/upstream/event_stream.hpp
+++ b/src/upstream/event_stream.hpp
@@ -89,11 +89,14 @@
     [[nodiscard]] const std::optional<std::string>& lastId() const { return lastId_; }
     /// Starts after an event that the client has already.
     void startBehind(std::string_view id) { lastId_ = std::string(id); }
+    /// Whether an event with data was admitted that no Last-Event-Id can name.
+    [[nodiscard]] bool hasUnnumberedData() const { return hasUnnumberedData_; }
     [[nodiscard]] std::size_t admitted() const { return admitted_; }
     [[nodiscard]] std::size_t repeated() const { return repeated_; }
 
 private:
     std::optional<std::string> lastId_;
+    bool hasUnnumberedData_ = false;
     std::size_t admitted_ = 0, repeated_ = 0;
 };
 
--- a/tests/dispatch/requests_test.cpp
+++ b/tests/dispatch/requests_test.cpp
@@ -248,6 +248,20 @@
     EXPECT_EQ(actionsOf<AbortResponse>(end).size(), 1u);
 }
 
+TEST_F(RequestsTest, AnswerThatNoOtherHostCanContinueIsBrokenOff) {
+    const RequestArrived arrived = stream(true);
+    harness.handle(arrived);
+    harness.head(arrived.id, 0);
+    harness.handle(AttemptFirstByte{arrived.id, 0});
+    AttemptEnded ended;
+    ended.id = arrived.id;
+    ended.outcome = Outcome::incomplete;
+    ended.continuable = false;
+    const std::vector<Action> end = harness.handle(ended);
+    EXPECT_TRUE(actionsOf<Send>(end).empty());
+    EXPECT_EQ(actionsOf<AbortResponse>(end).size(), 1u);
+}
+
 TEST_F(RequestsTest, IncompleteResumableStreamResumesAfterLastEvent) {
     const RequestArrived arrived = stream(true);
     const std::string first = actionsOf<Send>(harness.handle(arrived))[0].instanceId;
