Soak with hosts that answer otherwise than with a stream, or leave out ids

Change: hosts of streams answer 3 in 100 requests with a part of a 404 or of plain text, and leave the ids out of 3 in 100 streams; pieces inside an answer that is no stream count as joined runs.

--- a/tests/system/piece_stream.cpp
+++ b/tests/system/piece_stream.cpp
@@ -46,15 +46,20 @@
         : attempt_(attempt), disorder_(disorder), last_(attempt.after) {}
 
     void read() {
+        if (!attempt_.isStream) return readOther();
         for (const ReceivedPiece& piece : attempt_.pieces) take(piece);
-        const bool isSuccess = attempt_.status == 200;
-        if (attempt_.end == StreamEnd::complete && isSuccess && last_ != attempt_.stream.pieces)
+        if (attempt_.end == StreamEnd::complete && last_ != attempt_.stream.pieces)
             count(disorder_.earlyEnds, "complete before its last piece");
         if (attempt_.strangeEvents > 0) count(disorder_.strange, "an event that is no piece");
-        if (isSuccess && !attempt_.hasVisibleEnd) count(disorder_.strange, "an end that may be a cut");
+        if (!attempt_.hasVisibleEnd) count(disorder_.strange, "an end that may be a cut");
     }
 
 private:
+    void readOther() {
+        if (attempt_.strangeEvents > 0 || !attempt_.pieces.empty())
+            count(disorder_.joinedRuns, "pieces inside an answer that is no stream");
+    }
+
     void take(const ReceivedPiece& piece) {
         takeRun(piece);
         if (piece.number <= last_) count(disorder_.twice, "a piece twice");
@@ -100,8 +105,9 @@
     return std::nullopt;
 }
 
-std::string PieceStream::event(std::uint64_t number, const std::string& run) const {
-    return fmt::format("id: {0}\ndata: {0} {1} {2} {3}\n\n", number, key, run, std::string(padding, 'x'));
+std::string PieceStream::event(std::uint64_t number, const std::string& run, bool hasId) const {
+    const std::string id = hasId ? fmt::format("id: {}\n", number) : "";
+    return fmt::format("{}data: {} {} {} {}\n\n", id, number, key, run, std::string(padding, 'x'));
 }
 
 std::optional<ReceivedPiece> pieceOf(std::string_view event) {
@@ -109,7 +115,8 @@
     upstream::EventSplitter splitter;
     splitter.feed(event, [&piece](const upstream::StreamEvent& read) {
         std::string_view data = read.field("data").value_or("");
-        const auto number = numberIn(takeWord(data, ' ')), id = numberIn(read.id.value_or(""));
+        const auto number = numberIn(takeWord(data, ' '));
+        const auto id = read.id ? numberIn(*read.id) : number;
         const std::string key(takeWord(data, ' ')), run(takeWord(data, ' '));
         if (number && number == id) piece = ReceivedPiece{*number, key, run};
     });
--- a/tests/system/piece_stream.hpp
+++ b/tests/system/piece_stream.hpp
@@ -24,7 +24,7 @@
 
     std::string path(const char* prefix) const;
     static std::optional<PieceStream> ofPath(std::string_view path);
-    std::string event(std::uint64_t number, const std::string& run) const;
+    std::string event(std::uint64_t number, const std::string& run, bool hasId = true) const;
 };
 
 struct ReceivedPiece {
@@ -48,7 +48,8 @@
     std::uint64_t after = 0;  // Last-Event-Id; 0: none
     std::size_t gateway = 0;
     Millis sentAt = 0;
-    int status = 0;  // 0: no head came
+    int status = 0;         // 0: no head came
+    bool isStream = false;  // its head says so
     StreamEnd end = StreamEnd::cut;
     bool hasVisibleEnd = true;  // its framing tells a cut from the end
     std::vector<ReceivedPiece> pieces;
--- a/tests/system/piece_stream_test.cpp
+++ b/tests/system/piece_stream_test.cpp
@@ -12,6 +12,7 @@
     StreamAttempt attempt;
     attempt.stream = kStream;
     attempt.status = 200;
+    attempt.isStream = true;
     attempt.end = end;
     attempt.pieces = pieces;
     return attempt;
@@ -40,6 +41,14 @@
     EXPECT_EQ(disorderOf(attemptWith({})).earlyEnds, 1u);
 }
 
+TEST(PieceStreamTest, PiecesInsideAnotherAnswerAreFound) {
+    StreamAttempt attempt = attemptWith({}, StreamEnd::cut);
+    attempt.isStream = false;
+    EXPECT_EQ(disorderOf(attempt).total(), 0u);
+    attempt.strangeEvents = 1;
+    EXPECT_EQ(disorderOf(attempt).joinedRuns, 1u);
+}
+
 TEST(PieceStreamTest, RunThatHadEndedMayNotComeBack) {
     StreamAttempt attempt = attemptWith({{1, "k", "r"}, {2, "k", "s"}, {3, "k", "r"}});
     attempt.isResumable = true;
@@ -58,7 +67,9 @@
     EXPECT_EQ(piece->number, 4u);
     EXPECT_EQ(piece->key, "c1-2");
     EXPECT_EQ(piece->run, "s-1.7");
-    EXPECT_FALSE(pieceOf("data: 4 k r\n\n"));
+    EXPECT_TRUE(pieceOf("data: 4 k r\n\n"));
+    EXPECT_FALSE(pieceOf("id: 3\ndata: 4 k r\n\n"));
+    EXPECT_FALSE(pieceOf("data: x\n\n"));
     const auto stream = PieceStream::ofPath(PieceStream{"c1-2", 5, 9}.path(kPartsPath));
     ASSERT_TRUE(stream);
     EXPECT_EQ(stream->key, "c1-2");
--- a/tests/system/soak_fixture.cpp
+++ b/tests/system/soak_fixture.cpp
@@ -383,7 +383,7 @@
     const StreamDisorder disorder = findDisorder(attempts);
     std::size_t complete = 0, retries = 0, slow = 0;
     for (const StreamAttempt& attempt : attempts) {
-        complete += attempt.end == StreamEnd::complete && attempt.status == 200 ? 1 : 0;
+        complete += attempt.end == StreamEnd::complete && attempt.isStream ? 1 : 0;
         retries += attempt.isRetry ? 1 : 0;
         slow += attempt.isSlow ? 1 : 0;
     }
--- a/tests/system/stream_clients.cpp
+++ b/tests/system/stream_clients.cpp
@@ -120,6 +120,8 @@
         handlers.onHead = [this](const upstream::AnswerHead& head) {
             attempts_.back().status = head.status;
             attempts_.back().hasVisibleEnd = !head.closeDelimited;
+            const std::string* const type = upstream::findHeader(head.headers, "Content-Type");
+            attempts_.back().isStream = head.status == 200 && type && *type == "text/event-stream";
         };
         handlers.onData = [this](std::string_view bytes) { onData(bytes); };
         handlers.onEnd = [this] { finish(StreamEnd::complete); };
@@ -133,7 +135,6 @@
 
     void onData(std::string_view bytes) {
         StreamAttempt& attempt = attempts_.back();
-        if (attempt.status != 200) return;
         splitter_.feed(bytes, [&attempt](const upstream::StreamEvent& event) {
             if (const auto piece = pieceOf(event.bytes))
                 attempt.pieces.push_back(*piece);
@@ -164,7 +165,7 @@
         if (end == StreamEnd::cut) moveOn();
         if (ended_) return leave();
         const std::uint64_t last = attempt.pieces.empty() ? attempt.after : attempt.pieces.back().number;
-        const bool isWhole = end == StreamEnd::complete && attempt.status == 200;
+        const bool isWhole = end == StreamEnd::complete && attempt.isStream;
         if (isWhole || !attempt.isResumable || retries_ >= kMostRetries) return pause();
         resume(last);
     }
--- a/tests/system/stream_host.cpp
+++ b/tests/system/stream_host.cpp
@@ -76,6 +76,7 @@
         stream_ = *stream;
         script_ = host_.drawScript(stream_, net::decimalNumber(head.header("Last-Event-Id")).value_or(0));
         run_ = host_.nextRun();
+        if (script_.isOther) return sendPartOfOther(id);
         if (script_.fails) return sendAnswer(500, fmt::format("X-Attempt-Id: {}\r\n", id));
         next_ = script_.first;
         write(streamHead(id));
@@ -89,6 +90,16 @@
                           host_.instance_, lines));
     }
 
+    void sendPartOfOther(const std::string& id) {
+        next_ = script_.last + 1;  // nothing follows
+        script_.ending = Script::Ending::close;
+        const char* const status = host_.happens(0.5) ? "404 Not Found" : "200 OK";
+        write(fmt::format(
+            "HTTP/1.1 {}\r\nX-Attempt-Id: {}\r\nX-Server-Seal: seal\r\nContent-Type: text/plain\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n{}",
+            status, id, chunkOf("half of ")));
+    }
+
     std::string streamHead(const std::string& id) const {
         std::string framing;
         if (script_.framing == Script::Framing::chunked) framing = "Transfer-Encoding: chunked\r\n";
@@ -103,7 +114,7 @@
     std::size_t wholeLength() const {
         std::size_t length = 0;
         for (std::uint64_t number = script_.first; number <= stream_.pieces; ++number)
-            length += stream_.event(number, run_).size();
+            length += stream_.event(number, run_, script_.hasIds).size();
         return length;
     }
 
@@ -126,7 +137,7 @@
     }
 
     void sendPiece() {
-        const std::string event = stream_.event(next_++, run_);
+        const std::string event = stream_.event(next_++, run_, script_.hasIds);
         write(script_.framing == Script::Framing::chunked ? chunkOf(event) : event);
     }
 
@@ -200,6 +211,8 @@
     else if (happens(habits_.statedLength))
         script.framing = Script::Framing::statedLength;
     script.fails = happens(habits_.failsFirst);
+    script.isOther = happens(habits_.answersOther);
+    script.hasIds = !happens(habits_.leavesOutIds);
     script.first = happens(habits_.ignoresLastEventId) ? 1 : after + 1;
     script.last = stream.pieces;
     if (happens(habits_.closesEarly)) script.ending = Script::Ending::close;
--- a/tests/system/stream_host.hpp
+++ b/tests/system/stream_host.hpp
@@ -25,7 +25,9 @@
         double resetsEarly = 0.08;
         double fallsSilent = 0.02;
         double ignoresLastEventId = 0.05;
-        double failsFirst = 0.02;  // 500 in place of a stream
+        double failsFirst = 0.02;    // 500 in place of a stream
+        double answersOther = 0.03;  // a part of a 404 or of plain text, then FIN
+        double leavesOutIds = 0.03;  // of all events
     };
 
     // `instance`: its name in X-Instance-Id. All calls on the loop's thread.
@@ -50,6 +52,8 @@
         std::uint64_t first = 1;  // piece
         std::uint64_t last = 0;
         bool fails = false;
+        bool isOther = false;
+        bool hasIds = true;
     };
 
     void accept();
